--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+VENV := .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SITE ?= bagmati
+
+.PHONY: setup test check demo bench capacity clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+check: setup
+	$(BIN)/black --check --quiet src tests bench
+	$(BIN)/ruff check --quiet src tests bench
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+demo: setup
+	$(BIN)/python -m eelgrassyard.cli.demo --site=$(SITE)
+
+bench: setup
+	$(BIN)/python bench/run_all.py
+
+capacity: setup
+	$(BIN)/python bench/capacity.py --write
+
+clean:
+	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement programs."""
--- /dev/null
+++ b/src/eelgrassyard/config/__init__.py
@@ -0,0 +1,1 @@
+"""Questionnaire and site configuration."""
--- /dev/null
+++ b/src/eelgrassyard/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of a host."""
