Run the tools against the checkout that they are started in

Cause: an editable install points at one checkout only. Conclusion: several work trees can share one environment.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 BIN := $(VENV)/bin
 SITE ?= bagmati
 
+export PYTHONPATH := src
+
 .PHONY: setup test check demo bench capacity clean
 
 setup: $(VENV)/.installed
