Add a virtual-time driver for several cores

Cause: property tests and measurements need many cores in one process. Conclusion: systems can be exercised together without sockets or a clock.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SITE ?= bagmati
 
-export PYTHONPATH := src
+export PYTHONPATH := src:.
 
 .PHONY: setup test check demo bench capacity clean
 
@@ -28,10 +28,10 @@
 	$(BIN)/python -m eelgrassyard.cli.demo --site=$(SITE)
 
 bench: setup
-	$(BIN)/python bench/run_all.py
+	$(BIN)/python -m bench.run_all
 
 capacity: setup
-	$(BIN)/python bench/capacity.py --write
+	$(BIN)/python -m bench.capacity --write
 
 clean:
 	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/virtual.py
@@ -0,0 +1,416 @@
+"""Several cores in one process on a virtual clock, with small fakes at their interfaces.
+
+The fakes are a network between hosts (delay, loss, duplicates, cuts), upstreams with a slot limit,
+and a host's death, restart and pause. Nothing here decides anything for the cores.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from eelgrassyard.policy import (
+    Action,
+    ConfigLoaded,
+    ControlTask,
+    Core,
+    Event,
+    HostEntry,
+    HostIdentity,
+    HostListRead,
+    IdsCalled,
+    ListedHost,
+    ListedUpstream,
+    LoadConfig,
+    PeerReceived,
+    ReplyIds,
+    ReplyRefusal,
+    ReplyState,
+    Send,
+    SiteConfig,
+    StartFinished,
+    StartResult,
+    StartTask,
+    SubmissionBody,
+    SubmitCalled,
+    UpstreamEntry,
+)
+
+EPOCH = 1_800_000_000.0
+"""Virtual time at which a site starts, in seconds of the Unix epoch."""
+
+ID_KEY = b"virtual site id key, 32 bytes long"[:32]
+
+Reply = ReplyIds | ReplyState | ReplyRefusal
+RunTime = Callable[[StartTask, UpstreamEntry], tuple[float, StartResult]]
+
+
+@dataclass(kw_only=True)
+class VirtualHost:
+    """A host of the virtual site; ``core`` is None while it is down."""
+
+    entry: HostEntry
+    core: Core | None = None
+    generation: int = 0
+    frozen_until: float = 0.0
+    wake_at: float = float("inf")
+    backlog: list[Event] = field(default_factory=list)
+
+
+@dataclass(kw_only=True)
+class VirtualUpstream:
+    """An upstream that enforces its own slots (runner) or cores (worker)."""
+
+    entry: UpstreamEntry
+    up: bool = True
+    leaving: bool = False
+    used: float = 0.0
+    running_by_start: dict[tuple[str, int, int], float] = field(default_factory=dict)
+
+    @property
+    def capacity(self) -> float:
+        return self.entry.slots or self.entry.cores
+
+
+class VirtualSite:
+    """Drives the cores of a site in virtual time.
+
+    :param latency: seconds one way between two failure domains; an upstream counts as in its own.
+    :param run_time: seconds and result of one start on an upstream.
+    :param loss: probability that a message between hosts is lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: SiteConfig,
+        seed: int,
+        run_time: RunTime,
+        latency: Callable[[str, str], float] = lambda a, b: 0.00025 if a == b else 0.0015,
+        loss: float = 0.0,
+        duplicates: float = 0.0,
+        jitter_s: float = 0.0,
+    ) -> None:
+        self.config = config
+        self.revision = 1
+        self.now = EPOCH
+        self.random = random.Random(seed)
+        self.run_time = run_time
+        self.latency = latency
+        self.loss = loss
+        self.duplicates = duplicates
+        self.jitter_s = jitter_s
+        self.cuts: set[frozenset[str]] = set()
+        self.starts_by_task: Counter[tuple[str, int]] = Counter()
+        self.messages_by_type: Counter[str] = Counter()
+        self.frames = 0
+        self.other_actions: list[tuple[float, str, Action]] = []
+        self.on_event: Callable[[VirtualHost, Sequence[Event]], None] | None = None
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._calls = itertools.count(1)
+        self._on_reply: dict[tuple[str, int], Callable[[Reply], None]] = {}
+        self.host_by_name = {n: VirtualHost(entry=h) for n, h in config.hosts_by_name.items()}
+        self.upstream_by_name = {
+            name: VirtualUpstream(entry=entry) for name, entry in config.upstreams_by_name.items()
+        }
+
+    # Time
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Run ``action`` at a virtual time."""
+        heapq.heappush(self._heap, (max(time, self.now), next(self._sequence), action))
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Run ``action`` after a delay in virtual seconds."""
+        self.at(self.now + delay, action)
+
+    def run_until(self, time: float) -> None:
+        """Advance the virtual clock."""
+        while self._heap and self._heap[0][0] <= time:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = time
+
+    # Hosts
+
+    def start_all(self, *, with_config: bool = True) -> None:
+        """Start every host and give it the host list and, unless told otherwise, the config."""
+        for name in self.host_by_name:
+            self.start(name, with_config=with_config)
+
+    def start(self, name: str, *, with_config: bool = True) -> Core:
+        """Start a host, as a new incarnation if it ran before."""
+        host = self.host_by_name[name]
+        host.generation += 1
+        host.frozen_until = 0.0
+        host.backlog.clear()
+        host.wake_at = float("inf")
+        identity = HostIdentity(
+            name=name,
+            address=host.entry.address,
+            port=host.entry.port,
+            failure_domain=host.entry.failure_domain,
+            region=host.entry.region,
+            weight=host.entry.weight,
+            incarnation=int(self.now * 1e6),
+            id_key=ID_KEY,
+        )
+        host.core = Core(identity=identity, seed=self.random.randrange(2**32))
+        self.deliver(name, self.host_list())
+        if with_config:
+            self.deliver(name, self.config_event())
+        return host.core
+
+    def config_event(self) -> ConfigLoaded:
+        """The site's configuration as an event."""
+        return ConfigLoaded(
+            revision=self.revision, document=b"%d" % self.revision, config=self.config
+        )
+
+    def host_list(self) -> HostListRead:
+        """The platform's list: every configured host and upstream."""
+        return HostListRead(
+            hosts=tuple(
+                ListedHost(host=h.entry, leaving=False) for h in self.host_by_name.values()
+            ),
+            upstreams=tuple(
+                ListedUpstream(upstream=u.entry, leaving=u.leaving)
+                for u in self.upstream_by_name.values()
+            ),
+        )
+
+    def kill(self, name: str) -> None:
+        """End a host without notice; its running starts go on at the upstreams."""
+        host = self.host_by_name[name]
+        host.core = None
+        host.generation += 1
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Pause a host; events wait and reach it afterwards."""
+        host = self.host_by_name[name]
+        host.frozen_until = self.now + seconds
+        self.at(host.frozen_until, lambda: self._tick(host))
+
+    def cut(self, first: str, second: str) -> None:
+        """Cut two failure domains off from each other, upstreams included."""
+        self.cuts.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """Undo all cuts."""
+        self.cuts.clear()
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Tell whether two failure domains are cut off from each other."""
+        return first != second and frozenset((first, second)) in self.cuts
+
+    def deliver(self, name: str, *events: Event) -> None:
+        """Hand events to a host now."""
+        host = self.host_by_name[name]
+        if host.core is None:
+            return
+        host.backlog.extend(events)
+        self._tick(host)
+
+    # Callers
+
+    def call(
+        self, name: str, make_event: Callable[[int], Event], on_reply: Callable[[Reply], None]
+    ) -> int:
+        """Put a caller's event to a host; ``on_reply`` gets each reply to it."""
+        number = next(self._calls)
+        self._on_reply[name, number] = on_reply
+        self.deliver(name, make_event(number))
+        return number
+
+    def submit(
+        self,
+        name: str,
+        caller: str,
+        body: SubmissionBody,
+        on_reply: Callable[[str, Reply], None],
+        *,
+        wait_s: float = 60.0,
+        submit_to: str | None = None,
+    ) -> None:
+        """Take an id from a host and submit with it, to the same host or another one."""
+
+        def with_id(reply: Reply) -> None:
+            if not isinstance(reply, ReplyIds):
+                on_reply("", reply)
+                return
+            submission_id = reply.ids[0]
+            self.call(
+                submit_to or name,
+                lambda n: SubmitCalled(
+                    call=n, caller=caller, submission_id=submission_id, body=body, wait_s=wait_s
+                ),
+                lambda final: on_reply(submission_id, final),
+            )
+
+        self.call(
+            name, lambda n: IdsCalled(call=n, caller=caller, count=1, kind=body.kind), with_id
+        )
+
+    # Driver
+
+    def _tick(self, host: VirtualHost) -> None:
+        if host.core is None or self.now < host.frozen_until:
+            return
+        events = host.backlog[:]
+        host.backlog.clear()
+        if self.on_event is not None:
+            self.on_event(host, events)
+        actions = host.core.tick(self.now, events)
+        peers = set()
+        for action in actions:
+            if isinstance(action, Send):
+                peers.add(action.to)
+            self._carry_out(host, action)
+        self.frames += len(peers)
+        self._schedule_wake(host)
+
+    def _schedule_wake(self, host: VirtualHost) -> None:
+        assert host.core is not None
+        wake = max(host.core.next_wake(self.now), self.now + 1e-6)
+        if wake == float("inf") or (self.now < host.wake_at <= wake):
+            return
+        host.wake_at = wake
+        generation = host.generation
+
+        def fire() -> None:
+            if host.generation == generation and host.wake_at == wake:
+                host.wake_at = float("inf")
+                self._tick(host)
+
+        self.at(wake, fire)
+
+    def _carry_out(self, host: VirtualHost, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(host, action)
+            case StartTask():
+                self._start_task(host, action)
+            case ReplyIds() | ReplyState() | ReplyRefusal():
+                callback = self._on_reply.get((host.entry.name, action.call))
+                if callback is not None:
+                    callback_reply = action
+                    self.at(self.now, lambda: callback(callback_reply))
+            case LoadConfig():
+                self.at(self.now, lambda: self.deliver(host.entry.name, self.config_event()))
+            case ControlTask():
+                self._stop_task(host, action)
+            case _:
+                self.other_actions.append((self.now, host.entry.name, action))
+
+    def _send(self, host: VirtualHost, action: Send) -> None:
+        self.messages_by_type[type(action.message).__name__] += 1
+        target = self.host_by_name.get(action.to)
+        if target is None:
+            return
+        source_domain = host.entry.failure_domain
+        copies = 1 + (self.random.random() < self.duplicates)
+        assert host.core is not None
+        event = PeerReceived(
+            sender=host.entry.name,
+            incarnation=host.core.identity.incarnation,
+            message=action.message,
+        )
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            if self.is_cut(source_domain, target.entry.failure_domain):
+                continue
+            delay = self.latency(source_domain, target.entry.failure_domain)
+            delay += self.random.random() * self.jitter_s
+            self.after(delay, lambda: self.deliver(target.entry.name, event))
+
+    def _start_task(self, host: VirtualHost, action: StartTask) -> None:
+        upstream = self.upstream_by_name[action.upstream]
+        delay = self.latency(host.entry.failure_domain, upstream.entry.failure_domain)
+        cut = self.is_cut(host.entry.failure_domain, upstream.entry.failure_domain)
+        if not upstream.up or cut:
+            self._finish(host, action, StartResult.NOT_STARTED, 0.0, delay, connect_refused=True)
+            return
+        self.after(delay, lambda: self._arrive(host, action, upstream, delay))
+
+    def _arrive(
+        self, host: VirtualHost, action: StartTask, upstream: VirtualUpstream, delay: float
+    ) -> None:
+        need = 1.0 if upstream.entry.slots else action.cores
+        if upstream.leaving or upstream.used + need > upstream.capacity + 1e-9:
+            self._finish(host, action, StartResult.NOT_STARTED, 0.0, delay)
+            return
+        self.starts_by_task[action.submission_id, action.index] += 1
+        upstream.used += need
+        seconds, result = self.run_time(action, upstream.entry)
+        key = (host.entry.name, host.generation, action.start)
+        upstream.running_by_start[key] = need
+
+        def end() -> None:
+            if upstream.running_by_start.pop(key, None) is None:
+                return
+            upstream.used -= need
+            self._finish(host, action, result, seconds, delay)
+
+        self.after(seconds, end)
+        self.after(action.timeout_s, lambda: self._time_out(host, action, upstream, key))
+
+    def _time_out(
+        self,
+        host: VirtualHost,
+        action: StartTask,
+        upstream: VirtualUpstream,
+        key: tuple[str, int, int],
+    ) -> None:
+        need = upstream.running_by_start.pop(key, None)
+        if need is not None:
+            upstream.used -= need
+            self._finish(host, action, StartResult.LOST, action.timeout_s, 0.0)
+
+    def _stop_task(self, host: VirtualHost, action: ControlTask) -> None:
+        if action.control != "stop":
+            self.other_actions.append((self.now, host.entry.name, action))
+            return
+        upstream = self.upstream_by_name[action.upstream]
+        key = (host.entry.name, host.generation, action.start)
+        need = upstream.running_by_start.pop(key, None)
+        if need is None:
+            return
+        upstream.used -= need
+        event = StartFinished(
+            start=action.start, upstream=action.upstream, result=StartResult.STOPPED, run_s=0.0
+        )
+        self.after(0.0005, lambda: self.deliver(host.entry.name, event))
+
+    def _finish(
+        self,
+        host: VirtualHost,
+        action: StartTask,
+        result: StartResult,
+        seconds: float,
+        delay: float,
+        *,
+        connect_refused: bool = False,
+    ) -> None:
+        upstream = self.upstream_by_name[action.upstream]
+        event = StartFinished(
+            start=action.start,
+            upstream=action.upstream,
+            result=result,
+            run_s=seconds,
+            payload=b'"%s/%d"' % (action.submission_id.encode(), action.index),
+            leaving=upstream.leaving,
+            refused_by_connect=connect_refused,
+        )
+        generation = host.generation
+
+        def arrive() -> None:
+            if host.generation == generation:
+                self.deliver(host.entry.name, event)
+
+        self.after(delay, arrive)
