Add stand-ins for the platform and for upstreams

Cause: tests, demo and measurements need the platform and upstreams by their protocols. Conclusion: the whole path can be run on one machine.

--- /dev/null
+++ b/src/eelgrassyard/standins/_hostlist.py
@@ -0,0 +1,63 @@
+"""Stand-in for the platform's lagging list of hosts and upstreams."""
+
+from __future__ import annotations
+
+import copy
+import time
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from ._asgi import JsonApplication, Request, Response
+
+
+class HostListStandIn(JsonApplication):
+    """Serves the list as it was ``lag_s`` seconds ago.
+
+    :param hosts: entries as JSON objects, each with at least ``name``, ``role`` and ``state``.
+    :param lag_s: seconds until a change shows in the list.
+    """
+
+    def __init__(
+        self,
+        *,
+        hosts: Sequence[Mapping[str, Any]],
+        lag_s: float = 2.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._clock = clock
+        self._lag_s = lag_s
+        self._entry_by_name = {str(host["name"]): dict(host) for host in hosts}
+        self._versions = [(-lag_s, copy.deepcopy(self._entry_by_name))]
+        self.down = False
+        self.route("GET", r"/hosts", self._list)
+        self.route("PUT", r"/hosts/(?P<name>[^/]+)", self._put)
+        self.route("DELETE", r"/hosts/(?P<name>[^/]+)", self._delete)
+        self.route("POST", r"/faults", self._set_faults)
+
+    async def _list(self, request: Request) -> Response:
+        if self.down:
+            return Response(status=503, content={"error": "down"})
+        visible_at = self._clock() - self._lag_s
+        while len(self._versions) > 1 and self._versions[1][0] <= visible_at:
+            self._versions.pop(0)
+        return Response(content={"hosts": list(self._versions[0][1].values())})
+
+    async def _put(self, request: Request) -> Response:
+        name = request.groups["name"]
+        self._entry_by_name.setdefault(name, {"name": name, "state": "live"})
+        self._entry_by_name[name].update(request.json())
+        self._note_change()
+        return Response(content={})
+
+    async def _delete(self, request: Request) -> Response:
+        self._entry_by_name.pop(request.groups["name"], None)
+        self._note_change()
+        return Response(content={})
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.down = bool(request.json()["down"])
+        return Response(content={})
+
+    def _note_change(self) -> None:
+        self._versions.append((self._clock(), copy.deepcopy(self._entry_by_name)))
--- /dev/null
+++ b/src/eelgrassyard/standins/_runner.py
@@ -0,0 +1,80 @@
+"""Stand-in for a runner of a service."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+import anyio
+
+from ._asgi import JsonApplication, Request, Response
+from ._work import parse_work
+
+NOT_STARTED = {"Eelgrassyard-Not-Started": "1"}
+LEAVING = {"Eelgrassyard-Leaving": "1"}
+
+
+@dataclass(slots=True, kw_only=True)
+class RunnerFaults:
+    """What is wrong with the runner at the moment.
+
+    :param fail: fail every request at once.
+    :param stall: never answer.
+    :param slow_factor: multiplies run times.
+    """
+
+    fail: bool = False
+    stall: bool = False
+    slow_factor: float = 1.0
+    leaving: bool = False
+
+
+class RunnerStandIn(JsonApplication):
+    """Runs requests in a fixed number of slots and counts the starts of each task.
+
+    :param speed: 1.0 runs a request in its nominal time, 2.0 in half of it.
+    """
+
+    def __init__(self, *, name: str, slots: int = 8, speed: float = 1.0) -> None:
+        super().__init__()
+        self.name = name
+        self.faults = RunnerFaults()
+        self.starts_by_task: Counter[str] = Counter()
+        self._slots = slots
+        self._speed = speed
+        self._in_use = 0
+        self.route("POST", r"/run/(?P<kind>[^/]+)", self._run)
+        self.route("GET", r"/counts", self._get_counts)
+        self.route("POST", r"/faults", self._set_faults)
+
+    async def _run(self, request: Request) -> Response:
+        leaving = LEAVING if self.faults.leaving else {}
+        if self.faults.leaving or self._in_use >= self._slots:
+            return Response(
+                status=503, content={"error": "no free slot"}, headers={**NOT_STARTED, **leaving}
+            )
+        task = request.headers["eelgrassyard-task"]
+        self.starts_by_task[task] += 1
+        self._in_use += 1
+        try:
+            return await self._run_started(request, task)
+        finally:
+            self._in_use -= 1
+
+    async def _run_started(self, request: Request, task: str) -> Response:
+        work = parse_work(request.json())
+        if self.faults.fail or work.fail:
+            return Response(status=500, content={"error": "the task failed"})
+        if self.faults.stall:
+            await anyio.sleep_forever()
+        await anyio.sleep(work.nominal_s * self.faults.slow_factor / self._speed)
+        headers = LEAVING if self.faults.leaving else {}
+        result = {"task": task, "runner": self.name, "answer": work.answer}
+        return Response(content=result, headers=headers)
+
+    async def _get_counts(self, request: Request) -> Response:
+        return Response(content=dict(self.starts_by_task))
+
+    async def _set_faults(self, request: Request) -> Response:
+        self.faults = RunnerFaults(**request.json())
+        return Response(content={})
