--- /dev/null
+++ b/src/eelgrassyard/policy/_forwarding.py
@@ -0,0 +1,199 @@
+"""Calls on submissions of other hosts: passed to the owner or, without one, put to the witness."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import defaultdict
+from dataclasses import dataclass
+
+from ._actions import Action, Count, Send
+from ._endings import unknown
+from ._events import PeerReceived
+from ._identity import HostIdentity
+from ._ids import SubmissionId
+from ._messages import ForwardCall, ForwardReply, Operation, WitnessQuery, WitnessVerdict
+from ._outcomes import Outcome, Reason, SubmissionBody
+from ._system import MembershipView
+from ._timers import TimerQueue
+from ._waits import Waiter
+
+REPEAT_S = 1.0
+"""Interval at which an unanswered call is put to the owner again, as a query without its body."""
+
+GRACE_S = 3.0
+"""Time beyond the caller's wait after which an owner that says nothing counts as unreachable."""
+
+QUERY_REPEAT_S = 0.5
+MAX_QUERY_TRIES = 3
+
+
+class Stage(enum.IntEnum):
+    """Whom a call waits for."""
+
+    OWNER = 0
+    WITNESS = 1
+
+
+@dataclass(slots=True, kw_only=True)
+class ForwardedCall:
+    """A call of a caller at this host on a submission of another host.
+
+    :param wait_until: end of the caller's wait.
+    """
+
+    call: int
+    caller: str
+    operation: Operation
+    text: str
+    fields: SubmissionId
+    wait_until: float
+    body: SubmissionBody | None = None
+    stage: Stage = Stage.OWNER
+    tries: int = 0
+
+
+class Forwarding:
+    """The table of forwarded calls."""
+
+    def __init__(self, *, identity: HostIdentity, membership: MembershipView) -> None:
+        self._identity = identity
+        self._membership = membership
+        self._forwarded_by_call: dict[int, ForwardedCall] = {}
+        self._calls_by_id: defaultdict[str, set[int]] = defaultdict(set)
+        self._timers: TimerQueue[tuple[int, Stage, int]] = TimerQueue()
+
+    def __len__(self) -> int:
+        return len(self._forwarded_by_call)
+
+    def begin(self, now: float, forwarded: ForwardedCall, out: list[Action]) -> None:
+        """Pass a call on."""
+        self._forwarded_by_call[forwarded.call] = forwarded
+        self._calls_by_id[forwarded.text].add(forwarded.call)
+        if self._is_owner_reachable(forwarded):
+            self._ask_owner(now, forwarded, forwarded.operation, out)
+        else:
+            self._ask_witness(now, forwarded, out)
+
+    def abandon(self, call: int) -> None:
+        """Forget a call whose caller disconnected."""
+        forwarded = self._forwarded_by_call.get(call)
+        if forwarded is not None:
+            self._remove(forwarded)
+
+    def abandon_all(self, out: list[Action]) -> None:
+        """Answer all calls before the process ends; what became of them is not known here."""
+        for forwarded in list(self._forwarded_by_call.values()):
+            message = "this host stops; repeat the same id at another host"
+            self._answer(forwarded, unknown(Reason.DRAINING, message, 0.0), out)
+
+    def take_reply(
+        self, now: float, event: PeerReceived, reply: ForwardReply, out: list[Action]
+    ) -> None:
+        """Pass the owner's reply on to the caller."""
+        forwarded = self._forwarded_by_call.get(reply.call)
+        if forwarded is None or forwarded.text != reply.submission_id:
+            return
+        fields = forwarded.fields
+        if (event.sender, event.incarnation) != (fields.owner, fields.incarnation):
+            if reply.refusal is Reason.OWNER_LOST and event.sender == fields.owner:
+                self._ask_witness(now, forwarded, out)
+            return
+        if reply.refusal is Reason.NOT_SUBMITTED and forwarded.operation is Operation.SUBMIT:
+            self._ask_owner(now, forwarded, Operation.SUBMIT, out)
+        elif reply.refusal is not Reason.NONE:
+            self._remove(forwarded)
+            Waiter(forwarded.call).refuse(forwarded.text, reply.refusal, reply.message, out)
+        else:
+            self._answer(forwarded, reply.outcome, out)
+
+    def take_verdict(self, verdict: WitnessVerdict, event: PeerReceived, out: list[Action]) -> None:
+        """Answer the calls that wait for the witness."""
+        for call in list(self._calls_by_id.get(verdict.submission_id, ())):
+            forwarded = self._forwarded_by_call[call]
+            fields = forwarded.fields
+            sender = (event.sender, event.incarnation)
+            if sender == (fields.witness, fields.witness_incarnation):
+                self._answer(forwarded, verdict.outcome, out)
+
+    def advance(self, now: float, out: list[Action]) -> None:
+        """Repeat, or give up, what has not been answered."""
+        for call, stage, tries in self._timers.pop_due(now):
+            forwarded = self._forwarded_by_call.get(call)
+            if forwarded is None or (forwarded.stage, forwarded.tries) != (stage, tries):
+                continue
+            if stage is Stage.WITNESS or not self._is_owner_reachable(forwarded):
+                self._ask_witness(now, forwarded, out)
+            elif now >= forwarded.wait_until + GRACE_S:
+                message = "the owner does not answer; repeat the same id"
+                self._answer(forwarded, unknown(Reason.OWNER_UNREACHABLE, message), out)
+            else:
+                repeat = forwarded.operation
+                if repeat is Operation.SUBMIT:
+                    repeat = Operation.QUERY
+                self._ask_owner(now, forwarded, repeat, out)
+
+    def next_wake(self) -> float:
+        """Time of the next repeat."""
+        return self._timers.next_due() if self._forwarded_by_call else math.inf
+
+    def _is_owner_reachable(self, forwarded: ForwardedCall) -> bool:
+        fields = forwarded.fields
+        if fields.owner == self._identity.name:
+            return False
+        if self._membership.is_dead(fields.owner, fields.incarnation):
+            return False
+        return self._membership.is_alive(fields.owner, fields.incarnation)
+
+    def _ask_owner(
+        self, now: float, forwarded: ForwardedCall, operation: Operation, out: list[Action]
+    ) -> None:
+        forwarded.tries += 1
+        message = ForwardCall(
+            call=forwarded.call,
+            caller=forwarded.caller,
+            operation=operation,
+            submission_id=forwarded.text,
+            wait_s=max(0.0, forwarded.wait_until - now),
+            body=forwarded.body if operation is Operation.SUBMIT else None,
+        )
+        out.append(Send(to=forwarded.fields.owner, message=message))
+        out.append(Count(metric="submissions.forwarded"))
+        self._set_timer(now + REPEAT_S, forwarded)
+
+    def _ask_witness(self, now: float, forwarded: ForwardedCall, out: list[Action]) -> None:
+        """Put the call to the witness; without one that is reachable nothing is known."""
+        fields = forwarded.fields
+        if forwarded.stage is not Stage.WITNESS:
+            forwarded.stage, forwarded.tries = Stage.WITNESS, 0
+        if fields.witness is None:
+            message = "the owner is gone and the id names no witness"
+            self._answer(forwarded, unknown(Reason.OWNER_LOST, message), out)
+            return
+        alive = self._membership.is_alive(fields.witness, fields.witness_incarnation)
+        if not alive or forwarded.tries >= MAX_QUERY_TRIES:
+            message = "neither owner nor witness can be reached; repeat the same id"
+            self._answer(forwarded, unknown(Reason.OWNER_UNREACHABLE, message), out)
+            return
+        forwarded.tries += 1
+        query = WitnessQuery(
+            submission_id=forwarded.text,
+            caller=forwarded.caller,
+            lifetime_s=max(0.0, fields.expires_at - now),
+        )
+        out.append(Send(to=fields.witness, message=query))
+        self._set_timer(now + QUERY_REPEAT_S, forwarded)
+
+    def _set_timer(self, due: float, forwarded: ForwardedCall) -> None:
+        self._timers.add(due, (forwarded.call, forwarded.stage, forwarded.tries))
+
+    def _answer(self, forwarded: ForwardedCall, outcome: Outcome | None, out: list[Action]) -> None:
+        self._remove(forwarded)
+        Waiter(forwarded.call).reply(forwarded.text, outcome, out)
+
+    def _remove(self, forwarded: ForwardedCall) -> None:
+        del self._forwarded_by_call[forwarded.call]
+        calls = self._calls_by_id[forwarded.text]
+        calls.discard(forwarded.call)
+        if not calls:
+            del self._calls_by_id[forwarded.text]
--- /dev/null
+++ b/src/eelgrassyard/policy/_recording.py
@@ -0,0 +1,134 @@
+"""The record at the witness that a submission needs before its first start."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ._actions import Action, Send
+from ._config import Limits
+from ._events import PeerReceived
+from ._messages import WitnessAck, WitnessRecord
+from ._outcomes import Reason
+from ._records import Submission
+from ._slots import Slots
+from ._system import ConfigView, MembershipView
+from ._timers import TimerQueue
+
+MAX_TRIES = 4
+"""Unanswered requests for a record after which the witness counts as lost."""
+
+_DEFAULT_LIMITS = Limits()
+
+OnRecorded = Callable[[float, Submission, list[Action]], None]
+OnLost = Callable[[float, Submission, Reason, str, list[Action]], None]
+
+
+class Recording:
+    """Gets records, by a request of its own or with the ask if the scheduler is the witness.
+
+    :param on_recorded: called when the witness holds the record.
+    :param on_lost: called when there will be no record.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: ConfigView,
+        membership: MembershipView,
+        slots: Slots,
+        on_recorded: OnRecorded,
+        on_lost: OnLost,
+    ) -> None:
+        self._config = config
+        self._membership = membership
+        self._slots = slots
+        self._on_recorded = on_recorded
+        self._on_lost = on_lost
+        self._timers: TimerQueue[tuple[Submission, int]] = TimerQueue()
+
+    def is_possible(self, submission: Submission) -> bool:
+        """Tell whether the record is there, or the witness can be asked for it."""
+        if submission.recorded:
+            return True
+        fields = submission.fields
+        assert fields.witness is not None
+        return self._membership.is_alive(fields.witness, fields.witness_incarnation)
+
+    def begin(self, now: float, submission: Submission, out: list[Action]) -> None:
+        """Get the record for a submission whose places were just asked for."""
+        if submission.recorded:
+            return
+        if self._is_asked(now, submission, out):
+            self._set_timer(now, submission)
+        else:
+            self.request(now, submission, out)
+
+    def request(self, now: float, submission: Submission, out: list[Action]) -> None:
+        """Ask the witness itself."""
+        fields = submission.fields
+        assert fields.witness is not None
+        submission.record_tries += 1
+        message = WitnessRecord(
+            submission_id=submission.text,
+            caller=submission.caller,
+            lifetime_s=max(0.0, fields.expires_at - now),
+        )
+        out.append(Send(to=fields.witness, message=message))
+        self._set_timer(now, submission)
+
+    def renew(self, now: float, submission: Submission, out: list[Action]) -> None:
+        """Ask again after a pause of the process; the earlier record is not relied on."""
+        submission.recorded = submission.fields.witness is None
+        submission.record_tries = 0
+        if not submission.recorded:
+            self.request(now, submission, out)
+
+    def take_ack(
+        self,
+        now: float,
+        event: PeerReceived,
+        ack: WitnessAck,
+        submission: Submission,
+        out: list[Action],
+    ) -> None:
+        """Take the witness's answer, if it is from the incarnation that the id names."""
+        fields = submission.fields
+        sender = (event.sender, event.incarnation)
+        if submission.recorded or sender != (fields.witness, fields.witness_incarnation):
+            return
+        if ack.accepted:
+            submission.recorded = True
+            self._on_recorded(now, submission, out)
+        else:
+            message = "the witness refused the record"
+            self._on_lost(now, submission, Reason.WITNESS_REFUSED, message, out)
+
+    def advance(self, now: float, out: list[Action]) -> None:
+        """Repeat requests; notice that a witness is gone."""
+        for submission, tries in self._timers.pop_due(now):
+            if submission.recorded or submission.outcome is not None:
+                continue
+            if submission.record_tries != tries:
+                continue
+            if tries >= MAX_TRIES or not self.is_possible(submission):
+                message = "the witness did not acknowledge the record"
+                self._on_lost(now, submission, Reason.WITNESS_LOST, message, out)
+            elif tries == 0 and self._is_asked(now, submission, out):
+                self._set_timer(now, submission)
+            else:
+                self.request(now, submission, out)
+
+    def next_wake(self) -> float:
+        """Time of the next repeat."""
+        return self._timers.next_due()
+
+    def _is_asked(self, now: float, submission: Submission, out: list[Action]) -> bool:
+        """Tell whether the scheduler is the witness, so that the ask is the record."""
+        link = self._slots.link(now, submission.pool, out)
+        fields = submission.fields
+        return (link.scheduler, link.incarnation) == (fields.witness, fields.witness_incarnation)
+
+    def _set_timer(self, now: float, submission: Submission) -> None:
+        config = self._config.current
+        limits = _DEFAULT_LIMITS if config is None else config.limits
+        self._timers.add(now + limits.ask_timeout_s, (submission, submission.record_tries))
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -1,38 +1,395 @@
-"""Submissions that this host owns."""
+"""Submissions that this host owns, and calls on submissions of other hosts."""
 
 from __future__ import annotations
 
-import math
-from typing import ClassVar
+import itertools
+from typing import ClassVar, Protocol
 
-from ._actions import Action
-from ._events import Event
+from result import Err, Ok
+
+from ._actions import Action, ReplyIds
+from ._config import Limits
+from ._drain import Drain, DrainState
+from ._endings import RETRY_AFTER_S, expired
+from ._events import (
+    CallAbandoned,
+    CancelCalled,
+    DrainCalled,
+    Event,
+    IdsCalled,
+    PeerReceived,
+    QueryCalled,
+    StartFinished,
+    SubmitCalled,
+)
+from ._fairqueue import QueueRefusal
+from ._forwarding import ForwardedCall, Forwarding
 from ._identity import HostIdentity
+from ._ids import MAX_IDS_PER_CALL, SubmissionId, issue_id, verify_id
+from ._messages import (
+    ForwardCall,
+    ForwardReply,
+    Operation,
+    SlotGrant,
+    SlotRefusal,
+    TaskControl,
+    WitnessAck,
+    WitnessVerdict,
+)
+from ._outcomes import Reason, SubmissionBody
+from ._owner import Owner
+from ._pools import pool_of
+from ._records import Submission, body_digest
 from ._system import ConfigView, MembershipView
+from ._waits import Waiter, Waits
+
+MAX_DUMPED = 1000
+"""Submissions that a state dump lists one by one."""
+
+_DEFAULT_LIMITS = Limits()
+
+_MESSAGES = {
+    Reason.BODY_CONFLICT: "the id was submitted with another body",
+    Reason.NOT_READY: "the host has no configuration yet",
+    Reason.UNKNOWN_KIND: "there is no such kind of work",
+    Reason.KIND_FORBIDDEN: "the caller may not submit this kind of work",
+    Reason.NOT_SUBMITTED: "the id was not submitted yet",
+    Reason.ID_INVALID: "the id is malformed",
+    Reason.FOREIGN_ID: "the id was not issued to this caller",
+    Reason.OWNER_LOST: "the owner has restarted since the id was issued",
+    Reason.DRAINING: "the host is stopping; use another one",
+}
+
+
+class AdmissionCheck(Protocol):
+    """Bounds at the host towards callers."""
+
+    def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
+        """Why a new submission is refused, or None."""
 
 
 class Submissions:
-    """Placeholder with the interface of the system."""
+    """Issues ids and answers calls; the submissions themselves are kept by their owner.
+
+    :param admission: bounds at this host; None for no bounds.
+    """
 
-    HANDLES: ClassVar[tuple[type, ...]] = ()
+    HANDLES: ClassVar[tuple[type, ...]] = (
+        IdsCalled,
+        SubmitCalled,
+        QueryCalled,
+        CancelCalled,
+        CallAbandoned,
+        DrainCalled,
+        StartFinished,
+        ForwardCall,
+        ForwardReply,
+        WitnessAck,
+        WitnessVerdict,
+        SlotGrant,
+        SlotRefusal,
+        TaskControl,
+    )
 
     def __init__(
-        self, *, identity: HostIdentity, config: ConfigView, membership: MembershipView
+        self,
+        *,
+        identity: HostIdentity,
+        config: ConfigView,
+        membership: MembershipView,
+        admission: AdmissionCheck | None = None,
     ) -> None:
         self._identity = identity
         self._config = config
         self._membership = membership
+        self._admission = admission
+        self._owner = Owner(
+            identity=identity, config=config, membership=membership, on_end=self._answer_waits
+        )
+        self._waits = Waits()
+        self._forwarding = Forwarding(identity=identity, membership=membership)
+        self._drain = Drain(identity=identity, membership=membership)
+        self._sequences = itertools.count(1)
 
     def handle(self, now: float, event: Event, out: list[Action]) -> None:
         """Take one event."""
+        self._owner.note_time(now, out)
+        match event:
+            case IdsCalled():
+                self._issue(now, event, out)
+            case SubmitCalled() | QueryCalled() | CancelCalled():
+                self._take_call(now, event, out)
+            case CallAbandoned():
+                self._waits.abandon(event.call)
+                self._forwarding.abandon(event.call)
+            case StartFinished():
+                self._owner.take_finished(now, event, out)
+            case DrainCalled():
+                self._drain.begin(out)
+            case PeerReceived():
+                self._take_message(now, event, out)
 
     def advance(self, now: float, out: list[Action]) -> None:
         """Run timers."""
+        self._owner.note_time(now, out)
+        self._owner.advance(now, out)
+        self._waits.advance(now, out)
+        self._forwarding.advance(now, out)
+        idle = not self._owner.live_by_id and not len(self._owner.starts)
+        if self._drain.state is DrainState.FINISHING and idle:
+            self._forwarding.abandon_all(out)
+            self._drain.hand_over(now, self._owner.by_id.values(), out)
+        self._drain.advance(now, out)
 
     def next_wake(self, now: float) -> float:
         """Time of the next timer."""
-        return math.inf
+        return min(
+            self._owner.next_wake(now),
+            self._waits.next_wake(),
+            self._forwarding.next_wake(),
+            self._drain.next_wake(),
+        )
 
     def dump(self) -> dict[str, object]:
-        """The table of submissions."""
-        return {}
+        """The table of submissions, unfinished ones one by one."""
+        live = itertools.islice(self._owner.live_by_id.values(), MAX_DUMPED)
+        return {
+            "kept": len(self._owner.by_id),
+            "unfinished": len(self._owner.live_by_id),
+            "starts": len(self._owner.starts),
+            "waiting_calls": len(self._waits),
+            "forwarded_calls": len(self._forwarding),
+            "drain": self._drain.state.name.lower(),
+            "pools": self._owner.slots.dump(),
+            "by_id": {submission.text: _dump_of(submission) for submission in live},
+        }
+
+    # Ids
+
+    def _issue(self, now: float, event: IdsCalled, out: list[Action]) -> None:
+        waiter = Waiter(event.call)
+        refusal = Reason.NOT_READY if self._config.current is None else Reason.NONE
+        if self._drain.is_on:
+            refusal = Reason.DRAINING
+        if refusal is not Reason.NONE:
+            waiter.refuse("", refusal, _MESSAGES[refusal], out, retry_after_s=RETRY_AFTER_S)
+            return
+        count = min(max(event.count, 1), MAX_IDS_PER_CALL)
+        scheduler = self._scheduler_of(now, event.kind, out)
+        ids = tuple(self._issue_one(now, event.caller, scheduler) for _ in range(count))
+        out.append(ReplyIds(call=event.call, ids=ids))
+
+    def _issue_one(self, now: float, caller: str, scheduler: str | None) -> str:
+        config = self._config.current
+        limits = _DEFAULT_LIMITS if config is None else config.limits
+        sequence = next(self._sequences)
+        witness = scheduler or self._membership.witness_for(sequence)
+        incarnation = None if witness is None else self._membership.incarnation_of(witness)
+        if incarnation is None or witness == self._identity.name:
+            witness, incarnation = None, 0
+        fields = SubmissionId(
+            owner=self._identity.name,
+            incarnation=self._identity.incarnation,
+            sequence=sequence,
+            expires_at=int(now + limits.id_lifetime_s),
+            witness=witness,
+            witness_incarnation=incarnation,
+        )
+        return issue_id(fields, caller=caller, key=self._identity.id_key)
+
+    def _scheduler_of(self, now: float, kind: str, out: list[Action]) -> str | None:
+        """Scheduler of the pool of a kind, if it is another host and so can be the witness."""
+        config = self._config.current
+        entry = None if config is None else config.kinds_by_name.get(kind)
+        if entry is None:
+            return None
+        host = self._owner.slots.link(now, pool_of(entry), out).scheduler
+        return None if host == self._identity.name else host
+
+    # Calls
+
+    def _take_call(
+        self, now: float, event: SubmitCalled | QueryCalled | CancelCalled, out: list[Action]
+    ) -> None:
+        waiter = Waiter(event.call)
+        text = event.submission_id
+        match verify_id(text, caller=event.caller, key=self._identity.id_key):
+            case Err(reason):
+                waiter.refuse(text, reason, _MESSAGES[reason], out)
+                return
+            case Ok(fields):
+                pass
+        operation, body, wait_s = _parts_of(event)
+        if self._refuse_draining(waiter, text, fields, operation, out):
+            return
+        if self._refuse_submit(now, waiter, text, event.caller, body, out):
+            return
+        if fields.is_expired(now) and text not in self._owner.live_by_id:
+            waiter.reply(text, expired(), out)
+        elif self._is_own(fields):
+            self._serve(now, waiter, operation, text, fields, event.caller, body, wait_s, out)
+        else:
+            forwarded = ForwardedCall(
+                call=event.call,
+                caller=event.caller,
+                operation=operation,
+                text=text,
+                fields=fields,
+                wait_until=now + wait_s,
+                body=body,
+            )
+            self._forwarding.begin(now, forwarded, out)
+
+    def _refuse_draining(
+        self,
+        waiter: Waiter,
+        text: str,
+        fields: SubmissionId,
+        operation: Operation,
+        out: list[Action],
+    ) -> bool:
+        """Refuse calls on other hosts' submissions that could outlast this process."""
+        if not self._drain.is_on or self._is_own(fields):
+            return False
+        if operation is not Operation.SUBMIT and self._drain.state is DrainState.FINISHING:
+            return False
+        message = _MESSAGES[Reason.DRAINING]
+        waiter.refuse(text, Reason.DRAINING, message, out, retry_after_s=0.0)
+        return True
+
+    def _refuse_submit(
+        self,
+        now: float,
+        waiter: Waiter,
+        text: str,
+        caller: str,
+        body: SubmissionBody | None,
+        out: list[Action],
+    ) -> bool:
+        """Refuse a submission at this host; says nothing of earlier calls with the same id."""
+        if body is None or text in self._owner.by_id:
+            return False
+        if self._config.current is None:
+            message = _MESSAGES[Reason.NOT_READY]
+            waiter.refuse(text, Reason.NOT_READY, message, out, retry_after_s=RETRY_AFTER_S)
+            return True
+        refusal = None if self._admission is None else self._admission.check(now, caller, body)
+        if refusal is None:
+            return False
+        waiter.refuse(
+            text, refusal.reason, refusal.message, out, retry_after_s=refusal.retry_after_s
+        )
+        return True
+
+    def _serve(
+        self,
+        now: float,
+        waiter: Waiter,
+        operation: Operation,
+        text: str,
+        fields: SubmissionId,
+        caller: str,
+        body: SubmissionBody | None,
+        wait_s: float,
+        out: list[Action],
+    ) -> None:
+        """Carry out a call on a submission that this incarnation owns."""
+        result: Submission | Reason
+        if operation is Operation.CANCEL:
+            result = self._owner.cancel(now, text, fields, caller, out)
+        elif body is None:
+            result = self._owner.by_id.get(text, Reason.NOT_SUBMITTED)
+        elif self._drain.is_on and text not in self._owner.by_id:
+            message = _MESSAGES[Reason.DRAINING]
+            digest = body_digest(body)
+            result = self._owner.reject(text, fields, caller, digest, Reason.DRAINING, message)
+        else:
+            result = self._owner.submit(now, text, fields, caller, body, out)
+        if isinstance(result, Reason):
+            waiter.refuse(text, result, _MESSAGES[result], out)
+        elif result.outcome is not None:
+            result.collected = True
+            waiter.reply(text, result.outcome, out)
+        elif wait_s > 0.0:
+            self._waits.add(now, text, waiter, wait_s)
+        else:
+            waiter.reply(text, None, out)
+
+    def _answer_waits(self, submission: Submission, out: list[Action]) -> None:
+        assert submission.outcome is not None
+        if self._waits.answer(submission.text, submission.outcome, out):
+            submission.collected = True
+
+    # Messages
+
+    def _take_message(self, now: float, event: PeerReceived, out: list[Action]) -> None:
+        match event.message:
+            case ForwardCall() as message:
+                self._take_forwarded(now, event, message, out)
+            case ForwardReply() as message:
+                self._forwarding.take_reply(now, event, message, out)
+            case WitnessVerdict() as message:
+                self._forwarding.take_verdict(message, event, out)
+            case WitnessAck() as message:
+                self._owner.take_ack(now, event, message, out)
+                self._drain.take_ack(now, event, message, out)
+            case SlotGrant() as message:
+                self._owner.take_grant(now, event, message, out)
+            case SlotRefusal() as message:
+                self._owner.take_refusal(now, event, message, out)
+            case TaskControl() as message:
+                self._owner.take_control(message, out)
+
+    def _take_forwarded(
+        self, now: float, event: PeerReceived, message: ForwardCall, out: list[Action]
+    ) -> None:
+        waiter = Waiter(message.call, event.sender, event.incarnation)
+        text = message.submission_id
+        match verify_id(text, caller=message.caller, key=self._identity.id_key):
+            case Ok(fields) if self._is_own(fields):
+                if fields.is_expired(now) and text not in self._owner.live_by_id:
+                    waiter.reply(text, expired(), out)
+                    return
+                self._serve(
+                    now,
+                    waiter,
+                    message.operation,
+                    text,
+                    fields,
+                    message.caller,
+                    message.body,
+                    message.wait_s,
+                    out,
+                )
+            case Ok(_):
+                waiter.refuse(text, Reason.OWNER_LOST, _MESSAGES[Reason.OWNER_LOST], out)
+            case Err(reason):
+                waiter.refuse(text, reason, _MESSAGES[reason], out)
+
+    def _is_own(self, fields: SubmissionId) -> bool:
+        own = (self._identity.name, self._identity.incarnation)
+        return (fields.owner, fields.incarnation) == own
+
+
+def _parts_of(
+    event: SubmitCalled | QueryCalled | CancelCalled,
+) -> tuple[Operation, SubmissionBody | None, float]:
+    match event:
+        case SubmitCalled():
+            return Operation.SUBMIT, event.body, event.wait_s
+        case QueryCalled():
+            return Operation.QUERY, None, event.wait_s
+        case _:
+            return Operation.CANCEL, None, 0.0
+
+
+def _dump_of(submission: Submission) -> dict[str, object]:
+    return {
+        "caller": submission.caller,
+        "kind": "" if submission.kind is None else submission.kind.name,
+        "tasks": len(submission.tasks),
+        "waiting": submission.waiting,
+        "done": submission.done,
+        "recorded": submission.recorded,
+        "attempt": submission.attempt,
+    }
--- /dev/null
+++ b/tests/test_submissions.py
@@ -0,0 +1,918 @@
+"""Submissions at their owner and at the hosts that pass calls on."""
+
+import pytest
+
+from at_most_once import (
+    OWNER,
+    SCHEDULER,
+    WITNESS,
+    Bench,
+    ScriptedConfig,
+    ScriptedMembership,
+    body_of,
+    config_with,
+    id_text,
+    identity_of,
+    of_type,
+)
+from eelgrassyard.policy import (
+    CallAbandoned,
+    CancelCalled,
+    Control,
+    ControlTask,
+    DrainCalled,
+    Drained,
+    ForwardCall,
+    ForwardReply,
+    Goodbye,
+    IdsCalled,
+    Operation,
+    Outcome,
+    OutcomeKind,
+    Placement,
+    QueryCalled,
+    ReadinessChanged,
+    Reason,
+    RenewLeases,
+    ReplyIds,
+    ReplyRefusal,
+    ReplyState,
+    Send,
+    SlotAsk,
+    SlotGrant,
+    SlotHeld,
+    SlotRefusal,
+    SlotRelease,
+    SlotWithdraw,
+    StartFinished,
+    StartResult,
+    StartTask,
+    SubmitCalled,
+    TaskControl,
+    WitnessAck,
+    WitnessHandoff,
+    WitnessQuery,
+    WitnessRecord,
+    WitnessVerdict,
+)
+from eelgrassyard.policy._fairqueue import QueueRefusal
+from eelgrassyard.policy._ids import parse_id
+from eelgrassyard.policy._submissions import Submissions
+
+THIRD = ("thamel-2", 44)
+ACCEPTED = WitnessAck(submission_id=id_text(1), accepted=True)
+REFUSED = WitnessAck(submission_id=id_text(1), accepted=False)
+POOLS = {"check": "checker", "stamp": "stamper", "rule": "workers"}
+
+
+class Site(Bench):
+    """A Submissions system with scripted neighbours."""
+
+    def __init__(self, own=OWNER, admission=None, **limits: float) -> None:
+        self.membership = ScriptedMembership(own)
+        self.config = ScriptedConfig(config_with(**limits))
+        super().__init__(
+            Submissions(
+                identity=identity_of(own),
+                config=self.config,
+                membership=self.membership,
+                admission=admission,
+            )
+        )
+
+    def submit(self, text=None, *, call=1, body=None, wait_s=60.0, caller="till"):
+        return self.tick(
+            SubmitCalled(
+                call=call,
+                caller=caller,
+                submission_id=text or id_text(1),
+                body=body or body_of(),
+                wait_s=wait_s,
+            )
+        )
+
+    def query(self, text=None, *, call=9, wait_s=0.0, caller="till"):
+        text = text or id_text(1)
+        return self.tick(QueryCalled(call=call, caller=caller, submission_id=text, wait_s=wait_s))
+
+    def cancel(self, text=None, *, call=8):
+        return self.tick(CancelCalled(call=call, caller="till", submission_id=text or id_text(1)))
+
+    def grant(self, *indexes, first=1, kind="check", sender=SCHEDULER, attempt=0, recorded=False):
+        placements = tuple(
+            Placement(grant=first + n, index=index, upstream=f"up-{first + n}")
+            for n, index in enumerate(indexes or (0,))
+        )
+        message = SlotGrant(
+            submission_id=id_text(1),
+            pool=POOLS[kind],
+            attempt=attempt,
+            placements=placements,
+            recorded=recorded,
+        )
+        return self.receive(sender, message)
+
+    def finish(self, start, result=StartResult.OK, payload=b"1"):
+        return self.tick(
+            StartFinished(start=start, upstream="", result=result, run_s=0.1, payload=payload)
+        )
+
+
+def outcome_in(actions):
+    """The outcome told to the one caller that was answered."""
+    (reply,) = of_type(actions, ReplyState)
+    return reply.outcome
+
+
+def releases_in(actions):
+    return [r.result for message in of_type(actions, SlotRelease) for r in message.releases]
+
+
+def running_job(tasks=3, started=(0, 1)):
+    site = Site()
+    site.submit(body=body_of("rule", tasks))
+    site.receive(WITNESS, ACCEPTED)
+    site.grant(*started, kind="rule")
+    return site
+
+
+# Ids
+
+
+def test_ids_name_the_scheduler_of_the_kind_as_witness():
+    """Guards against a record message for work whose scheduler could hold the record."""
+    site = Site()
+    (reply,) = of_type(site.tick(IdsCalled(call=1, caller="till", count=2, kind="check")), ReplyIds)
+    fields = [parse_id(text) for text in reply.ids]
+    assert {(f.witness, f.witness_incarnation) for f in fields} == {SCHEDULER}
+    assert fields[0].sequence != fields[1].sequence
+
+
+@pytest.mark.parametrize("kind", ["", "check"])
+def test_ids_name_a_witness_other_than_the_owner(kind):
+    """Guards against an owner that witnesses itself, whose death loses the record too."""
+    site = Site()
+    site.membership.scheduler = OWNER[0]
+    (reply,) = of_type(site.tick(IdsCalled(call=1, caller="till", count=1, kind=kind)), ReplyIds)
+    assert parse_id(reply.ids[0]).witness == WITNESS[0]
+
+
+def test_ids_without_another_host_name_no_witness():
+    """Guards against a lone host that can do nothing."""
+    site = Site()
+    site.membership.witness = None
+    (reply,) = of_type(site.tick(IdsCalled(call=1, caller="till", count=1)), ReplyIds)
+    fields = parse_id(reply.ids[0])
+    assert (fields.witness, fields.witness_incarnation) == (None, 0)
+
+
+def test_a_host_without_configuration_refuses_calls():
+    """Guards against serving by default limits before the site's are known."""
+    site = Site()
+    site.config.current = None
+    (refusal,) = of_type(site.tick(IdsCalled(call=1, caller="till", count=1)), ReplyRefusal)
+    assert refusal.reason is Reason.NOT_READY
+    (refusal,) = of_type(site.submit(), ReplyRefusal)
+    assert refusal.reason is Reason.NOT_READY
+
+
+# The record before the first start
+
+
+def test_nothing_starts_before_the_witness_acknowledges():
+    """Guards against a start that no one else knows of."""
+    site = Site()
+    assert of_type(site.submit(), WitnessRecord)
+    assert not of_type(site.grant(), StartTask)
+    (start,) = of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+    assert (start.submission_id, start.index, start.upstream) == (id_text(1), 0, "up-1")
+
+
+def test_a_grant_after_the_record_starts_at_once():
+    """Guards against waiting for a second acknowledgement."""
+    site = Site()
+    site.submit()
+    assert not of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+    assert of_type(site.grant(), StartTask)
+
+
+@pytest.mark.parametrize("sender", [(WITNESS[0], 23), SCHEDULER])
+def test_only_the_witness_named_in_the_id_acknowledges(sender):
+    """Guards against a start on the word of a restarted witness, which lost the record."""
+    site = Site()
+    site.submit()
+    site.grant()
+    assert not of_type(site.receive(sender, ACCEPTED), StartTask)
+
+
+def test_a_refused_record_ends_the_submission_as_not_run():
+    """Guards against a start of what the witness reported as not run."""
+    site = Site()
+    site.submit()
+    site.grant()
+    actions = site.receive(WITNESS, REFUSED)
+    assert outcome_in(actions).reason is Reason.WITNESS_REFUSED
+    assert releases_in(actions) == [StartResult.UNUSED]
+    assert not of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+    assert outcome_in(site.submit()).kind is OutcomeKind.NOT_RUN
+
+
+def test_an_unanswered_record_is_asked_for_again_and_then_given_up():
+    """Guards against a submission that hangs on a lost message or a dead witness."""
+    site = Site()
+    site.submit()
+    assert of_type(site.run(1.5), WitnessRecord)
+    assert outcome_in(site.run(5.0)).reason is Reason.WITNESS_LOST
+
+
+def test_a_witness_known_to_be_gone_ends_the_submission_at_once():
+    """Guards against a wait for a witness that cannot answer."""
+    site = Site()
+    del site.membership.incarnation_by_name[WITNESS[0]]
+    assert outcome_in(site.submit()).kind is OutcomeKind.NOT_RUN
+
+
+def test_the_grant_of_a_scheduler_that_is_the_witness_is_the_acknowledgement():
+    """Guards against a record message that is not needed, and against trusting others' word."""
+    text = id_text(1, witness=SCHEDULER)
+    for recorded, starts in ((True, 1), (False, 0)):
+        site = Site()
+        assert not of_type(site.submit(text), WitnessRecord)
+        message = SlotGrant(
+            submission_id=text,
+            pool="checker",
+            attempt=0,
+            placements=(Placement(grant=1, index=0, upstream="up-1"),),
+            recorded=recorded,
+        )
+        actions = site.receive(SCHEDULER, message)
+        assert len(of_type(actions, StartTask)) == starts
+        assert len(of_type(actions, WitnessRecord)) == 1 - starts
+
+
+def test_a_recorded_flag_of_another_host_is_not_believed():
+    """Guards against a start when the scheduler changed and is not the witness of the id."""
+    site = Site()
+    site.submit()
+    assert not of_type(site.grant(recorded=True), StartTask)
+
+
+def test_an_id_without_witness_starts_without_acknowledgement():
+    """Guards against a lone host that waits for a record nobody can hold."""
+    site = Site()
+    text = id_text(1, witness=None)
+    assert not of_type(site.submit(text), WitnessRecord)
+    message = SlotGrant(
+        submission_id=text,
+        pool="checker",
+        attempt=0,
+        placements=(Placement(grant=1, index=0, upstream="up-1"),),
+    )
+    assert of_type(site.receive(SCHEDULER, message), StartTask)
+
+
+# Answers, resubmission and waits
+
+
+def test_a_job_is_complete_with_all_results_in_order():
+    """Guards against a partial answer or one in order of arrival."""
+    site = running_job(tasks=3, started=(0, 1, 2))
+    assert not of_type(site.finish(3, payload=b"c"), ReplyState)
+    assert not of_type(site.finish(1, payload=b"a"), ReplyState)
+    assert not of_type(site.finish(1, payload=b"x"), ReplyState)
+    assert outcome_in(site.finish(2, payload=b"b")).results == (b"a", b"b", b"c")
+
+
+def test_a_resubmission_attaches_and_starts_nothing():
+    """Guards against a second start by a client that lost its answer."""
+    site = Site()
+    site.submit()
+    assert not of_type(site.submit(call=2), SlotAsk)
+    site.receive(WITNESS, ACCEPTED)
+    site.grant()
+    replies = of_type(site.finish(1), ReplyState)
+    assert [reply.call for reply in replies] == [1, 2]
+    actions = site.submit(call=3)
+    assert outcome_in(actions).kind is OutcomeKind.COMPLETE
+    assert not of_type(actions, Send)
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_the_same_id_with_another_body_is_a_conflict(ended):
+    """Guards against an answer to a request that the caller did not make."""
+    site = Site()
+    site.submit()
+    if ended:
+        site.cancel()
+    (refusal,) = of_type(site.submit(call=2, body=body_of("stamp")), ReplyRefusal)
+    assert refusal.reason is Reason.BODY_CONFLICT
+
+
+def test_another_callers_id_is_refused():
+    """Guards against an answer that reaches the wrong caller."""
+    site = Site()
+    site.submit()
+    for actions in (site.submit(call=2, caller="curator"), site.query(caller="curator")):
+        (refusal,) = of_type(actions, ReplyRefusal)
+        assert refusal.reason is Reason.FOREIGN_ID
+
+
+def test_a_wait_ends_with_running_and_the_submission_goes_on():
+    """Guards against a call that is held for ever, or that cancels its submission."""
+    site = Site()
+    site.submit(wait_s=0.5)
+    assert outcome_in(site.run(0.6)) is None
+    site.receive(WITNESS, ACCEPTED)
+    assert of_type(site.grant(), StartTask)
+    assert not of_type(site.finish(1), ReplyState)
+    assert outcome_in(site.query()).kind is OutcomeKind.COMPLETE
+
+
+def test_an_abandoned_call_gets_no_answer_and_the_submission_goes_on():
+    """Guards against work lost because a caller's connection broke."""
+    site = Site()
+    site.submit()
+    site.tick(CallAbandoned(call=1))
+    site.receive(WITNESS, ACCEPTED)
+    site.grant()
+    assert not of_type(site.finish(1), ReplyState)
+    assert outcome_in(site.query()).kind is OutcomeKind.COMPLETE
+
+
+def test_a_query_for_an_id_that_was_not_submitted_is_no_outcome():
+    """Guards against "not run" for a submission that is still on its way."""
+    site = Site()
+    (refusal,) = of_type(site.query(), ReplyRefusal)
+    assert refusal.reason is Reason.NOT_SUBMITTED
+    assert of_type(site.submit(), SlotAsk)
+
+
+def test_kept_outcomes_are_dropped_when_their_id_expires():
+    """Guards against a leak, and against "not run" for an id whose record is gone."""
+    site = Site()
+    text = id_text(1, lifetime_s=20)
+    site.submit(text)
+    site.cancel(text)
+    assert site.system.dump()["kept"] == 1
+    site.run(20.0)
+    assert site.system.dump()["kept"] == 0
+    assert outcome_in(site.submit(text)).reason is Reason.ID_EXPIRED
+    assert outcome_in(site.query(text)).kind is OutcomeKind.UNKNOWN
+
+
+def test_a_submission_that_waits_when_its_id_expires_does_not_start():
+    """Guards against a start after the witness may have dropped the record."""
+    site = Site()
+    text = id_text(1, lifetime_s=5)
+    site.submit(text)
+    site.receive(WITNESS, WitnessAck(submission_id=text, accepted=True))
+    assert outcome_in(site.run(5.0)).kind is OutcomeKind.UNKNOWN
+    message = SlotGrant(
+        submission_id=text,
+        pool="checker",
+        attempt=0,
+        placements=(Placement(grant=1, index=0, upstream="up-1"),),
+    )
+    actions = site.receive(SCHEDULER, message)
+    assert not of_type(actions, StartTask)
+    assert releases_in(actions) == [StartResult.UNUSED]
+
+
+@pytest.mark.parametrize(
+    ("body", "reason"),
+    [
+        (body_of("print"), Reason.UNKNOWN_KIND),
+        (body_of("check", 2), Reason.IMPOSSIBLE),
+        (body_of("rule", 621), Reason.IMPOSSIBLE),
+        (body_of("rule", 0), Reason.IMPOSSIBLE),
+    ],
+)
+def test_what_can_never_run_is_refused_at_once(body, reason):
+    """Guards against a submission that waits for places it cannot get."""
+    actions = Site().submit(body=body)
+    replies = of_type(actions, ReplyRefusal) or [outcome_in(actions)]
+    assert replies[0].reason is reason
+    assert replies[0].retry_after_s is None
+    assert not of_type(actions, SlotAsk)
+
+
+def test_admission_refuses_new_submissions_only():
+    """Guards against a refusal of an answer that is already there."""
+
+    class Closed:
+        def check(self, now, caller, body):
+            return QueueRefusal(reason=Reason.FLOW_LIMIT, message="full", retry_after_s=2.0)
+
+    site = Site(admission=Closed())
+    (refusal,) = of_type(site.submit(), ReplyRefusal)
+    assert (refusal.reason, refusal.retry_after_s) == (Reason.FLOW_LIMIT, 2.0)
+    site.cancel()
+    assert outcome_in(site.submit()).kind is OutcomeKind.NOT_RUN
+
+
+# Cancel, failure and retries
+
+
+def test_cancel_before_a_start_is_not_run():
+    """Guards against a task that starts after its caller was told that it did not run."""
+    site = Site()
+    site.submit()
+    site.grant()
+    actions = site.cancel()
+    assert [reply.outcome.kind for reply in of_type(actions, ReplyState)] == ["not_run"] * 2
+    assert releases_in(actions) == [StartResult.UNUSED]
+    assert not of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+
+
+def test_cancel_of_an_id_not_yet_submitted_bars_it():
+    """Guards against a submission that was overtaken by its cancel."""
+    site = Site()
+    assert outcome_in(site.cancel()).kind is OutcomeKind.NOT_RUN
+    actions = site.submit()
+    assert outcome_in(actions).kind is OutcomeKind.NOT_RUN
+    assert not of_type(actions, SlotAsk)
+
+
+def test_cancel_after_a_start_stops_the_tasks_and_is_failed():
+    """Guards against "not run" for work that ran, and against tasks that go on for nobody."""
+    site = running_job()
+    actions = site.cancel()
+    stops = of_type(actions, ControlTask)
+    assert [(stop.index, stop.control) for stop in stops] == [(0, Control.STOP), (1, Control.STOP)]
+    assert of_type(actions, SlotWithdraw)
+    assert {reply.outcome.kind for reply in of_type(actions, ReplyState)} == {"failed"}
+    assert releases_in(site.finish(1, StartResult.STOPPED)) == [StartResult.STOPPED]
+
+
+def test_one_failed_task_fails_the_job():
+    """Guards against a partial answer, and against starts for a job that is lost."""
+    site = running_job()
+    actions = site.finish(1, StartResult.FAILED)
+    assert outcome_in(actions).reason is Reason.TASK_FAILED
+    assert [stop.index for stop in of_type(actions, ControlTask)] == [1]
+    assert of_type(actions, SlotWithdraw)
+    actions = site.grant(2, first=3, kind="rule")
+    assert not of_type(actions, StartTask)
+    assert releases_in(actions) == [StartResult.UNUSED]
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent"), [("check", False), ("stamp", True), ("rule", True)]
+)
+@pytest.mark.parametrize("result", [StartResult.FAILED, StartResult.LOST])
+def test_a_possible_start_is_not_repeated(kind, idempotent, result):
+    """Guards against a second run of a job task or of a non-idempotent request."""
+    site = Site()
+    site.submit(body=body_of(kind, idempotent=idempotent))
+    site.receive(WITNESS, ACCEPTED)
+    site.grant(kind=kind)
+    actions = site.finish(1, result)
+    assert outcome_in(actions).kind is OutcomeKind.FAILED
+    assert not of_type(actions, SlotAsk)
+
+
+@pytest.mark.parametrize("kind", ["check", "stamp", "rule"])
+def test_a_start_that_was_provably_not_made_is_asked_for_again(kind):
+    """Guards against a failure that the caller need not see, and against the same upstream."""
+    site = Site()
+    site.submit(body=body_of(kind))
+    site.receive(WITNESS, ACCEPTED)
+    site.grant(kind=kind)
+    actions = site.finish(1, StartResult.NOT_STARTED)
+    (ask,) = of_type(actions, SlotAsk)
+    assert (ask.attempt, ask.avoid) == (1, ("up-1",))
+    assert of_type(site.grant(first=2, kind=kind, attempt=1), StartTask)
+
+
+def test_a_task_that_never_started_can_be_cancelled_as_not_run():
+    """Guards against "failed" for work that provably did not run."""
+    site = Site()
+    site.submit()
+    site.receive(WITNESS, ACCEPTED)
+    site.grant()
+    site.finish(1, StartResult.NOT_STARTED)
+    replies = of_type(site.cancel(), ReplyState)
+    assert {reply.outcome.kind for reply in replies} == {OutcomeKind.NOT_RUN}
+
+
+def test_a_wave_of_starts_not_made_costs_one_ask():
+    """Guards against an ask for each refused task of a job."""
+    site = running_job(tasks=50, started=tuple(range(50)))
+    actions = site.tick(
+        *(
+            StartFinished(start=n, upstream="", result=StartResult.NOT_STARTED, run_s=0.0)
+            for n in range(1, 51)
+        )
+    )
+    (ask,) = of_type(actions, SlotAsk)
+    assert len(ask.tasks) == 50
+
+
+def test_an_idempotent_request_is_sent_again_a_bounded_number_of_times():
+    """Guards against endless retries of a request that always fails."""
+    site = Site()
+    site.submit(body=body_of(idempotent=True))
+    site.receive(WITNESS, ACCEPTED)
+    starts = 0
+    for attempt in range(10):
+        starts += len(of_type(site.grant(first=attempt + 1, attempt=attempt), StartTask))
+        replies = of_type(site.finish(starts, StartResult.FAILED), ReplyState)
+        if replies:
+            break
+        site.run(0.1)
+    assert starts == 3
+    assert replies[0].outcome.kind is OutcomeKind.FAILED
+
+
+def test_retries_are_a_tenth_of_the_starts():
+    """Guards against a retry storm when every upstream fails."""
+    site = Site()
+    starts = retries = 0
+    for sequence in range(400):
+        text = id_text(sequence, witness=None)
+        site.submit(text, body=body_of(idempotent=True), call=sequence)
+        for attempt in range(3):
+            message = SlotGrant(
+                submission_id=text,
+                pool="checker",
+                attempt=attempt,
+                placements=(Placement(grant=starts + retries, index=0, upstream="up-1"),),
+            )
+            if not of_type(site.receive(SCHEDULER, message), StartTask):
+                break
+            starts, retries = (starts + 1, retries) if attempt == 0 else (starts, retries + 1)
+            if of_type(site.finish(starts + retries, StartResult.FAILED), ReplyState):
+                break
+            site.run(0.1)
+    assert starts == 400
+    assert 10 <= retries <= 10 + 0.1 * starts
+
+
+# Asks and grants
+
+
+def test_an_unanswered_ask_is_repeated():
+    """Guards against a submission that hangs on a lost ask."""
+    site = Site()
+    site.submit()
+    site.receive(WITNESS, ACCEPTED)
+    (ask,) = of_type(site.run(1.1), SlotAsk)
+    assert ask.attempt == 1
+
+
+def test_a_new_scheduler_learns_what_is_held_before_any_ask():
+    """Guards against places that a new scheduler gives out twice, and against lost asks."""
+    site = running_job()
+    site.membership.scheduler = THIRD[0]
+    site.membership.incarnation_by_name[THIRD[0]] = THIRD[1]
+    sent = [
+        action.message
+        for action in site.run(0.3)
+        if isinstance(action, Send) and action.to == THIRD[0]
+    ]
+    assert [type(message) for message in sent] == [SlotHeld, SlotAsk]
+    assert [place.size.index for place in sent[0].places] == [0, 1]
+    assert [size.index for size in sent[1].tasks] == [2]
+    (release,) = [a for a in site.finish(1) if isinstance(a, Send)]
+    assert release.to == THIRD[0]
+
+
+def test_a_restarted_scheduler_is_a_new_scheduler():
+    """Guards against waiting in a queue that was lost with the process."""
+    site = running_job()
+    site.membership.incarnation_by_name[SCHEDULER[0]] = SCHEDULER[1] + 1
+    assert of_type(site.run(0.3), SlotHeld)
+    assert releases_in(site.grant(2, first=9, kind="rule")) == [StartResult.UNUSED]
+    grant = site.grant(2, first=10, kind="rule", attempt=1, sender=(SCHEDULER[0], 34))
+    assert of_type(grant, StartTask)
+
+
+def test_a_duplicated_grant_is_neither_started_nor_given_back():
+    """Guards against a second start, and against a place counted as free while in use."""
+    site = running_job()
+    actions = site.grant(0, 1, kind="rule")
+    assert not of_type(actions, StartTask)
+    assert not releases_in(actions)
+
+
+def test_a_second_place_for_a_started_task_is_given_back():
+    """Guards against two places for one task after a repeated ask."""
+    site = running_job()
+    actions = site.grant(0, first=7, kind="rule")
+    assert not of_type(actions, StartTask)
+    assert releases_in(actions) == [StartResult.UNUSED]
+
+
+def test_a_refusal_by_the_scheduler_is_not_run_with_its_advice():
+    """Guards against a refusal that is not passed on as it is."""
+    site = Site()
+    site.submit()
+    refusal = SlotRefusal(
+        submission_id=id_text(1),
+        pool="checker",
+        attempt=0,
+        reason=Reason.QUOTA,
+        retry_after_s=4.0,
+    )
+    outcome = outcome_in(site.receive(SCHEDULER, refusal))
+    assert (outcome.kind, outcome.reason, outcome.retry_after_s) == ("not_run", Reason.QUOTA, 4.0)
+
+
+def test_a_started_job_outlives_a_passing_refusal():
+    """Guards against work thrown away because a flow was full for a moment."""
+    site = running_job()
+    refusal = SlotRefusal(
+        submission_id=id_text(1),
+        pool="workers",
+        attempt=0,
+        reason=Reason.FLOW_LIMIT,
+        retry_after_s=0.5,
+    )
+    assert not of_type(site.receive(SCHEDULER, refusal), ReplyState)
+    assert of_type(site.run(0.6), SlotAsk)
+
+
+def test_a_submission_without_a_place_ends_at_its_deadline():
+    """Guards against a submission that waits for ever for a scheduler that says nothing."""
+    site = Site()
+    site.submit()
+    site.receive(WITNESS, ACCEPTED)
+    actions = site.run(31.5)
+    assert outcome_in(actions).reason is Reason.DEADLINE
+    assert of_type(actions, SlotWithdraw)
+
+
+def test_the_scheduler_can_throttle_a_running_task():
+    """Guards against urgent work that finds no room."""
+    site = running_job()
+    message = TaskControl(submission_id=id_text(1), index=1, control="throttle")
+    (control,) = of_type(site.receive(SCHEDULER, message), ControlTask)
+    assert (control.start, control.control) == (2, Control.THROTTLE)
+
+
+# Leases and the gap rule
+
+
+def test_leases_of_job_tasks_are_renewed_every_third():
+    """Guards against tasks that their worker stops while their owner is well."""
+    site = running_job()
+    first, second = of_type(site.run(3.4), RenewLeases)
+    assert {*first.tasks, *second.tasks} == {f"{id_text(1)}/0", f"{id_text(1)}/1"}
+    site.finish(1)
+    (renewal,) = of_type(site.run(3.4), RenewLeases)
+    assert renewal.tasks == (f"{id_text(1)}/1",)
+
+
+def test_requests_have_no_lease():
+    """Guards against renewals that a runner does not know."""
+    site = Site()
+    site.submit()
+    site.receive(WITNESS, ACCEPTED)
+    (start,) = of_type(site.grant(), StartTask)
+    assert start.lease_s == 0.0
+    assert not of_type(site.run(5.0), RenewLeases)
+
+
+def test_a_paused_owner_starts_nothing_on_what_it_held():
+    """Guards against a start on a place or record that was given to others in the meantime."""
+    site = Site()
+    site.submit()
+    site.grant()
+    site.now += 10.5
+    actions = site.receive(WITNESS, ACCEPTED)
+    assert not of_type(actions, StartTask)
+    assert releases_in(actions) == [StartResult.UNUSED]
+    assert of_type(actions, WitnessRecord)
+    (ask,) = of_type(actions, SlotAsk)
+    assert releases_in(site.grant(first=5, attempt=0)) == [StartResult.UNUSED]
+    site.now += 0.001
+    assert not of_type(site.grant(first=6, attempt=ask.attempt), StartTask)
+    assert of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+
+
+def test_a_short_pause_changes_nothing():
+    """Guards against needless repeats after a pause within the lease."""
+    site = Site()
+    site.submit()
+    site.grant()
+    site.now += 9.5
+    assert of_type(site.receive(WITNESS, ACCEPTED), StartTask)
+
+
+def test_the_driver_is_woken_often_enough_to_notice_a_pause():
+    """Guards against an idle second that is taken for a pause."""
+    site = running_job(tasks=1, started=(0,))
+    assert site.system.next_wake(site.now) <= site.now + 1.0
+    assert not of_type(site.run(25.0), SlotAsk)
+
+
+# Calls on submissions of other hosts
+
+
+def forwarding_site():
+    return Site(own=THIRD)
+
+
+def test_a_call_is_passed_to_the_owner_and_its_answer_back():
+    """Guards against an answer that stays at the owner."""
+    site = forwarding_site()
+    (forwarded,) = of_type(site.submit(), ForwardCall)
+    assert (forwarded.operation, forwarded.body) == (Operation.SUBMIT, body_of())
+    complete = Outcome(kind=OutcomeKind.COMPLETE, results=(b"1",))
+    reply = ForwardReply(call=1, submission_id=id_text(1), outcome=complete)
+    assert outcome_in(site.receive(OWNER, reply)) == complete
+    assert not of_type(site.receive(OWNER, reply), ReplyState)
+
+
+@pytest.mark.parametrize(
+    ("sender", "text"), [(OWNER, id_text(2)), (SCHEDULER, id_text(1)), ((OWNER[0], 10), id_text(1))]
+)
+def test_a_stray_reply_answers_no_call(sender, text):
+    """Guards against an answer to the wrong call after call numbers were used before."""
+    site = forwarding_site()
+    site.submit()
+    complete = Outcome(kind=OutcomeKind.COMPLETE, results=(b"1",))
+    reply = ForwardReply(call=1, submission_id=text, outcome=complete)
+    assert not of_type(site.receive(sender, reply), ReplyState)
+
+
+def test_a_lost_forward_is_repeated_without_the_body_first():
+    """Guards against a call that hangs on a lost message, and against sending bodies often."""
+    site = forwarding_site()
+    site.submit()
+    (repeat,) = of_type(site.run(1.1), ForwardCall)
+    assert (repeat.operation, repeat.body) == (Operation.QUERY, None)
+    reply = ForwardReply(call=1, submission_id=id_text(1), refusal=Reason.NOT_SUBMITTED)
+    (again,) = of_type(site.receive(OWNER, reply), ForwardCall)
+    assert (again.operation, again.body) == (Operation.SUBMIT, body_of())
+
+
+def test_a_repeated_forward_is_answered_once():
+    """Guards against two answers to one call."""
+    site = Site()
+    call = ForwardCall(
+        call=5,
+        caller="till",
+        operation=Operation.SUBMIT,
+        submission_id=id_text(1),
+        wait_s=30.0,
+        body=body_of(),
+    )
+    site.receive(THIRD, call, call)
+    assert len(of_type(site.cancel(), ForwardReply)) == 1
+
+
+def test_a_dead_owner_is_replaced_by_the_witness():
+    """Guards against a call that waits for a host that is gone."""
+    site = forwarding_site()
+    site.submit()
+    site.membership.incarnation_by_name[OWNER[0]] = OWNER[1] + 1
+    assert of_type(site.run(1.1), WitnessQuery)
+    outcome = Outcome(kind=OutcomeKind.NOT_RUN, reason=Reason.OWNER_LOST)
+    verdict = WitnessVerdict(submission_id=id_text(1), outcome=outcome)
+    assert not of_type(site.receive((WITNESS[0], 23), verdict), ReplyState)
+    assert outcome_in(site.receive(WITNESS, verdict)) == outcome
+
+
+def test_a_restarted_owner_says_that_the_earlier_one_is_lost():
+    """Guards against "not submitted" from a host that has lost its table."""
+    site = Site(own=(OWNER[0], OWNER[1] + 1))
+    call = ForwardCall(
+        call=5, caller="till", operation=Operation.QUERY, submission_id=id_text(1), wait_s=0.0
+    )
+    (reply,) = of_type(site.receive(THIRD, call), ForwardReply)
+    assert reply.refusal is Reason.OWNER_LOST
+    assert of_type(site.query(), WitnessQuery)
+
+
+def test_a_restart_learned_from_the_owner_leads_to_the_witness():
+    """Guards against waiting until the membership knows of the restart."""
+    site = forwarding_site()
+    site.submit()
+    reply = ForwardReply(call=1, submission_id=id_text(1), refusal=Reason.OWNER_LOST)
+    assert of_type(site.receive((OWNER[0], OWNER[1] + 1), reply), WitnessQuery)
+
+
+@pytest.mark.parametrize("witness", [WITNESS, None])
+def test_without_owner_and_witness_the_outcome_is_unknown(witness):
+    """Guards against "not run" that nobody can vouch for."""
+    site = forwarding_site()
+    del site.membership.incarnation_by_name[OWNER[0]]
+    del site.membership.incarnation_by_name[WITNESS[0]]
+    outcome = outcome_in(site.submit(id_text(1, witness=witness)))
+    assert outcome.kind is OutcomeKind.UNKNOWN
+    assert outcome.retry_after_s is not None
+
+
+def test_a_witness_that_says_nothing_is_given_up():
+    """Guards against a call that hangs on a lost verdict."""
+    site = forwarding_site()
+    del site.membership.incarnation_by_name[OWNER[0]]
+    assert of_type(site.submit(), WitnessQuery)
+    assert outcome_in(site.run(2.0)).kind is OutcomeKind.UNKNOWN
+
+
+def test_an_owner_that_says_nothing_is_unreachable_after_the_wait():
+    """Guards against "running" for a submission that may never have arrived."""
+    site = forwarding_site()
+    site.submit(wait_s=2.0)
+    assert outcome_in(site.run(6.0)).reason is Reason.OWNER_UNREACHABLE
+
+
+# Drain
+
+
+def test_a_drain_finishes_hands_over_and_says_goodbye():
+    """Guards against work that is cut off, and against answers lost at a planned stop."""
+    site = running_job(tasks=1, started=(0,))
+    actions = site.tick(DrainCalled())
+    assert of_type(actions, ReadinessChanged)
+    assert not of_type(actions, Drained)
+    (refusal,) = of_type(site.tick(IdsCalled(call=5, caller="till", count=1)), ReplyRefusal)
+    assert refusal.reason is Reason.DRAINING
+    refused = outcome_in(site.submit(id_text(2), call=6))
+    assert (refused.kind, refused.reason) == (OutcomeKind.NOT_RUN, Reason.DRAINING)
+    actions = site.finish(1, payload=b"1")
+    assert outcome_in(actions).kind is OutcomeKind.COMPLETE
+    handoffs = of_type(actions, WitnessHandoff)
+    assert {handoff.submission_id for handoff in handoffs} == {id_text(1), id_text(2)}
+    assert not of_type(actions, Goodbye)
+    actions = site.receive(WITNESS, ACCEPTED, WitnessAck(submission_id=id_text(2), accepted=True))
+    goodbyes = [a.to for a in actions if isinstance(a, Send) and isinstance(a.message, Goodbye)]
+    assert goodbyes == sorted([WITNESS[0], SCHEDULER[0]])
+    assert of_type(actions, Drained)
+
+
+def test_uncollected_outcomes_are_handed_over_first():
+    """Guards against keeping answers that callers have, at the cost of those they lack."""
+    site = Site()
+    for sequence in (1, 2, 3):
+        site.submit(id_text(sequence), call=sequence)
+        if sequence == 2:
+            site.tick(CallAbandoned(call=2))
+        site.receive(WITNESS, WitnessAck(submission_id=id_text(sequence), accepted=True))
+        message = SlotGrant(
+            submission_id=id_text(sequence),
+            pool="checker",
+            attempt=0,
+            placements=(Placement(grant=sequence, index=0, upstream="up-1"),),
+        )
+        site.receive(SCHEDULER, message)
+        site.finish(sequence)
+    handoffs = of_type(site.tick(DrainCalled()), WitnessHandoff)
+    assert handoffs[0].submission_id == id_text(2)
+
+
+def test_an_unacknowledged_handoff_is_repeated_and_then_given_up():
+    """Guards against an answer lost with one message, and against a drain that never ends."""
+    site = Site()
+    site.submit()
+    site.cancel()
+    assert of_type(site.tick(DrainCalled()), WitnessHandoff)
+    assert of_type(site.run(0.6), WitnessHandoff)
+    assert of_type(site.run(3.0), Drained)
+
+
+def test_calls_on_other_hosts_are_answered_before_the_process_ends():
+    """Guards against a caller's connection that is cut without an answer."""
+    site = Site()
+    text = id_text(7, owner=THIRD)
+    site.membership.incarnation_by_name[THIRD[0]] = THIRD[1]
+    site.query(text, call=4, wait_s=30.0)
+    actions = site.tick(DrainCalled())
+    assert outcome_in(actions).kind is OutcomeKind.UNKNOWN
+    assert of_type(actions, Drained)
+    (refusal,) = of_type(site.submit(text, call=5), ReplyRefusal)
+    assert refusal.reason is Reason.DRAINING
+
+
+# Cost
+
+
+def test_a_wave_of_cancels_touches_only_its_own_tasks():
+    """Guards against a scan of all submissions for each cancel or tick."""
+    site = Site()
+    for sequence in range(2000):
+        site.submit(id_text(sequence), call=sequence)
+    visited = 0
+    kept = site.system._owner.by_id
+
+    class Watched(dict):
+        def __iter__(self):
+            nonlocal visited
+            visited += len(self)
+            return super().__iter__()
+
+        def values(self):
+            nonlocal visited
+            visited += len(self)
+            return super().values()
+
+        items = values
+
+    site.system._owner.by_id = Watched(kept)
+    site.system._owner.live_by_id = Watched(site.system._owner.live_by_id)
+    for sequence in range(2000):
+        site.cancel(id_text(sequence), call=2000 + sequence)
+    assert site.system.dump()["unfinished"] == 0
+    assert visited == 0
