Add the first pool scheduler, the table of upstreams and the routing measurement

Cause: the scheduler of the decision core was a placeholder. Change: one queue a pool, grants, refusals, speed classes, ejection and probing; bench_routing.

--- /dev/null
+++ b/bench/bench_routing.py
@@ -0,0 +1,238 @@
+"""Response time against the ideal, and messages per task, beside simple per-host policies.
+
+The ideal is one central queue with no latency that knows every run time and speed: tasks go in
+order of arrival to the slot on which they end first, waiting for a busy slot where that is sooner.
+
+The baselines decide at each host, without messages between hosts, and send the task straight to a
+runner, which queues what exceeds its slots first in, first out. ``random by speed`` knows the true
+speeds; the others do not.
+
+A wasted message is one that did not move a task to a slot or free its slot: repeated asks,
+refusals, withdrawals, grants whose start was refused, and digests. The total is printed as well.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import pathlib
+import random
+import statistics
+from collections.abc import Callable, Sequence
+
+from absl import app, flags
+
+from bench.pool_site import DOMAINS, EPOCH, PoolSite, Task, make_runners, make_tasks, mean_work_s
+from eelgrassyard.policy import StartResult, UpstreamEntry
+
+_JSON = flags.DEFINE_bool("json", False, "Print only the JSON line.")
+
+RUNNERS = 24
+HOSTS = 9
+LOADS = (0.5, 0.8, 0.95)
+WARM_UP_S = 20.0
+SECONDS = 80.0
+SEED = 20
+PLOT = pathlib.Path("out/routing.png")
+
+
+def measure(response_times: Sequence[float]) -> dict[str, float]:
+    """Mean and 99th percentile in seconds."""
+    return {
+        "mean": statistics.fmean(response_times),
+        "p99": statistics.quantiles(response_times, n=100)[98],
+    }
+
+
+def measured(tasks: Sequence[Task]) -> list[Task]:
+    """Tasks that arrive after the warm-up, in which speeds are learned."""
+    return [task for task in tasks if task.at >= EPOCH + WARM_UP_S]
+
+
+def run_ideal(
+    tasks: Sequence[Task], entries: Sequence[UpstreamEntry], speeds: dict[str, float]
+) -> list[float]:
+    """Response times of the ideal."""
+    free_at = {e.name: [EPOCH] * e.slots for e in entries}
+    ordered = sorted(entries, key=lambda e: -speeds[e.name])
+    times = []
+    for task in tasks:
+        best, best_end = "", float("inf")
+        for entry in ordered:
+            end = max(task.at, free_at[entry.name][0]) + task.work_s / speeds[entry.name]
+            if end < best_end:
+                best, best_end = entry.name, end
+        heapq.heapreplace(free_at[best], best_end)
+        if task.at >= EPOCH + WARM_UP_S:
+            times.append(best_end - task.at)
+    return times
+
+
+def run_scheduler(
+    tasks: Sequence[Task], entries: Sequence[UpstreamEntry], speeds: dict[str, float]
+) -> tuple[list[float], PoolSite]:
+    """Response times with the scheduler, and the site for its counters."""
+    site = PoolSite(entries=entries, speed_by_name=speeds, hosts=HOSTS)
+    site.run(tasks)
+    late = [task for task in tasks if task.result is not StartResult.OK]
+    if late:
+        raise RuntimeError(f"{len(late)} tasks have no answer")
+    return [task.answered_at - task.at for task in measured(tasks)], site
+
+
+Choice = Callable[[int, list[int], random.Random], int]
+
+
+def run_baseline(
+    tasks: Sequence[Task],
+    entries: Sequence[UpstreamEntry],
+    speeds: dict[str, float],
+    choose: Choice,
+) -> list[float]:
+    """Response times of a per-host policy with queues at the runners."""
+    source = random.Random(SEED)
+    free_at = [[EPOCH] * e.slots for e in entries]
+    in_flight = [[0] * len(entries) for _ in range(HOSTS)]
+    ends: list[tuple[float, int, int, int]] = []
+    order = itertools.count()
+    arrivals: list[tuple[float, int, Task, int, float]] = []
+    times = []
+    for task in tasks:
+        while arrivals and arrivals[0][0] <= task.at:
+            _serve(heapq.heappop(arrivals), free_at, entries, speeds, ends, order, times)
+        while ends and ends[0][0] <= task.at:
+            _, _, host, index = heapq.heappop(ends)
+            in_flight[host][index] -= 1
+        index = choose(task.host, in_flight[task.host], source)
+        in_flight[task.host][index] += 1
+        local = DOMAINS[task.host % len(DOMAINS)] == entries[index].failure_domain
+        delay = 0.00025 if local else 0.0015
+        heapq.heappush(arrivals, (task.at + delay, next(order), task, index, delay))
+    while arrivals:
+        _serve(heapq.heappop(arrivals), free_at, entries, speeds, ends, order, times)
+    return times
+
+
+def _serve(
+    arrival: tuple[float, int, Task, int, float],
+    free_at: list[list[float]],
+    entries: Sequence[UpstreamEntry],
+    speeds: dict[str, float],
+    ends: list[tuple[float, int, int, int]],
+    order: itertools.count[int],
+    times: list[float],
+) -> None:
+    at, _, task, index, delay = arrival
+    end = max(at, free_at[index][0]) + task.work_s / speeds[entries[index].name]
+    heapq.heapreplace(free_at[index], end)
+    heapq.heappush(ends, (end + delay, next(order), task.host, index))
+    if task.at >= EPOCH + WARM_UP_S:
+        times.append(end + delay - task.at)
+
+
+def baselines(entries: Sequence[UpstreamEntry], speeds: dict[str, float]) -> dict[str, Choice]:
+    """The per-host policies by name."""
+    turn = [host * 7 % len(entries) for host in range(HOSTS)]
+    weights = list(itertools.accumulate(speeds[e.name] for e in entries))
+
+    def round_robin(host: int, counts: list[int], source: random.Random) -> int:
+        turn[host] = (turn[host] + 1) % len(entries)
+        return turn[host]
+
+    def least(host: int, counts: list[int], source: random.Random) -> int:
+        low = min(counts)
+        return source.choice([i for i, count in enumerate(counts) if count == low])
+
+    return {
+        "random": lambda host, counts, source: source.randrange(len(entries)),
+        "random by speed": lambda host, counts, source: source.choices(
+            range(len(entries)), cum_weights=weights
+        )[0],
+        "round robin": round_robin,
+        "least local in-flight": least,
+    }
+
+
+def run_load(load: float) -> dict[str, object]:
+    """All policies at one load."""
+    entries, speeds = make_runners(RUNNERS)
+    capacity = sum(e.slots * speeds[e.name] for e in entries)
+    rate = load * capacity / mean_work_s()
+    tasks = make_tasks(seed=SEED, rate_per_s=rate, seconds=SECONDS, hosts=HOSTS)
+    ideal = measure(run_ideal(tasks, entries, speeds))
+    rows: dict[str, dict[str, float]] = {}
+    for name, choose in baselines(entries, speeds).items():
+        rows[name] = ratios(measure(run_baseline(tasks, entries, speeds, choose)), ideal)
+    times, site = run_scheduler(tasks, entries, speeds)
+    rows["scheduler"] = ratios(measure(times), ideal)
+    count = len(tasks)
+    return {
+        "load": load,
+        "tasks": count,
+        "ideal_mean_s": ideal["mean"],
+        "ideal_p99_s": ideal["p99"],
+        "rows": rows,
+        "messages_per_task": {k: v / count for k, v in sorted(site.messages.items())},
+        "messages_per_task_total": sum(site.messages.values()) / count,
+        "wasted_per_task": {k: v / count for k, v in sorted(site.wasted.items())},
+        "wasted_per_task_total": sum(site.wasted.values()) / count,
+    }
+
+
+def ratios(values: dict[str, float], ideal: dict[str, float]) -> dict[str, float]:
+    """Mean and 99th percentile as multiples of the ideal."""
+    return {key: values[key] / ideal[key] for key in ideal}
+
+
+def print_table(results: Sequence[dict]) -> None:
+    """Print what :func:`run_load` returned."""
+    print(f"{'load':>5} {'policy':<22} {'mean/ideal':>10} {'p99/ideal':>10}")
+    for result in results:
+        for name, row in result["rows"].items():
+            print(f"{result['load']:>5} {name:<22} {row['mean']:>10.3f} {row['p99']:>10.3f}")
+    for result in results:
+        by_type = ", ".join(f"{k} {v:.3f}" for k, v in result["messages_per_task"].items())
+        print(
+            f"load {result['load']}: ideal mean {result['ideal_mean_s']:.3f} s, "
+            f"p99 {result['ideal_p99_s']:.3f} s; messages a task "
+            f"{result['messages_per_task_total']:.3f} ({by_type}), "
+            f"wasted {result['wasted_per_task_total']:.4f}"
+        )
+
+
+def plot(results: Sequence[dict]) -> None:
+    """Write a plot of the 99th percentile ratio by load."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    PLOT.parent.mkdir(exist_ok=True)
+    figure, axes = pyplot.subplots(figsize=(6, 4))
+    for name in results[0]["rows"]:
+        axes.plot(
+            [r["load"] for r in results],
+            [r["rows"][name]["p99"] for r in results],
+            marker="o",
+            label=name,
+        )
+    axes.set_yscale("log")
+    axes.set_xlabel("load")
+    axes.set_ylabel("99th percentile, ratio to the ideal")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(PLOT)
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run all loads."""
+    results = [run_load(load) for load in LOADS]
+    if not _JSON.value:
+        print_table(results)
+        plot(results)
+    print(json.dumps({"bench": "routing", "seed": SEED, "results": results}))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/src/eelgrassyard/policy/_grants.py
@@ -0,0 +1,99 @@
+"""Grants of one pool: which owner holds which place for which task."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ._config import Urgency
+from ._messages import TaskSize
+
+RELEASED_MEMORY = 4096
+"""Released grants remembered by number, so a delayed report does not bring them back."""
+
+TaskKey = tuple[str, str, int]
+"""Owner, submission id, index of the task."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Grant:
+    """A place held by a task.
+
+    :param expires_at: time at which the place is taken back if no release has come.
+    :param probe: the start tells whether an upstream that was out of use works again.
+    """
+
+    number: int
+    owner: str
+    incarnation: int
+    submission_id: str
+    caller: str
+    kind: str
+    size: TaskSize
+    upstream: str
+    granted_at: float
+    expected_s: float
+    expires_at: float
+    attempt: int = 0
+    urgency: Urgency = Urgency.NORMAL
+    probe: bool = False
+
+    @property
+    def task(self) -> TaskKey:
+        return (self.owner, self.submission_id, self.size.index)
+
+
+class GrantTable:
+    """Grants by number, by task and by owner."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, Grant] = {}
+        self._number_by_task: dict[TaskKey, int] = {}
+        self._numbers_by_owner: dict[str, set[int]] = {}
+        self._released: OrderedDict[int, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def __iter__(self) -> Iterator[Grant]:
+        return iter(self.by_number.values())
+
+    def add(self, grant: Grant) -> None:
+        """Note a grant."""
+        self.by_number[grant.number] = grant
+        self._number_by_task[grant.task] = grant.number
+        self._numbers_by_owner.setdefault(grant.owner, set()).add(grant.number)
+
+    def remove(self, number: int) -> Grant | None:
+        """Drop a grant, or remember the number if it is unknown; returns the grant."""
+        self._released[number] = None
+        if len(self._released) > RELEASED_MEMORY:
+            self._released.popitem(last=False)
+        grant = self.by_number.pop(number, None)
+        if grant is None:
+            return None
+        if self._number_by_task.get(grant.task) == number:
+            del self._number_by_task[grant.task]
+        numbers = self._numbers_by_owner[grant.owner]
+        numbers.discard(number)
+        if not numbers:
+            del self._numbers_by_owner[grant.owner]
+        return grant
+
+    def was_released(self, number: int) -> bool:
+        """Tell whether the grant was released not long ago."""
+        return number in self._released
+
+    def of_task(self, task: TaskKey) -> Grant | None:
+        """The grant that a task holds."""
+        number = self._number_by_task.get(task)
+        return None if number is None else self.by_number[number]
+
+    def owners(self) -> list[str]:
+        """Names of the owners that hold grants."""
+        return list(self._numbers_by_owner)
+
+    def of_owner(self, owner: str) -> list[Grant]:
+        """Grants of one owner."""
+        return [self.by_number[n] for n in sorted(self._numbers_by_owner.get(owner, ()))]
--- /dev/null
+++ b/src/eelgrassyard/policy/_parked.py
@@ -0,0 +1,80 @@
+"""Tasks that wait for a slot on a faster upstream while a slower one is free."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ._config import Urgency
+from ._fairqueue import QueuedAsk
+from ._messages import TaskSize
+
+
+@dataclass(slots=True, kw_only=True)
+class ParkedTask:
+    """A task taken from the queue that has no slot yet.
+
+    :param cost_s: what its flow was charged when it left the queue.
+    """
+
+    entry: QueuedAsk
+    size: TaskSize
+    cost_s: float
+
+
+class ParkedTasks:
+    """Parked tasks in order of urgency, then of arrival."""
+
+    def __init__(self) -> None:
+        self._tasks_by_urgency: dict[Urgency, deque[ParkedTask]] = {u: deque() for u in Urgency}
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[ParkedTask]:
+        for tasks in self._tasks_by_urgency.values():
+            yield from tasks
+
+    def add(self, task: ParkedTask) -> None:
+        """Put a task at the end of its urgency."""
+        self._tasks_by_urgency[task.entry.ask.urgency].append(task)
+        self._length += 1
+
+    def remove(self, task: ParkedTask) -> None:
+        """Remove a task that got a slot; it is near the front."""
+        self._tasks_by_urgency[task.entry.ask.urgency].remove(task)
+        self._length -= 1
+
+    def ahead_of(self, urgency: Urgency) -> int:
+        """Parked tasks that get a slot before a new task of this urgency."""
+        if urgency is Urgency.BACKGROUND:
+            return self._length
+        return sum(len(self._tasks_by_urgency[u]) for u in Urgency if u <= urgency)
+
+    def withdraw(self, owner: str, submission_id: str) -> int:
+        """Remove the tasks of a submission; returns how many there were."""
+        return len(
+            self._take(
+                lambda t: t.entry.ask.submission_id == submission_id and t.entry.owner == owner
+            )
+        )
+
+    def expire(self, now: float) -> list[ParkedTask]:
+        """Remove and return the tasks whose deadline has passed."""
+        return self._take(lambda t: t.entry.deadline_at <= now)
+
+    def clear(self) -> None:
+        """Remove all tasks."""
+        self._take(lambda t: True)
+
+    def _take(self, matches: Callable[[ParkedTask], bool]) -> list[ParkedTask]:
+        taken: list[ParkedTask] = []
+        for urgency, tasks in self._tasks_by_urgency.items():
+            found = [task for task in tasks if matches(task)]
+            if found:
+                self._tasks_by_urgency[urgency] = deque(t for t in tasks if not matches(t))
+                taken.extend(found)
+        self._length -= len(taken)
+        return taken
