--- a/src/eelgrassyard/policy/_owner.py
+++ b/src/eelgrassyard/policy/_owner.py
@@ -13,7 +13,7 @@
 from ._ids import SubmissionId
 from ._messages import SlotGrant, SlotRefusal, StartResult, TaskControl, WitnessAck
 from ._outcomes import Outcome, OutcomeKind, Reason, SubmissionBody
-from ._pools import pool_of
+from ._pools import pool_for
 from ._recording import Recording
 from ._records import Submission, Task, TaskState, body_digest
 from ._retries import RetryBudget, may_retry
@@ -109,7 +109,7 @@
             body=body,
             kind=kind,
             team=entry.team if entry is not None else "",
-            pool=pool_of(kind),
+            pool=pool_for(config, kind.name, self._identity.failure_domain),
             deadline_at=now + body.deadline_s,
             recorded=fields.witness is None,
             waiting=len(body.tasks),
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -38,7 +38,7 @@
 )
 from ._outcomes import Reason, SubmissionBody
 from ._owner import Owner
-from ._pools import pool_of
+from ._pools import pool_for
 from ._records import Submission, body_digest
 from ._system import ConfigView, MembershipView
 from ._waits import Waiter, Waits
@@ -200,10 +200,10 @@
     def _scheduler_of(self, now: float, kind: str, out: list[Action]) -> str | None:
         """Scheduler of the pool of a kind, if it is another host and so can be the witness."""
         config = self._config.current
-        entry = None if config is None else config.kinds_by_name.get(kind)
-        if entry is None:
+        if config is None or kind not in config.kinds_by_name:
             return None
-        host = self._owner.slots.link(now, pool_of(entry), out).scheduler
+        pool = pool_for(config, kind, self._identity.failure_domain)
+        host = self._owner.slots.link(now, pool, out).scheduler
         return None if host == self._identity.name else host
 
     # Calls
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -45,7 +45,7 @@
 def ask(text: str) -> SlotAsk:
     return SlotAsk(
         submission_id=text,
-        pool="checker",
+        pool="service:checker",
         caller="till",
         team="shop",
         kind="check",
