Add membership and the spread of the configuration

The placeholders knew the own host only, so every host scheduled every pool. Hosts now probe members of their failure domain and the other failure domains as a whole, spread news with the probes, and pull newer configurations from peers.

--- a/src/eelgrassyard/policy/_configsync.py
+++ b/src/eelgrassyard/policy/_configsync.py
@@ -3,25 +3,59 @@
 from __future__ import annotations
 
 import math
+import random
 from typing import ClassVar
 
-from ._actions import Action
+from . import _rendezvous
+from ._actions import Action, Count, ReadinessChanged, Send, StateChanged, WatchStore
 from ._config import SiteConfig
-from ._events import ConfigLoaded, Event
+from ._configpull import Puller
+from ._events import ConfigLoaded, Event, PeerReceived
 from ._identity import HostIdentity
+from ._messages import ConfigDocument, ConfigPull, Ping, PingReply
 from ._system import MembershipView
 
+WATCHERS = 2
+"""Hosts of each failure domain that watch the store; the second covers a stuck first."""
+
+WATCH_HOLD_S = 5.0
+"""Time for which a host goes on watching after others have taken over."""
+
+SETTLE_S = 1.0
+"""Shortest time for which a starting host listens to its peers if the store does not answer."""
+
+SETTLE_LIMIT_S = 5.0
+"""Time after which a starting host no longer waits for silent peers; they are failed by then."""
+
+SERVED_BYTES_PER_S = 4 << 20
+"""Documents sent to peers, in bytes per second and as a burst; others ask another peer."""
+
 
 class ConfigSync:
-    """Keeps the configuration of the highest revision; spreading is not there yet."""
+    """Keeps the configuration of the highest revision seen and passes it on."""
 
-    HANDLES: ClassVar[tuple[type, ...]] = (ConfigLoaded,)
+    HANDLES: ClassVar[tuple[type, ...]] = (
+        ConfigLoaded,
+        Ping,
+        PingReply,
+        ConfigPull,
+        ConfigDocument,
+    )
 
     def __init__(self, *, identity: HostIdentity, membership: MembershipView) -> None:
         self._identity = identity
         self._membership = membership
         self._current: SiteConfig | None = None
         self._revision = 0
+        self._document = b""
+        self._puller = Puller(rng=random.Random(f"{identity.name}/{identity.incarnation}"))
+        self._served_until = -math.inf
+        self._watching = False
+        self._unwatch_at = math.inf
+        self._ready = False
+        self._from_store = False
+        self._started_at: float | None = None
+        self._revision_by_peer: dict[str, int] = {}
 
     @property
     def current(self) -> SiteConfig | None:
@@ -33,17 +67,123 @@
 
     def handle(self, now: float, event: Event, out: list[Action]) -> None:
         """Take one event."""
-        if isinstance(event, ConfigLoaded) and event.revision > self._revision:
-            self._revision = event.revision
-            self._current = event.config
+        match event:
+            case ConfigLoaded():
+                self._take_loaded(event, out)
+            case PeerReceived(sender=peer) if peer == self._identity.name:
+                return
+            case PeerReceived(sender=peer, message=Ping(revision=revision)):
+                self._note_revision(peer, revision)
+            case PeerReceived(sender=peer, message=PingReply(revision=revision)):
+                self._note_revision(peer, revision)
+            case PeerReceived(sender=peer, message=ConfigPull(after_revision=revision)):
+                self._serve(now, peer, revision, out)
+            case PeerReceived(sender=peer, message=ConfigDocument() as document):
+                if document.revision > self._revision:
+                    self._puller.take_document(now, peer, document, out)
 
     def advance(self, now: float, out: list[Action]) -> None:
         """Run timers."""
+        if self._started_at is None:
+            self._started_at = now
+        self._puller.advance(now, self._revision, out)
+        self._update_watch(now, out)
+        self._update_readiness(now, out)
 
     def next_wake(self, now: float) -> float:
         """Time of the next timer."""
-        return math.inf
+        settle_at = math.inf
+        if not self._ready and self._started_at is not None and self._current is not None:
+            ends = (self._started_at + SETTLE_S, self._started_at + SETTLE_LIMIT_S)
+            settle_at = min((end for end in ends if end > now), default=math.inf)
+        return min(self._puller.next_timer(), self._unwatch_at, settle_at)
 
     def dump(self) -> dict[str, object]:
         """The revision in force."""
-        return {"revision": self._revision}
+        return {
+            "revision": self._revision,
+            "document_bytes": len(self._document),
+            "watching_store": self._watching,
+            "ready": self._ready,
+        }
+
+    # Documents
+
+    def _take_loaded(self, event: ConfigLoaded, out: list[Action]) -> None:
+        if event.revision <= self._revision:
+            return
+        from_peer = self._puller.loaded(event.revision, event.document)
+        self._from_store |= not from_peer
+        self._revision = event.revision
+        self._current = event.config
+        self._document = event.document
+        out.append(Count(metric="config.loaded"))
+        out.append(
+            StateChanged(
+                step="config",
+                peer="peer" if from_peer else "store",
+                message=f"configuration revision {event.revision} is in force",
+            )
+        )
+
+    def _note_revision(self, peer: str, revision: int) -> None:
+        self._puller.note_revision(peer, revision, self._revision)
+        if not self._ready:
+            self._revision_by_peer[peer] = revision
+
+    def _serve(self, now: float, peer: str, after_revision: int, out: list[Action]) -> None:
+        if self._revision <= after_revision:
+            return
+        start = max(now - 1.0, self._served_until)
+        if start > now:
+            out.append(Count(metric="config.pulls_refused"))
+            return
+        self._served_until = start + len(self._document) / SERVED_BYTES_PER_S
+        message = ConfigDocument(revision=self._revision, document=self._document)
+        out.append(Send(to=peer, message=message))
+
+    # Store and readiness
+
+    def _update_watch(self, now: float, out: list[Action]) -> None:
+        if self._current is None or self._is_watcher():
+            self._unwatch_at = math.inf
+            wanted = True
+        elif self._watching and self._unwatch_at == math.inf:
+            self._unwatch_at = now + WATCH_HOLD_S
+            wanted = True
+        else:
+            wanted = self._watching and now < self._unwatch_at
+        if wanted != self._watching:
+            self._watching = wanted
+            self._unwatch_at = math.inf
+            out.append(WatchStore(on=wanted))
+
+    def _is_watcher(self) -> bool:
+        members = self._membership.alive_hosts(self._identity.failure_domain)
+        staying = [name for name in members if not self._membership.is_leaving(name)]
+        ranked = _rendezvous.rank("config-watch", dict.fromkeys(staying or members, 1.0))
+        return self._identity.name in ranked[:WATCHERS]
+
+    def _update_readiness(self, now: float, out: list[Action]) -> None:
+        if self._ready or self._current is None or not self._is_settled(now):
+            return
+        if self._membership.is_dead(self._identity.name, self._identity.incarnation):
+            # A newer incarnation serves the callers.
+            return
+        self._ready = True
+        self._revision_by_peer.clear()
+        reason = f"configuration revision {self._revision} is in force"
+        out.append(ReadinessChanged(ready=True, reason=reason))
+
+    def _is_settled(self, now: float) -> bool:
+        """Tell whether no peer is likely to have a newer configuration than a starting host."""
+        assert self._started_at is not None
+        age_s = now - self._started_at
+        if self._from_store or age_s >= SETTLE_LIMIT_S:
+            return True
+        return age_s >= SETTLE_S and not self._puller.has_sources and self._all_have_told()
+
+    def _all_have_told(self) -> bool:
+        told = self._revision_by_peer.keys() | {self._identity.name}
+        own_domain = self._membership.alive_hosts(self._identity.failure_domain)
+        return told.issuperset(own_domain)
--- /dev/null
+++ b/src/eelgrassyard/policy/_detector.py
@@ -0,0 +1,243 @@
+"""Decides which host to probe when, and what an unanswered probe means."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from ._actions import Action
+from ._config import Limits
+from ._memberlist import Member, MemberTable
+from ._messenger import Messenger
+from ._probing import (
+    DIRECT_TIMEOUT_S,
+    HELPERS,
+    INDIRECT_TIMEOUT_S,
+    Probe,
+    ProbeTable,
+    Purpose,
+    RoundRobin,
+    sample,
+)
+from ._reach import RETRY_HOSTS, DomainReach
+
+REMOTE_TIMEOUT_S = 0.3
+"""Above the round trip between regions."""
+
+RETURN_INTERVAL_S = 1.0
+"""Time between probes of hosts that are not alive, to notice that they are back."""
+
+JOIN_LOCAL = 4
+"""Hosts of the own failure domain that a starting host contacts at once."""
+
+MAX_BURST = 4
+"""Members probed at once while some do not answer."""
+
+RECHECK_S = 0.5
+"""A hint about a failure domain that answered this recently is ignored."""
+
+
+class Detector:
+    """Probes members of the own failure domain, and the other failure domains as a whole.
+
+    A host of another failure domain is declared failed by its own failure domain only. What this
+    host finds out by itself is whether that failure domain answers at all.
+
+    :param own: the record of the own host.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        table: MemberTable,
+        reach: DomainReach,
+        messenger: Messenger,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._reach = reach
+        self._messenger = messenger
+        self._random = rng
+        self._probes = ProbeTable(rng=rng)
+        self._local_order = RoundRobin(rng=rng)
+        self._domain_order = RoundRobin(rng=rng)
+        self._absent_order = RoundRobin(rng=rng)
+        self._local_at = self._remote_at = self._absent_at = -math.inf
+        self._joined = False
+        self._checked_at: dict[str, float] = {}
+
+    # Input
+
+    def confirm(self, now: float, member: Member, out: list[Action]) -> None:
+        """Probe a host at once, because others doubt it or a connection to it failed."""
+        if member.failure_domain != self._own.failure_domain:
+            self._start(now, member, Purpose.DOMAIN, out)
+        elif member.is_usable:
+            self._start(now, member, Purpose.MEMBER, out)
+        else:
+            self._start(now, member, Purpose.ABSENT, out)
+
+    def connection_failed(self, now: float, member: Member, out: list[Action]) -> None:
+        """Treat an open probe over a failed connection as unanswered, or start one."""
+        probe = self._probes.find(member.name)
+        if probe is None:
+            self.confirm(now, member, out)
+        elif not probe.indirect:
+            probe.deadline = now
+
+    def check_domain(self, now: float, domain: str, out: list[Action]) -> None:
+        """Probe a failure domain because another host found that it does or doesn't answer."""
+        last = max(self._checked_at.get(domain, -math.inf), self._reach.last_reply(domain))
+        if domain != self._own.failure_domain and now - last >= RECHECK_S:
+            self._checked_at[domain] = now
+            self._probe_domain(now, domain, 1, out)
+
+    def answered(self, now: float, sequence: int) -> tuple[Member | None, bool]:
+        """Take a reply to a probe.
+
+        :returns: the host that answered, and whether its failure domain was cut off until now.
+        """
+        probe = self._probes.answered(sequence)
+        member = self._table.by_name.get(probe.target) if probe is not None else None
+        if member is None or member.failure_domain == self._own.failure_domain:
+            return member, False
+        return member, self._reach.note_reply(now, member.failure_domain)
+
+    def ping_for(self, requester: str, requested: int, target: Member, out: list[Action]) -> None:
+        """Ping a host on behalf of another."""
+        self._messenger.ping(target, self._probes.add_relay(requester, requested), out)
+
+    def take_relay(self, sequence: int) -> tuple[str, int] | None:
+        """Requester and its sequence if the reply answers a ping on behalf of another host."""
+        return self._probes.take_relay(sequence)
+
+    def forget_failures(self) -> None:
+        """Drop what a pause of the own host makes doubtful."""
+        self._probes.clear()
+        self._reach.forget_failures()
+
+    # Timers
+
+    def start_due(self, now: float, limits: Limits, out: list[Action]) -> None:
+        """Start the probes that are due."""
+        if not self._joined and len(self._table.by_name) > 1:
+            self._joined = True
+            self._join(now, limits, out)
+        if now >= self._local_at:
+            self._local_at = now + limits.ping_interval_s
+            self._probe_local(now, out)
+        if now >= self._remote_at:
+            self._remote_at = now + limits.remote_ping_interval_s
+            self._probe_domain(now, self._domain_order.pick(self._remote_domains()), 1, out)
+        if now >= self._absent_at:
+            self._absent_at = now + RETURN_INTERVAL_S
+            self._probe_absent(now, out)
+        for domain in self._reach.take_retries(now):
+            self._probe_domain(now, domain, RETRY_HOSTS, out)
+
+    def end_due(self, now: float, limits: Limits, out: list[Action]) -> tuple[list[Member], bool]:
+        """Take the probes that went unanswered.
+
+        :returns: members of the own failure domain that are suspect now, and whether another
+            failure domain was cut off.
+        """
+        suspects: list[Member] = []
+        any_cut_off = False
+        for probe in self._probes.due(now):
+            member = self._table.by_name.get(probe.target)
+            if member is None or probe.purpose == Purpose.ABSENT:
+                self._probes.close(probe)
+            elif probe.purpose == Purpose.DOMAIN:
+                any_cut_off |= self._domain_failed(now, probe, member, limits, out)
+            elif not self._ask_helpers(now, probe, member, out):
+                self._probes.close(probe)
+                suspects.append(member)
+        return suspects, any_cut_off
+
+    def next_timer(self) -> float:
+        """Time of the next timer."""
+        return min(
+            self._local_at,
+            self._remote_at,
+            self._absent_at,
+            self._probes.next_deadline(),
+            self._reach.next_retry(),
+        )
+
+    # Details
+
+    def _start(self, now: float, target: Member, purpose: Purpose, out: list[Action]) -> None:
+        timeout = REMOTE_TIMEOUT_S if purpose == Purpose.DOMAIN else DIRECT_TIMEOUT_S
+        if target is self._own or target.has_ended:
+            return
+        probe = self._probes.start(now, target.name, purpose, timeout)
+        if probe is not None:
+            self._messenger.ping(target, probe.sequence, out)
+
+    def _join(self, now: float, limits: Limits, out: list[Action]) -> None:
+        # The rounds of different hosts must not fall together.
+        self._local_at = now + self._random.random() * limits.ping_interval_s
+        self._remote_at = now + self._random.random() * limits.remote_ping_interval_s
+        self._absent_at = now + self._random.random() * RETURN_INTERVAL_S
+        unheard = self._in_domain(self._own.failure_domain)
+        for member in sample(self._random, unheard, JOIN_LOCAL):
+            self._start(now, member, Purpose.ABSENT, out)
+        for domain in self._remote_domains():
+            self._probe_domain(now, domain, 1, out)
+
+    def _probe_local(self, now: float, out: list[Action]) -> None:
+        names = [m.name for m in self._in_domain(self._own.failure_domain) if m.is_usable]
+        name = self._local_order.pick(names)
+        if name is not None:
+            self._start(now, self._table.by_name[name], Purpose.MEMBER, out)
+
+    def _probe_domain(self, now: float, domain: str | None, count: int, out: list[Action]) -> None:
+        if domain is None:
+            return
+        members = self._in_domain(domain)
+        usable = [member for member in members if member.is_usable]
+        for member in sample(self._random, usable or members, count):
+            self._start(now, member, Purpose.DOMAIN, out)
+
+    def _probe_absent(self, now: float, out: list[Action]) -> None:
+        absent = [m.name for m in self._table if not m.is_usable and not m.has_ended]
+        name = self._absent_order.pick(absent)
+        if name is not None:
+            self._start(now, self._table.by_name[name], Purpose.ABSENT, out)
+
+    def _ask_helpers(self, now: float, probe: Probe, member: Member, out: list[Action]) -> bool:
+        if probe.indirect:
+            return False
+        probe.indirect = True
+        probe.deadline = now + INDIRECT_TIMEOUT_S
+        if self._probes.count(Purpose.MEMBER) < MAX_BURST:
+            # Where one host fails, a whole rack may have failed.
+            self._probe_local(now, out)
+        return self._messenger.ask_helpers(member, probe.sequence, HELPERS, out)
+
+    def _domain_failed(
+        self, now: float, probe: Probe, member: Member, limits: Limits, out: list[Action]
+    ) -> bool:
+        self._probes.close(probe)
+        domain = member.failure_domain
+        if not self._reach.is_failing(domain) and not self._reach.is_cut_off(domain):
+            self._messenger.hint(member, out)
+        return self._reach.note_failure(
+            now,
+            domain,
+            sent_at=probe.sent_at,
+            bound_s=limits.suspicion_periods * limits.ping_interval_s,
+        )
+
+    def _in_domain(self, domain: str) -> list[Member]:
+        return [
+            member
+            for member in self._table
+            if member.failure_domain == domain and member is not self._own and not member.has_ended
+        ]
+
+    def _remote_domains(self) -> list[str]:
+        domains = {m.failure_domain for m in self._table if not m.has_ended}
+        return sorted(domains - {self._own.failure_domain})
--- /dev/null
+++ b/src/eelgrassyard/policy/_memberlist.py
@@ -0,0 +1,203 @@
+"""The table of hosts and the rules by which news of a host overrides what is known."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from ._config import HostEntry
+from ._identity import HostIdentity
+from ._messages import MemberState, MemberUpdate
+
+ENDED_COUNTER = 2**31 - 1
+"""Counter of an incarnation that said goodbye; no refutation can exceed it."""
+
+MAX_ENDED = 4_096
+"""Hosts whose ended incarnations are remembered; 320 restarts a day fill it in 12 days."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Member:
+    """A host as this one knows it.
+
+    :param incarnation: 0 while the host is only named by the host list or the configuration.
+    :param suspect_until: time at which a suspicion becomes a failure.
+    :param changed_at: time of the last change of state.
+    :param started_at: time at which the incarnation was first heard of.
+    :param synced: the whole table was sent to this incarnation.
+    :param named: the host list or the configuration names the host.
+    """
+
+    name: str
+    address: str
+    port: int
+    failure_domain: str
+    weight: float = 1.0
+    incarnation: int = 0
+    counter: int = 0
+    state: MemberState = MemberState.DEAD
+    suspect_until: float = 0.0
+    changed_at: float = 0.0
+    started_at: float = 0.0
+    synced: bool = False
+    named: bool = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Alive, leaving or suspect; says nothing of the failure domain's reachability."""
+        return self.state != MemberState.DEAD
+
+    @property
+    def has_ended(self) -> bool:
+        """The incarnation said goodbye; it cannot come back."""
+        return self.state == MemberState.DEAD and self.counter >= ENDED_COUNTER
+
+    def to_update(self, state: MemberState | None = None) -> MemberUpdate:
+        """The record as a message to other hosts, with another state if one is given."""
+        return MemberUpdate(
+            name=self.name,
+            address=self.address,
+            port=self.port,
+            failure_domain=self.failure_domain,
+            incarnation=self.incarnation,
+            counter=self.counter,
+            state=self.state if state is None else state,
+            weight=self.weight,
+        )
+
+
+class MemberTable:
+    """Hosts by name.
+
+    A newer incarnation overrides an older one; within an incarnation a higher counter overrides,
+    and at equal counters a higher state. Only the host itself raises its counter, so only a host
+    that still runs can come back from a failure that others declared.
+    """
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, Member] = {}
+        self.version = 0
+        self._ended_by_name: dict[str, int] = {}
+        self._name_by_endpoint: dict[tuple[str, int], str] = {}
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self.by_name.values())
+
+    def add_own(self, identity: HostIdentity) -> Member:
+        """Add the own host, which is alive."""
+        own = Member(
+            name=identity.name,
+            address=identity.address,
+            port=identity.port,
+            failure_domain=identity.failure_domain,
+            weight=identity.weight,
+            incarnation=identity.incarnation,
+            state=MemberState.ALIVE,
+        )
+        self.by_name[own.name] = own
+        return own
+
+    def add_named(self, entry: HostEntry) -> Member:
+        """Take a host from the host list or the configuration; known facts stay as they are."""
+        member = self.by_name.get(entry.name)
+        if member is None:
+            member = Member(
+                name=entry.name,
+                address=entry.address,
+                port=entry.port,
+                failure_domain=entry.failure_domain,
+                weight=entry.weight,
+            )
+            self.by_name[entry.name] = member
+            self.version += 1
+        elif member.incarnation == 0:
+            member.address, member.port = entry.address, entry.port
+            member.failure_domain, member.weight = entry.failure_domain, entry.weight
+        return member
+
+    def merge(self, now: float, update: MemberUpdate) -> bool:
+        """Apply news of a host.
+
+        :returns: True if it changed what is known.
+        """
+        if update.incarnation <= self._ended_by_name.get(update.name, 0):
+            return False
+        member = self.by_name.get(update.name)
+        if member is not None and not _overrides(update, member):
+            return False
+        if member is not None and 0 < member.incarnation < update.incarnation:
+            self.note_ended(update.name, member.incarnation)
+        if member is None:
+            member = Member(
+                name=update.name,
+                address=update.address,
+                port=update.port,
+                failure_domain=update.failure_domain,
+            )
+            self.by_name[update.name] = member
+        _apply(now, update, member)
+        if member.has_ended:
+            self.note_ended(member.name, member.incarnation)
+        self.version += 1
+        return True
+
+    def displaced_by(self, member: Member) -> Member | None:
+        """The older of two hosts at the endpoint of ``member``; its process must have ended."""
+        if not member.address or not member.port or not member.is_usable:
+            return None
+        endpoint = (member.address, member.port)
+        other = self.by_name.get(self._name_by_endpoint.get(endpoint, ""))
+        if other is None or other is member or (other.address, other.port) != endpoint:
+            self._name_by_endpoint[endpoint] = member.name
+            return None
+        if other.incarnation == member.incarnation:
+            return None
+        older, newer = sorted((other, member), key=lambda m: m.incarnation)
+        self._name_by_endpoint[endpoint] = newer.name
+        return None if older.has_ended else older
+
+    def is_ended(self, name: str, incarnation: int) -> bool:
+        """Tell whether that incarnation said goodbye or was followed by a newer one."""
+        if incarnation <= self._ended_by_name.get(name, 0):
+            return True
+        member = self.by_name.get(name)
+        return member is not None and member.incarnation > incarnation
+
+    def note_ended(self, name: str, incarnation: int) -> None:
+        """Remember that the incarnation, and every earlier one of that name, has ended."""
+        ended = max(incarnation, self._ended_by_name.pop(name, 0))
+        self._ended_by_name[name] = ended
+        if len(self._ended_by_name) > MAX_ENDED:
+            del self._ended_by_name[next(iter(self._ended_by_name))]
+
+    def remove(self, name: str) -> None:
+        """Forget a host; its ended incarnations stay known."""
+        member = self.by_name.pop(name)
+        self._name_by_endpoint.pop((member.address, member.port), None)
+        self.version += 1
+
+    def named_only(self, names: Iterable[str]) -> None:
+        """Mark which hosts the host list or the configuration names; drop unheard others."""
+        wanted = set(names)
+        for member in list(self.by_name.values()):
+            member.named = member.name in wanted
+            if not member.named and member.incarnation == 0:
+                self.remove(member.name)
+
+
+def _overrides(update: MemberUpdate, member: Member) -> bool:
+    known = (member.incarnation, member.counter, member.state)
+    return (update.incarnation, update.counter, update.state) > known
+
+
+def _apply(now: float, update: MemberUpdate, member: Member) -> None:
+    if update.incarnation > member.incarnation:
+        member.address, member.port = update.address, update.port
+        member.failure_domain = update.failure_domain
+        member.weight = update.weight
+        member.started_at = now
+        member.synced = False
+    member.incarnation = update.incarnation
+    member.counter = update.counter
+    member.state = update.state
+    member.changed_at = now
