--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from bench.virtual import EPOCH, VirtualSite
+
 from eelgrassyard.policy import HostEntry, SiteConfig, StartResult
 
 
