--- /dev/null
+++ b/src/eelgrassyard/config/_crosscheck.py
@@ -0,0 +1,77 @@
+"""Checks of a configuration that concern more than one of its entries."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from ._model import SiteModel
+
+SHARE_TOLERANCE = 1e-6
+
+
+class Problem(NamedTuple):
+    """A value that contradicts another one."""
+
+    key: str
+    message: str
+
+
+def find_problems(site: SiteModel) -> Iterator[Problem]:
+    """Yield every reference that leads nowhere and every sum that is out of bounds."""
+    if len(set(site.failure_domains)) < len(site.failure_domains):
+        yield Problem("failure_domains", "names a failure domain twice")
+    yield from _check_places(site)
+    yield from _check_kinds(site)
+    yield from _check_callers(site)
+    if site.limits.queued_tasks_total < site.limits.queued_tasks_per_flow:
+        yield Problem("limits.queued_tasks_total", "must be at least limits.queued_tasks_per_flow")
+    if site.limits.background_share + _share_sum(site) > 1 + SHARE_TOLERANCE:
+        yield Problem("kinds", "the shares of the kinds and background_share exceed 1")
+
+
+def _share_sum(site: SiteModel) -> float:
+    return sum(kind.share for kind in site.kinds.values() if kind.urgency != "background")
+
+
+def _check_places(site: SiteModel) -> Iterator[Problem]:
+    known = set(site.failure_domains)
+    allowed = ", ".join(site.failure_domains)
+    used: dict[tuple[str, int], str] = {}
+    for name, host in site.hosts.items():
+        if host.failure_domain not in known:
+            yield Problem(
+                f"hosts.{name}.failure_domain", f"{host.failure_domain!r} is not one of {allowed}"
+            )
+        other = used.setdefault((host.address, host.port), name)
+        if other != name:
+            yield Problem(f"hosts.{name}.port", f"the same address and port as host {other}")
+    urls: dict[str, str] = {}
+    for name, upstream in site.upstreams.items():
+        if upstream.failure_domain not in known:
+            yield Problem(
+                f"upstreams.{name}.failure_domain",
+                f"{upstream.failure_domain!r} is not one of {allowed}",
+            )
+        other = urls.setdefault(upstream.url, name)
+        if other != name:
+            yield Problem(f"upstreams.{name}.url", f"the same as of upstream {other}")
+
+
+def _check_kinds(site: SiteModel) -> Iterator[Problem]:
+    services = {item.service for item in site.upstreams.values() if item.role == "runner"}
+    has_workers = any(item.role == "worker" for item in site.upstreams.values())
+    for name, kind in site.kinds.items():
+        if kind.service and kind.service not in services:
+            yield Problem(f"kinds.{name}.service", f"no runner serves {kind.service!r}")
+        if not kind.service and not has_workers:
+            yield Problem(f"kinds.{name}.service", "a job kind needs at least one worker")
+
+
+def _check_callers(site: SiteModel) -> Iterator[Problem]:
+    for name, caller in site.callers.items():
+        if caller.team not in site.teams:
+            yield Problem(f"callers.{name}.team", f"{caller.team!r} is not a team")
+        for kind in caller.kinds:
+            if kind not in site.kinds:
+                yield Problem(f"callers.{name}.kinds", f"{kind!r} is not a kind of work")
