--- a/src/eelgrassyard/config/_crosscheck.py
+++ b/src/eelgrassyard/config/_crosscheck.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -26,12 +27,25 @@
     yield from _check_callers(site)
     if site.limits.queued_tasks_total < site.limits.queued_tasks_per_flow:
         yield Problem("limits.queued_tasks_total", "must be at least limits.queued_tasks_per_flow")
-    if site.limits.background_share + _share_sum(site) > 1 + SHARE_TOLERANCE:
-        yield Problem("kinds", "the shares of the kinds and background_share exceed 1")
-
-
-def _share_sum(site: SiteModel) -> float:
-    return sum(kind.share for kind in site.kinds.values() if kind.urgency != "background")
+    yield from _check_shares(site)
+
+
+def _check_shares(site: SiteModel) -> Iterator[Problem]:
+    totals: defaultdict[str, float] = defaultdict(float)
+    urgent_totals: defaultdict[str, float] = defaultdict(float)
+    for kind in site.kinds.values():
+        totals[kind.service] += kind.share
+        if kind.urgency != "background":
+            urgent_totals[kind.service] += kind.share
+    for service, total in totals.items():
+        pool = service or "workers"
+        if total > 1 + SHARE_TOLERANCE:
+            yield Problem("kinds", f"the shares of the kinds on {pool} add up to more than 1")
+        if urgent_totals[service] + site.limits.background_share > 1 + SHARE_TOLERANCE:
+            yield Problem(
+                "limits.background_share",
+                f"with the shares of the more urgent kinds on {pool} it exceeds 1",
+            )
 
 
 def _check_places(site: SiteModel) -> Iterator[Problem]:
--- a/src/eelgrassyard/config/_document.py
+++ b/src/eelgrassyard/config/_document.py
@@ -25,22 +25,12 @@
 from ._crosscheck import find_problems
 from ._errors import ConfigError
 from ._model import DOCUMENT_BYTES, FORMAT, DocumentModel, SiteModel
+from ._origins import Origin, flatten, pack_origins, unpack_origins
 
 CHANGE_ID_BYTES = 16
 
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Origin:
-    """The answer that a value of the configuration came from.
-
-    :param answer: JSON path in the questionnaire; empty if the value follows from no answer.
-    :param line: line of the answer, from 1; 0 if there is none.
-    :param rule: how the answer became the value; empty if it was copied.
-    """
-
-    answer: str
-    line: int
-    rule: str = ""
+CONFIG_KEY = "eelgrassyard-config"
+"""Key of the document in the platform's key-value service."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,8 +38,7 @@
     """A configuration with its authorship.
 
     :param change_id: random, so that a writer recognizes its own write.
-    :param origins_by_key: origin by path of the value, such as ``kinds.rule-layout.share``; the
-        origin of an entity counts for those of its fields that have none of their own.
+    :param origins_by_key: origin by key of the value, such as ``kinds.rule-layout.share``.
     """
 
     change_id: str
@@ -87,16 +76,17 @@
         return Err(ConfigError(message=f"not a JSON document: {error}"))
     for problem in find_problems(model.config):
         return Err(ConfigError(key=f"config.{problem.key}", message=problem.message))
-    origins = {
-        key: Origin(answer=item.a, line=item.n, rule=item.r) for key, item in model.origins.items()
-    }
+    try:
+        origins_by_key = unpack_origins(model.answers, model.origins)
+    except ValueError as error:
+        return Err(ConfigError(message=str(error)))
     return Ok(
         Document(
             change_id=model.change_id,
             author=model.author,
             questionnaire=model.questionnaire,
             config=_to_config(model.config),
-            origins_by_key=origins,
+            origins_by_key=origins_by_key,
         )
     )
 
@@ -114,49 +104,40 @@
     :param change_id: 32 hexadecimal digits; a new random one if left out.
     :param questionnaire: name of the file that the configuration was generated from.
     """
+    site = from_config(config)
+    answers, origins = pack_origins(site, origins_by_key or {})
     body = {
         "format": FORMAT,
         "change_id": change_id or new_change_id(),
         "author": author,
         "questionnaire": questionnaire,
-        "config": config_values(config),
-        "origins": {
-            key: _origin_values(origin) for key, origin in sorted((origins_by_key or {}).items())
-        },
+        "config": site.model_dump(mode="json", exclude_defaults=True),
+        "answers": answers,
+        "origins": origins,
     }
     return _to_json(body).encode()
 
 
 def config_values(config: SiteConfig) -> dict[str, object]:
-    """The configuration as JSON values; fields equal to their default are left out."""
-    return _from_config(config).model_dump(mode="json", exclude_defaults=True)
-
-
-def _origin_values(origin: Origin) -> dict[str, object]:
-    values: dict[str, object] = {"a": origin.answer, "n": origin.line}
-    if origin.rule:
-        values["r"] = origin.rule
-    return values
+    """Every value of a configuration by its key, such as ``kinds.rule-layout.share``."""
+    return flatten(from_config(config))
 
 
 def _to_json(body: Mapping[str, object]) -> str:
-    """One line for each entity, so that two documents can be compared by line."""
-    parts = []
-    for key, value in body.items():
-        if key in ("config", "origins") and isinstance(value, Mapping):
-            parts.append(f"{json.dumps(key)}:{_section(value, deep=key == 'config')}")
-        else:
-            parts.append(f"{json.dumps(key)}:{_compact(value)}")
+    """Write one entity or answer a line, so that documents can be compared by line."""
+    parts = [f"{json.dumps(key)}:{_section(value, key)}" for key, value in body.items()]
     return "{" + ",\n".join(parts) + "}\n"
 
 
-def _section(values: Mapping[str, object], *, deep: bool) -> str:
-    lines = []
-    for key, value in values.items():
-        if deep and isinstance(value, Mapping):
-            lines.append(f"{json.dumps(key)}:{_section(value, deep=False)}")
-        else:
-            lines.append(f"{json.dumps(key)}:{_compact(value)}")
+def _section(value: object, key: str) -> str:
+    if key == "answers" and isinstance(value, list):
+        return "[" + ",\n".join(_compact(item) for item in value) + "]"
+    if not isinstance(value, Mapping) or key == "limits":
+        return _compact(value)
+    if key == "config":
+        lines = [f"{json.dumps(name)}:{_section(item, name)}" for name, item in value.items()]
+    else:
+        lines = [f"{json.dumps(name)}:{_compact(item)}" for name, item in value.items()]
     return "{\n" + ",\n".join(lines) + "}"
 
 
@@ -219,7 +200,8 @@
     )
 
 
-def _from_config(config: SiteConfig) -> SiteModel:
+def from_config(config: SiteConfig) -> SiteModel:
+    """Build the validated model of a configuration, with its entries in the order of names."""
     return SiteModel.model_validate(
         {
             "site": config.site,
--- a/src/eelgrassyard/config/_model.py
+++ b/src/eelgrassyard/config/_model.py
@@ -39,7 +39,7 @@
     return value
 
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9](?:[a-z0-9._-]{0,62}[a-z0-9])?$")]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9](?:[a-z0-9_-]{0,62}[a-z0-9])?$")]
 Ip = Annotated[str, AfterValidator(_check_ip)]
 Url = Annotated[str, Field(max_length=200), AfterValidator(_check_url)]
 Hex = Annotated[str, Field(max_length=64), AfterValidator(_check_hex)]
@@ -63,6 +63,7 @@
     failure_domain: Name
     region: Name | Literal[""] = ""
     weight: Weight = 1.0
+    callers_port: Annotated[int, Field(ge=0, le=65535)] = 0
 
 
 class UpstreamModel(Strict):
@@ -173,25 +174,26 @@
     limits: LimitsModel = LimitsModel()
 
 
-class OriginModel(Strict):
-    """Where a value came from; the keys are short because every entity has some.
-
-    :param a: JSON path of the answer in the questionnaire.
-    :param n: line of the answer; 0 if the value follows from no answer.
-    :param r: rule that turned the answer into the value; empty if it was copied.
-    """
-
-    a: Annotated[str, Field(max_length=300)]
-    n: Annotated[int, Field(ge=0)]
-    r: Annotated[str, Field(max_length=500)] = ""
+AnswerModel = tuple[
+    Annotated[str, Field(max_length=300)],
+    Annotated[int, Field(ge=0)],
+    Annotated[str, Field(max_length=500)],
+]
+"""JSON path of an answer, its line (0 if there is none), and the rule applied to it."""
 
 
 class DocumentModel(Strict):
-    """The document as stored."""
+    """The document as stored.
+
+    :param answers: every distinct origin of a value.
+    :param origins: for each entity, the index into ``answers`` of each of its fields in the order
+        of the model; -1 where no origin is recorded.
+    """
 
     format: Literal[1]
     change_id: Annotated[str, Field(pattern=r"^[0-9a-f]{32}$")]
     author: Annotated[str, Field(min_length=1, max_length=200)]
     questionnaire: Annotated[str, Field(max_length=300)] = ""
     config: SiteModel
-    origins: dict[str, OriginModel] = {}
+    answers: tuple[AnswerModel, ...] = ()
+    origins: dict[str, tuple[int, ...]] = {}
--- a/src/eelgrassyard/policy/_config.py
+++ b/src/eelgrassyard/policy/_config.py
@@ -36,6 +36,8 @@
 class HostEntry:
     """An entry host as the configuration or the host list names it.
 
+    :param port: port for other hosts.
+    :param callers_port: port for callers and operators; 0 if not known.
     :param weight: relative size of the host, 1.0 for the usual one.
     """
 
@@ -45,6 +47,7 @@
     failure_domain: str
     region: str = ""
     weight: float = 1.0
+    callers_port: int = 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
