--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python -m pytest
 
 check: setup
-	$(BIN)/black --check --quiet src tests bench
-	$(BIN)/ruff check --quiet src tests bench
+	$(BIN)/black --check --quiet src tests bench demo
+	$(BIN)/ruff check --quiet src tests bench demo
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
 demo: setup
-	$(BIN)/python -m eelgrassyard.cli.demo --site=$(SITE)
+	$(BIN)/python -m demo.run --site=$(SITE)
 
 bench: setup
 	$(BIN)/python -m bench.run_all
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job of a small site on plain processes of one machine."""
--- /dev/null
+++ b/demo/checks.py
@@ -0,0 +1,110 @@
+"""What the demo counts and checks: outcomes, starts, answers, response times."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from eelgrassyard.cli import Answer, State
+from eelgrassyard.standins import digest
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """One submission of the demo with its answer.
+
+    :param ideal_s: run time of its longest task on the fastest upstream.
+    """
+
+    caller: str
+    body: Mapping[str, Any]
+    answer: Answer
+    seconds: float
+    ideal_s: float
+
+
+@dataclass(kw_only=True)
+class Report:
+    """All runs, and the promises that were broken."""
+
+    runs: list[Run] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    notes: list[str] = field(default_factory=list)
+
+    def require(self, holds: bool, promise: str) -> None:
+        """Note a broken promise."""
+        if not holds:
+            self.broken.append(promise)
+
+    def check_answers(self) -> None:
+        """Every complete answer holds every result of its own tasks, in order."""
+        for run in self.runs:
+            if run.answer.state is State.COMPLETE:
+                self.require(is_own_answer(run), f"whole own answer: {run.answer.submission_id}")
+            elif run.answer.state is State.FAILED:
+                self.require(not run.answer.results, f"partial: {run.answer.submission_id}")
+
+    def check_starts(self, starts_by_task: Counter[str], idempotent: Mapping[str, bool]) -> None:
+        """No task started twice unless its kind may; nothing started that is called not run."""
+        run_by_id = {run.answer.submission_id: run for run in self.runs}
+        for task, starts in starts_by_task.items():
+            run = run_by_id.get(task.rpartition("/")[0])
+            if run is None:
+                continue
+            once = starts <= 1 or idempotent[run.body["kind"]]
+            self.require(once, f"at most once: {task} started {starts} times")
+            not_run = run.answer.state is State.NOT_RUN
+            self.require(not not_run, f"told not run, yet started: {task}")
+
+    def check_outcomes(self, killed: str) -> None:
+        """Only submissions owned by the killed host may be unknown; none may fail by itself."""
+        for run in self.runs:
+            owner = run.answer.submission_id.partition(".")[0]
+            state = run.answer.state
+            expected = state in (State.COMPLETE, State.NOT_RUN) or (
+                state is State.UNKNOWN and owner == killed
+            )
+            text = f"{state} ({run.answer.reason} {run.answer.message}) {run.answer.submission_id}"
+            self.require(expected, f"unexpected outcome: {text}")
+
+    def table(self, starts_by_task: Counter[str]) -> str:
+        """The short table that the demo prints."""
+        states = Counter(run.answer.state for run in self.runs)
+        complete = [run for run in self.runs if run.answer.state is State.COMPLETE]
+        rows = [
+            ("answers complete", str(states[State.COMPLETE])),
+            ("answers failed", str(states[State.FAILED])),
+            ("unknown", str(states[State.UNKNOWN])),
+            ("refused (not run)", str(states[State.NOT_RUN])),
+            ("starts per task, most", str(max(starts_by_task.values(), default=0))),
+            ("tasks started", str(len(starts_by_task))),
+        ]
+        for name, share in (("50th", 0.50), ("99th", 0.99)):
+            seconds = percentile([run.seconds for run in complete], share)
+            ratio = percentile([run.seconds / run.ideal_s for run in complete], share)
+            rows.append((f"response time, {name} percentile", f"{seconds * 1000:.0f} ms"))
+            rows.append((f"  against the ideal, {name} percentile", f"{ratio:.2f}"))
+        width = max(len(name) for name, _ in rows)
+        return "\n".join(f"{name:<{width}}  {value:>8}" for name, value in rows)
+
+
+def is_own_answer(run: Run) -> bool:
+    """Tell whether the results answer exactly the tasks of the submission."""
+    tasks = run.body["tasks"]
+    if len(run.answer.results) != len(tasks):
+        return False
+    return all(
+        result["answer"] == digest(task["payload"])
+        and result["task"] == f"{run.answer.submission_id}/{index}"
+        for index, (task, result) in enumerate(zip(tasks, run.answer.results, strict=True))
+    )
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Smallest value that is at least as high as ``share`` of all values; NaN for none."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
