Add the command-line tool and the reference client

Operators need to put a configuration in force, and callers need a client that repeats calls safely. apply writes by compare-and-swap, resolves a lost answer by the change id in the stored document or in the history of a later one, and names the winner of a race. The client takes ids first and repeats with the same id until the outcome is known.

--- /dev/null
+++ b/src/eelgrassyard/cli/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the tool as ``python -m eelgrassyard.cli``."""
+
+import sys
+
+from ._main import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/eelgrassyard/cli/_answer.py
@@ -0,0 +1,129 @@
+"""Answers of a host to a submit, query or cancel call."""
+
+from __future__ import annotations
+
+import enum
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+
+RETRY_AFTER_HEADER = "Retry-After"
+
+
+class State(enum.StrEnum):
+    """What a client knows of a submission after a call."""
+
+    COMPLETE = "complete"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+    NOT_SUBMITTED = "not_submitted"
+    REFUSED = "refused"
+    """The call is wrong and would be refused again."""
+    LOST = "lost"
+    """No answer, or one that says nothing about the submission; the call may be repeated."""
+    UNREACHED = "unreached"
+    """The call provably reached no host."""
+
+
+FINAL = frozenset({State.COMPLETE, State.FAILED, State.NOT_RUN})
+"""States that no later call changes."""
+
+_OUTCOMES = {state.value: state for state in (*FINAL, State.UNKNOWN, State.NOT_SUBMITTED)}
+_WRONG_CALL = frozenset({400, 401, 403, 405, 409, 411, 413, 414, 415, 431})
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """One answer.
+
+    :param status: HTTP status; 0 if there is none.
+    :param results: JSON values, one for each task, if the submission is complete.
+    :param retry_after_s: seconds after which the host advises to try again.
+    :param calls: HTTP calls made for the submission.
+    """
+
+    submission_id: str
+    state: State
+    status: int = 0
+    results: tuple[Any, ...] = ()
+    reason: str = ""
+    message: str = ""
+    retry_after_s: float | None = None
+    host: str = ""
+    calls: int = 1
+
+    def to_json(self) -> dict[str, Any]:
+        """The answer as JSON values."""
+        values: dict[str, Any] = {"id": self.submission_id, "state": self.state.value}
+        if self.state is State.COMPLETE:
+            values["results"] = list(self.results)
+        for name in ("reason", "message", "retry_after_s", "host"):
+            value = getattr(self, name)
+            if value not in ("", None):
+                values[name] = value
+        return values | {"calls": self.calls}
+
+
+def read_answer(submission_id: str, response: httpx.Response, host: str) -> Answer:
+    """Interpret a response; one without a recognizable outcome counts as lost.
+
+    A load balancer between client and host answers 502 to 504 on its own, so a status alone never
+    stands for an outcome other than running.
+    """
+    content = _content(response)
+    error = content.get("error")
+    details: Mapping[str, Any] = error if isinstance(error, dict) else {}
+    state = _state(response.status_code, content, details)
+    results = content.get("results")
+    return Answer(
+        submission_id=submission_id,
+        state=state,
+        status=response.status_code,
+        results=tuple(results) if state is State.COMPLETE and isinstance(results, list) else (),
+        reason=str(content.get("reason") or details.get("code") or ""),
+        message=str(content.get("message") or details.get("message") or ""),
+        retry_after_s=read_retry_after(response),
+        host=host,
+    )
+
+
+def read_retry_after(response: httpx.Response) -> float | None:
+    """Seconds of the ``Retry-After`` header, or None."""
+    try:
+        seconds = float(response.headers.get(RETRY_AFTER_HEADER, ""))
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < 86_400 else None
+
+
+def _content(response: httpx.Response) -> dict[str, Any]:
+    try:
+        content = response.json()
+    except (ValueError, RecursionError):
+        return {}
+    return content if isinstance(content, dict) else {}
+
+
+def _state(status: int, content: Mapping[str, Any], details: Mapping[str, Any]) -> State:
+    if status == 202:
+        return State.RUNNING
+    if status in _WRONG_CALL:
+        return State.REFUSED
+    named = [content.get("outcome"), content.get("state"), details.get("code")]
+    for name in named:
+        if isinstance(name, str) and name in _OUTCOMES:
+            state = _OUTCOMES[name]
+            if state is State.COMPLETE and not isinstance(content.get("results"), list):
+                return State.LOST
+            return state
+    return State.LOST
+
+
+def describe_results(answer: Answer) -> str:
+    """The results as one line of JSON text."""
+    return json.dumps(list(answer.results), ensure_ascii=False)
--- /dev/null
+++ b/src/eelgrassyard/cli/_apply.py
@@ -0,0 +1,194 @@
+"""Writing a configuration to the store, with lost answers and racing operators."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from ..config import Change, ConfigError, Document, diff_configs, follow, read_document
+from ._store import Conflict, StoreClient, Stored, StoreError
+
+ATTEMPTS = 8
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 3.0
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The document is in the store.
+
+    :param changes: what it changed.
+    :param already: the same configuration was in force before; nothing was written.
+    :param replaced_by: author of a later document, which was written on top of this one while its
+        answer was lost; ``revision`` is that of the later document.
+    """
+
+    revision: int
+    change_id: str
+    changes: list[Change]
+    already: bool = False
+    replaced_by: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LostRace:
+    """Another operator's document is in the store.
+
+    :param winner_changes: what the winner changed relative to the document that ours was based
+        on; empty if that is not known.
+    :param changes: how the winner's configuration differs from ours.
+    """
+
+    revision: int
+    author: str
+    change_id: str
+    changes: list[Change]
+    winner_changes: list[Change]
+
+
+ApplyResult = Result[Applied | LostRace, StoreError | ConfigError]
+
+
+class Applier:
+    """Applies one document by compare-and-swap.
+
+    :param expect: revision that the operator saw when deciding on the change; None for the one
+        found in the store now.
+    :param sleep: waits between attempts.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        key: str,
+        document: bytes,
+        sleep: Sleep,
+        expect: int | None = None,
+        attempts: int = ATTEMPTS,
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._document = document
+        self._sleep = sleep
+        self._expect = expect
+        self._attempts = attempts
+
+    async def apply(self) -> ApplyResult:
+        """Write the document; a lost answer is resolved by reading the value back."""
+        match read_document(self._document):
+            case Err(invalid):
+                return Err(invalid)
+            case Ok(ours):
+                pass
+        match await self._read():
+            case Err(unreachable):
+                return Err(unreachable)
+            case Ok(base):
+                pass
+        base_document = _read_stored(base)
+        expect = base.revision if base else 0
+        if self._expect is not None and self._expect != expect:
+            return self._lost(ours, base, None)
+        if base and base_document and base_document.config == ours.config:
+            applied = Applied(
+                revision=base.revision, change_id=base_document.change_id, changes=[], already=True
+            )
+            return Ok(applied)
+        return await self._write(ours, base_document, expect)
+
+    async def _write(self, ours: Document, base: Document | None, expect: int) -> ApplyResult:
+        data = follow(ours, base)
+        error = StoreError(step="store PUT", peer=self._store.url, message="no attempt was made")
+        may_have_written = False
+        for attempt in range(self._attempts):
+            if attempt:
+                await self._sleep(_pause(attempt))
+            match await self._store.write(self._key, data, expect=expect):
+                case Ok(Conflict()):
+                    # After a lost answer, the conflict may be with our own earlier write.
+                    return await self._resolve(ours, base)
+                case Ok(int() as revision):
+                    return Ok(self._applied(ours, base, revision))
+                case Err(failed):
+                    error = failed
+            may_have_written |= error.may_have_written
+            if not may_have_written:
+                continue
+            match await self._read():
+                case Err(unread):
+                    return Err(_unresolved(unread))
+                case Ok(found):
+                    pass
+            if (found.revision if found else 0) != expect:
+                return self._judge(ours, base, found)
+        return Err(_unresolved(error) if may_have_written else error)
+
+    async def _resolve(self, ours: Document, base: Document | None) -> ApplyResult:
+        match await self._read():
+            case Err(error):
+                return Err(_unresolved(error))
+            case Ok(found):
+                return self._judge(ours, base, found)
+
+    def _judge(self, ours: Document, base: Document | None, found: Stored | None) -> ApplyResult:
+        """Tell from the document in the store whether ours was written."""
+        read = _read_stored(found)
+        if found is None or read is None:
+            return self._lost(ours, found, base)
+        if read.change_id == ours.change_id:
+            return Ok(self._applied(ours, base, found.revision))
+        if ours.change_id in read.history:
+            applied = self._applied(ours, base, found.revision)
+            return Ok(replace(applied, replaced_by=read.author))
+        return self._lost(ours, found, base)
+
+    async def _read(self) -> Result[Stored | None, StoreError]:
+        result = await self._store.read(self._key)
+        for attempt in range(1, self._attempts):
+            if result.is_ok():
+                break
+            await self._sleep(_pause(attempt))
+            result = await self._store.read(self._key)
+        return result
+
+    def _applied(self, ours: Document, base: Document | None, revision: int) -> Applied:
+        changes = (
+            diff_configs(base.config, ours.config, origins_by_key=ours.origins_by_key)
+            if base
+            else []
+        )
+        return Applied(revision=revision, change_id=ours.change_id, changes=changes)
+
+    def _lost(self, ours: Document, found: Stored | None, base: Document | None) -> ApplyResult:
+        winner = _read_stored(found)
+        return Ok(
+            LostRace(
+                revision=found.revision if found else 0,
+                author=winner.author if winner else "(unreadable document)" if found else "(none)",
+                change_id=winner.change_id if winner else "",
+                changes=diff_configs(winner.config, ours.config) if winner else [],
+                winner_changes=diff_configs(base.config, winner.config) if base and winner else [],
+            )
+        )
+
+
+def _read_stored(stored: Stored | None) -> Document | None:
+    return read_document(stored.value).ok() if stored else None
+
+
+def _pause(attempt: int) -> float:
+    return float(min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** (attempt - 1)))
+
+
+def _unresolved(error: StoreError) -> StoreError:
+    return StoreError(
+        step=error.step,
+        peer=error.peer,
+        message=f"{error.message}; the write may have taken effect, repeat the command",
+        may_have_written=True,
+    )
--- /dev/null
+++ b/src/eelgrassyard/cli/_apply_command.py
@@ -0,0 +1,188 @@
+"""The command that puts a configuration in force."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import anyio
+from absl import flags
+from result import Err, Ok
+
+from ..config import CONFIG_KEY, Document
+from ..policy import SiteConfig
+from ._apply import Applied, Applier, LostRace
+from ._command import Command, environment_default
+from ._errors import CommandError, ExitCode
+from ._flags import STORE_VARIABLE, check_url, define_key, read_key
+from ._hosts import ASK_INTERVAL_S, Spread, wait_for_revision
+from ._input import read_either
+from ._store import StoreClient
+
+DEFAULT_WAIT_S = 19.0
+"""Every change is to be in force everywhere within 19 s."""
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "store",
+        environment_default(STORE_VARIABLE),
+        f"Base URL of the key-value service. Environment: {STORE_VARIABLE}.",
+        flag_values=values,
+    )
+    flags.DEFINE_string("config_key", CONFIG_KEY, "Key of the document.", flag_values=values)
+    flags.DEFINE_integer(
+        "expect",
+        None,
+        "Write only if the store holds this revision (0: nothing yet); the revision found in the "
+        "store at the start if left out.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "wait_s",
+        DEFAULT_WAIT_S,
+        "Seconds to wait until the revision is in force on every host; 0 for not at all.",
+        lower_bound=0,
+        upper_bound=600,
+        flag_values=values,
+    )
+    flags.DEFINE_list(
+        "hosts",
+        "",
+        "Base URLs of the hosts to ask; those of the document if left out.",
+        flag_values=values,
+    )
+    define_key(values)
+
+
+def _run(values: Any, arguments: list[str]) -> int:
+    if not values.store:
+        raise CommandError(ExitCode.USAGE, f"give --store or set {STORE_VARIABLE}", step="apply")
+    check_url(values.store, "store")
+    key = read_key(values, required=values.wait_s > 0)
+    data, document = read_either(arguments[0])
+    return anyio.run(_apply, values, data, document, key)
+
+
+async def _apply(values: Any, data: bytes, document: Document, key: str) -> int:
+    store = StoreClient(url=values.store.rstrip("/"))
+    try:
+        applier = Applier(
+            store=store,
+            key=values.config_key,
+            document=data,
+            sleep=anyio.sleep,
+            expect=values.expect,
+        )
+        result = await applier.apply()
+    finally:
+        await store.close()
+    match result:
+        case Err(error):
+            raise CommandError(ExitCode.UNREACHABLE, str(error))
+        case Ok(LostRace() as race):
+            return report_race(race)
+        case Ok(Applied() as applied):
+            report_applied(applied, store.calls_by_name.total())
+            if values.wait_s <= 0:
+                return ExitCode.DONE
+            return await _wait(values, applied.revision, document.config, key)
+    raise AssertionError("unreachable")
+
+
+def report_applied(applied: Applied, calls: int) -> None:
+    """Print the revision and what it changed."""
+    for change in applied.changes:
+        print(change)
+    if applied.replaced_by:
+        print(
+            f"change {applied.change_id} was written; {applied.replaced_by} has put revision "
+            f"{applied.revision} on top of it"
+        )
+    elif applied.already:
+        print(f"revision {applied.revision} already holds this configuration")
+    else:
+        print(f"written as revision {applied.revision}, change {applied.change_id}")
+    print(f"store calls: {calls}")
+
+
+def report_race(race: LostRace) -> int:
+    """Print who won and what differs."""
+    if race.winner_changes:
+        print("the winner changed:")
+        for change in race.winner_changes:
+            print(f"  {change}")
+    print("applying yours on top would change:")
+    for change in race.changes:
+        print(f"  {change}")
+    print(
+        f"apply: conflict: revision {race.revision} by {race.author} (change {race.change_id}) is "
+        "in the store; nothing was written",
+        file=sys.stderr,
+    )
+    return ExitCode.CONFLICT
+
+
+async def _wait(values: Any, revision: int, config: SiteConfig, key: str) -> int:
+    urls = host_urls(config, values.hosts)
+    if not urls:
+        raise CommandError(ExitCode.USAGE, "no host has a port for callers", step="apply")
+    rounds = max(1, int(values.wait_s / ASK_INTERVAL_S))
+    spread = await wait_for_revision(
+        urls, revision=revision, key=key, rounds=rounds, on_progress=_show_progress
+    )
+    return report_spread(spread, revision)
+
+
+def host_urls(config: SiteConfig, given: list[str]) -> dict[str, str]:
+    """Base URL by host: as given, or from the configuration."""
+    if given:
+        return {url.rstrip("/"): url.rstrip("/") for url in given if url}
+    return {
+        host.name: f"http://{_bracketed(host.address)}:{host.callers_port}"
+        for host in config.hosts_by_name.values()
+        if host.callers_port
+    }
+
+
+def report_spread(spread: Spread, revision: int) -> int:
+    """Print where the revision is in force and where it is not."""
+    total = len(spread.in_force) + len(spread.reason_by_host)
+    print(f"revision {revision} is in force on {len(spread.in_force)} of {total} hosts")
+    if not spread.reason_by_host:
+        return ExitCode.DONE
+    where = "; ".join(f"{host}: {reason}" for host, reason in spread.reason_by_host.items())
+    print(f"apply: not in force: {where}", file=sys.stderr)
+    return ExitCode.UNREACHABLE
+
+
+def _show_progress(done: int, total: int) -> None:
+    if sys.stderr.isatty():
+        print(f"\rin force on {done} of {total} hosts", end="", file=sys.stderr, flush=True)
+
+
+def _bracketed(address: str) -> str:
+    return f"[{address}]" if ":" in address else address
+
+
+COMMANDS = (
+    Command(
+        name="apply",
+        summary="put a configuration in force",
+        arguments="FILE",
+        counts=(1, 1),
+        text="""
+            Writes FILE (a generated document, or a questionnaire to generate it from) to the
+            key-value service by compare-and-swap, prints what changes, and waits until the
+            revision is in force on every host.
+
+            If the answer of the service is lost, the value is read back: the document carries a
+            random change id, so the command knows whether it was written. If another operator was
+            faster, nothing is written; the command names the winner and the difference and exits
+            with 5. If the revision is written but not in force on some host within --wait_s, the
+            command names the hosts and exits with 6; the hosts go on fetching it.""",
+        define=_define,
+        run=_run,
+    ),
+)
--- /dev/null
+++ b/src/eelgrassyard/cli/_client.py
@@ -0,0 +1,287 @@
+"""Reference client: takes ids first and repeats calls with the same id until the outcome is known.
+
+A new id is taken only after the outcome *not run*, because every other outcome may mean that the
+work has run.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any
+
+import anyio
+import httpx
+
+from ._answer import FINAL, Answer, State, read_answer, read_retry_after
+from ._errors import CommandError, ExitCode
+
+DEFAULT_WAIT_S = 30.0
+DEFAULT_GIVE_UP_S = 120.0
+CALL_MARGIN_S = 5.0
+"""A call held open for an answer may take this much longer than asked for."""
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 5.0
+MOST_IDS = 1000
+
+Sleep = Callable[[float], Awaitable[None]]
+Progress = Callable[[Answer], None]
+
+
+def ignore_progress(answer: Answer) -> None:
+    """Do nothing."""
+
+
+class Client:
+    """Submits work to a site.
+
+    :param hosts: base URLs of the entry hosts or of the load balancer.
+    :param key: the caller's key.
+    :param transport: replaces the network, for tests.
+    :param clock: seconds that advance steadily.
+    :param seed: seed of the first host and of the jitter in pauses.
+    """
+
+    def __init__(
+        self,
+        *,
+        hosts: Sequence[str],
+        key: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+        clock: Callable[[], float] = anyio.current_time,
+        sleep: Sleep = anyio.sleep,
+        seed: int = 0,
+        most_connections: int = 512,
+    ) -> None:
+        self._hosts = list(hosts)
+        self._clock = clock
+        self._sleep = sleep
+        self._random = random.Random(seed)
+        self._issuer_by_id: dict[str, str] = {}
+        self._next_host = self._random.randrange(len(self._hosts))
+        self._client = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {key}"},
+            transport=transport,
+            trust_env=False,
+            limits=httpx.Limits(max_connections=most_connections),
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def take_ids(
+        self,
+        count: int,
+        *,
+        kind: str = "",
+        give_up_s: float = DEFAULT_GIVE_UP_S,
+        batch: int = MOST_IDS,
+    ) -> list[str]:
+        """Take ids; taking them runs nothing, so a lost answer is simply asked for again.
+
+        The host that issues an id owns its submission, and is called first with it.
+
+        :param kind: kind of work that the ids are for, if all are of one kind.
+        :param batch: most ids taken from one host in a row.
+        :raises CommandError: if no host issues ids within ``give_up_s``.
+        """
+        ids: list[str] = []
+        while len(ids) < count:
+            body: dict[str, Any] = {"count": min(count - len(ids), batch, MOST_IDS)}
+            if kind:
+                body["kind"] = kind
+            ids += await self._take_some(body, give_up_s)
+        return ids
+
+    async def run(
+        self,
+        body: Mapping[str, Any],
+        *,
+        submission_id: str | None = None,
+        wait_s: float = DEFAULT_WAIT_S,
+        give_up_s: float = DEFAULT_GIVE_UP_S,
+        run_again: bool = False,
+        on_progress: Progress = ignore_progress,
+    ) -> Answer:
+        """Submit and wait for the outcome.
+
+        :param submission_id: id to use; None takes one.
+        :param give_up_s: seconds after which no further call is made; the state is then the last
+            one known, ``unknown`` if the work may have run.
+        :param run_again: after *not run* with a retry hint, take a new id and submit again.
+        """
+        deadline = self._clock() + give_up_s
+        calls = 0
+        while True:
+            current = (
+                submission_id
+                or (await self.take_ids(1, kind=str(body.get("kind", "")), give_up_s=give_up_s))[0]
+            )
+            answer = await self._run_one(body, current, wait_s, deadline, on_progress)
+            calls += answer.calls
+            hint_s = answer.retry_after_s
+            again = run_again and answer.state is State.NOT_RUN and hint_s is not None
+            if not again or self._clock() + (hint_s or 0.0) >= deadline:
+                return _with_calls(answer, calls)
+            on_progress(answer)
+            await self._sleep(hint_s or FIRST_PAUSE_S)
+            submission_id = None
+
+    async def query(self, submission_id: str, *, wait_s: float = 0.0) -> Answer:
+        """Ask for the state once at each host until one answers."""
+        return await self._at_any_host("GET", submission_id, wait_s)
+
+    async def cancel(self, submission_id: str) -> Answer:
+        """Cancel a submission."""
+        return await self._at_any_host("DELETE", submission_id, 0.0)
+
+    async def put_once(
+        self, submission_id: str, body: Mapping[str, Any], *, wait_s: float, host: str = ""
+    ) -> Answer:
+        """Submit with one call, without repeating it."""
+        return await self._call("PUT", host or self._take_host(), submission_id, wait_s, body)
+
+    async def get_state(self, host: str, table: str = "") -> httpx.Response:
+        """Return the state dump of one host."""
+        path = f"{host}/v1/state/{table}" if table else f"{host}/v1/state"
+        return await self._client.get(path, timeout=CALL_MARGIN_S)
+
+    async def get_health(self, host: str) -> httpx.Response:
+        """Ask one host whether its process is alive."""
+        return await self._client.get(f"{host}/healthz", timeout=CALL_MARGIN_S)
+
+    async def drain(self, host: str) -> httpx.Response:
+        """Ask one host for a planned stop."""
+        return await self._client.post(f"{host}/v1/drain", timeout=CALL_MARGIN_S)
+
+    async def _run_one(
+        self,
+        body: Mapping[str, Any],
+        submission_id: str,
+        wait_s: float,
+        deadline: float,
+        on_progress: Progress,
+    ) -> Answer:
+        """Call until the outcome of one id is final, a call is refused, or time is over."""
+        host = self._issuer_by_id.pop(submission_id, "") or self._take_host()
+        calls, repeats = 0, 0
+        may_have_arrived, accepted = False, False
+        while True:
+            left_s = max(0.0, min(wait_s, deadline - self._clock()))
+            if accepted:
+                answer = await self._call("GET", host, submission_id, left_s)
+            else:
+                answer = await self._call("PUT", host, submission_id, left_s, body)
+            calls += 1
+            may_have_arrived |= answer.state is not State.UNREACHED
+            if answer.state in FINAL or answer.state is State.REFUSED:
+                return _with_calls(answer, calls)
+            if self._clock() >= deadline:
+                return _with_calls(_give_up(answer, may_have_arrived), calls)
+            on_progress(_with_calls(answer, calls))
+            accepted = answer.state is State.RUNNING
+            if accepted:
+                repeats = 0
+            elif answer.state is not State.NOT_SUBMITTED:
+                repeats += 1
+                host = self._take_host()
+                await self._pause(repeats, answer.retry_after_s, deadline)
+
+    async def _take_some(self, body: Mapping[str, Any], give_up_s: float) -> list[str]:
+        deadline = self._clock() + give_up_s
+        repeats = 0
+        while True:
+            host = self._take_host()
+            retry_after_s, problem = None, ""
+            try:
+                response = await self._client.post(
+                    f"{host}/v1/ids", json=body, timeout=CALL_MARGIN_S
+                )
+                if response.status_code == 201:
+                    ids = [str(item) for item in response.json()["ids"]]
+                    self._issuer_by_id |= dict.fromkeys(ids, host)
+                    return ids
+                answer = read_answer("", response, host)
+                problem = f"status {response.status_code}: {answer.message}"
+                if answer.state is State.REFUSED:
+                    raise CommandError(ExitCode.USAGE, problem, step="ids", peer=host)
+                retry_after_s = read_retry_after(response)
+            except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+                problem = repr(error)
+            if self._clock() >= deadline:
+                raise CommandError(ExitCode.UNREACHABLE, problem, step="ids", peer=host)
+            repeats += 1
+            await self._pause(repeats, retry_after_s, deadline)
+
+    async def _at_any_host(self, method: str, submission_id: str, wait_s: float) -> Answer:
+        answer = Answer(submission_id=submission_id, state=State.UNREACHED)
+        for _ in self._hosts:
+            answer = await self._call(method, self._take_host(), submission_id, wait_s)
+            if answer.state not in (State.LOST, State.UNREACHED):
+                break
+        return answer
+
+    async def _call(
+        self,
+        method: str,
+        host: str,
+        submission_id: str,
+        wait_s: float,
+        body: Mapping[str, Any] | None = None,
+    ) -> Answer:
+        try:
+            response = await self._client.request(
+                method,
+                f"{host}/v1/submissions/{submission_id}",
+                params={"wait": f"{wait_s:.3f}"},
+                json=body,
+                timeout=wait_s + CALL_MARGIN_S,
+            )
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            state = State.UNREACHED
+            return Answer(submission_id=submission_id, state=state, message=repr(error), host=host)
+        except httpx.HTTPError as error:
+            state = State.LOST
+            return Answer(submission_id=submission_id, state=state, message=repr(error), host=host)
+        return read_answer(submission_id, response, host)
+
+    def _take_host(self) -> str:
+        host = self._hosts[self._next_host % len(self._hosts)]
+        self._next_host += 1
+        return host
+
+    async def _pause(self, repeats: int, hint_s: float | None, deadline: float) -> None:
+        longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(repeats, 10))
+        pause = hint_s if hint_s is not None else longest * self._random.uniform(0.5, 1.0)
+        await self._sleep(max(0.0, min(pause, deadline - self._clock())))
+
+
+def _give_up(answer: Answer, may_have_arrived: bool) -> Answer:
+    """State to report when time is over before the outcome is known."""
+    if answer.state is State.RUNNING:
+        return answer
+    state = State.UNKNOWN if may_have_arrived else State.UNREACHED
+    return Answer(
+        submission_id=answer.submission_id,
+        state=state,
+        status=answer.status,
+        reason=answer.reason,
+        message=answer.message,
+        retry_after_s=answer.retry_after_s,
+        host=answer.host,
+    )
+
+
+def _with_calls(answer: Answer, calls: int) -> Answer:
+    return Answer(
+        submission_id=answer.submission_id,
+        state=answer.state,
+        status=answer.status,
+        results=answer.results,
+        reason=answer.reason,
+        message=answer.message,
+        retry_after_s=answer.retry_after_s,
+        host=answer.host,
+        calls=calls,
+    )
--- /dev/null
+++ b/src/eelgrassyard/cli/_flags.py
@@ -0,0 +1,80 @@
+"""Flags that several commands share."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import httpx
+from absl import flags
+
+from ._errors import CommandError, ExitCode
+
+HOSTS_VARIABLE = "EELGRASSYARD_HOSTS"
+KEY_VARIABLE = "EELGRASSYARD_KEY"
+STORE_VARIABLE = "EELGRASSYARD_STORE"
+
+
+def define_hosts(values: flags.FlagValues) -> None:
+    """Define ``--hosts``."""
+    flags.DEFINE_list(
+        "hosts",
+        os.environ.get(HOSTS_VARIABLE, ""),
+        "Base URLs of entry hosts or of the load balancer, separated by commas, such as "
+        f"http://127.0.0.1:7201. Environment: {HOSTS_VARIABLE}.",
+        flag_values=values,
+    )
+
+
+def define_key(values: flags.FlagValues) -> None:
+    """Define ``--key_file``."""
+    flags.DEFINE_string(
+        "key_file",
+        "",
+        f"File with the key of the caller or operator. Environment, for the key itself: "
+        f"{KEY_VARIABLE}.",
+        flag_values=values,
+    )
+
+
+def define_json(values: flags.FlagValues) -> None:
+    """Define ``--json``."""
+    flags.DEFINE_bool("json", False, "Print JSON instead of text.", flag_values=values)
+
+
+def read_hosts(values: Any) -> list[str]:
+    """Return the base URLs, or end the command if there is none or one is malformed."""
+    urls = [url.strip().rstrip("/") for url in values.hosts if url.strip()]
+    if not urls:
+        raise CommandError(ExitCode.USAGE, f"give --hosts or set {HOSTS_VARIABLE}", step="flags")
+    for url in urls:
+        check_url(url, "hosts")
+    return urls
+
+
+def check_url(url: str, flag: str) -> None:
+    """End the command if the text is no HTTP URL."""
+    try:
+        parsed = httpx.URL(url)
+    except httpx.InvalidURL as error:
+        raise CommandError(ExitCode.USAGE, f"--{flag}: {url!r}: {error}", step="flags") from error
+    if parsed.scheme not in ("http", "https") or not parsed.host:
+        raise CommandError(ExitCode.USAGE, f"--{flag}: {url!r} is not http://IP:PORT", step="flags")
+
+
+def read_key(values: Any, *, required: bool = True) -> str:
+    """Return the key from the file or the environment."""
+    key = os.environ.get(KEY_VARIABLE, "")
+    if values.key_file:
+        try:
+            key = Path(values.key_file).read_text(encoding="utf-8").strip()
+        except (OSError, UnicodeDecodeError) as error:
+            raise CommandError(
+                ExitCode.USAGE, f"--key_file: {values.key_file}: {error}", step="flags"
+            ) from error
+    if required and not key:
+        raise CommandError(ExitCode.USAGE, f"give --key_file or set {KEY_VARIABLE}", step="flags")
+    if not key.isascii() or not key.isprintable():
+        raise CommandError(ExitCode.USAGE, "the key is not plain text", step="flags")
+    return key
--- /dev/null
+++ b/src/eelgrassyard/cli/_hosts.py
@@ -0,0 +1,99 @@
+"""Asking every host whether a revision is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+
+ASK_TIMEOUT_S = 3.0
+ASK_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Spread:
+    """Where a revision is in force.
+
+    :param reason_by_host: hosts where it is not, and why.
+    """
+
+    in_force: list[str] = field(default_factory=list)
+    reason_by_host: dict[str, str] = field(default_factory=dict)
+
+
+async def wait_for_revision(
+    url_by_host: Mapping[str, str],
+    *,
+    revision: int,
+    key: str,
+    rounds: int,
+    transport: httpx.AsyncBaseTransport | None = None,
+    sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    on_progress: Callable[[int, int], None] = lambda done, total: None,
+) -> Spread:
+    """Ask the hosts in rounds until all of them have the revision or the rounds are over.
+
+    :param key: key of an operator.
+    :param on_progress: called with the number of hosts that have it and the number of all hosts.
+    """
+    missing = dict(url_by_host)
+    reasons: dict[str, str] = {}
+    async with httpx.AsyncClient(
+        timeout=ASK_TIMEOUT_S, transport=transport, trust_env=False
+    ) as client:
+        for number in range(rounds):
+            if number:
+                await sleep(ASK_INTERVAL_S)
+            reasons = await _ask_all(client, missing, revision, key)
+            missing = {host: missing[host] for host in reasons}
+            on_progress(len(url_by_host) - len(missing), len(url_by_host))
+            if not missing:
+                break
+    done = [host for host in url_by_host if host not in missing]
+    return Spread(in_force=done, reason_by_host=reasons)
+
+
+async def _ask_all(
+    client: httpx.AsyncClient, url_by_host: Mapping[str, str], revision: int, key: str
+) -> dict[str, str]:
+    reasons: dict[str, str] = {}
+
+    async def ask(host: str, url: str) -> None:
+        reason = await _ask(client, url, revision, key)
+        if reason:
+            reasons[host] = reason
+
+    async with anyio.create_task_group() as group:
+        for host, url in url_by_host.items():
+            group.start_soon(ask, host, url)
+    return {host: reasons[host] for host in url_by_host if host in reasons}
+
+
+async def _ask(client: httpx.AsyncClient, url: str, revision: int, key: str) -> str:
+    """Return why the revision is not in force on a host, or an empty text if it is."""
+    try:
+        response = await client.get(
+            f"{url}/v1/state/config", headers={"Authorization": f"Bearer {key}"}
+        )
+    except httpx.HTTPError as error:
+        return f"no answer: {type(error).__name__}"
+    if response.status_code in (401, 403):
+        return f"status {response.status_code}: the key is not that of an operator there"
+    if response.status_code != 200:
+        return f"status {response.status_code}"
+    found = find_revision(response)
+    if found is None:
+        return "its state dump names no revision"
+    return "" if found >= revision else f"revision {found} is in force"
+
+
+def find_revision(response: httpx.Response) -> int | None:
+    """Revision named in a state dump of the configuration table."""
+    try:
+        content = response.json()
+        revision = content.get("config", content).get("revision")
+    except (ValueError, AttributeError):
+        return None
+    return revision if isinstance(revision, int) else None
--- /dev/null
+++ b/src/eelgrassyard/cli/_input.py
@@ -0,0 +1,76 @@
+"""Reading of questionnaires, documents and submissions that a command names."""
+
+from __future__ import annotations
+
+import getpass
+import sys
+from pathlib import Path
+
+from result import Err, Ok
+
+from ..config import (
+    Document,
+    Questionnaire,
+    generate,
+    load_questionnaire,
+    read_document,
+    render_document,
+)
+from ._errors import CommandError, ExitCode
+
+MOST_INPUT_BYTES = 200_000_000
+
+
+def read_input(path: str) -> bytes:
+    """Read a file, or stdin for ``-``."""
+    try:
+        if path == "-":
+            return sys.stdin.buffer.read(MOST_INPUT_BYTES)
+        return Path(path).read_bytes()
+    except OSError as error:
+        raise CommandError(
+            ExitCode.USAGE, f"cannot be read: {error.strerror}", step="read", peer=path
+        ) from error
+
+
+def read_questionnaire(path: str) -> Questionnaire:
+    """Read and check a questionnaire; every wrong answer gets its own line on stderr."""
+    match load_questionnaire(path):
+        case Ok(questionnaire):
+            return questionnaire
+        case Err(errors):
+            for error in errors[:-1]:
+                print(error, file=sys.stderr)
+            raise CommandError(ExitCode.USAGE, str(errors[-1]))
+
+
+def generate_document(path: str, author: str) -> bytes:
+    """Generate the document of a questionnaire."""
+    generated = generate(read_questionnaire(path))
+    return render_document(
+        generated.config,
+        author=author,
+        origins_by_key=generated.origins_by_key,
+        questionnaire=generated.questionnaire,
+    )
+
+
+def read_either(path: str) -> tuple[bytes, Document]:
+    """Read a document, or generate it if the file is a questionnaire (``.jsonc``, ``.json5``)."""
+    if path.endswith((".jsonc", ".json5")):
+        data = generate_document(path, default_author())
+    else:
+        data = read_input(path)
+    match read_document(data):
+        case Ok(document):
+            return data, document
+        case Err(error):
+            raise CommandError(ExitCode.USAGE, str(error), step="document", peer=path)
+
+
+def default_author() -> str:
+    """Name of the user who runs the command."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/src/eelgrassyard/cli/_store.py
@@ -0,0 +1,139 @@
+"""Client of the platform's key-value service; every call is bounded and counted."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import httpx
+from result import Err, Ok, Result
+
+CALL_TIMEOUT_S = 5.0
+MOST_CALLS = 30
+"""Calls of one command; the service counts every call of every site against one limit."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stored:
+    """A value with its revision."""
+
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreError:
+    """Why a call failed.
+
+    :param may_have_written: the call was a write whose answer was lost, so it may have taken
+        effect.
+    """
+
+    step: str
+    peer: str
+    message: str
+    may_have_written: bool = False
+
+    def __str__(self) -> str:
+        return f"{self.step}: {self.peer}: {self.message}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Conflict:
+    """The key has another revision than the one expected."""
+
+
+WriteResult = Result[int | Conflict, StoreError]
+
+
+class StoreClient:
+    """Reads and compare-and-swap writes.
+
+    :param url: base URL of the service.
+    :param transport: replaces the network, for tests.
+    :param most_calls: calls after which every further call is refused locally.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        transport: httpx.AsyncBaseTransport | None = None,
+        most_calls: int = MOST_CALLS,
+    ) -> None:
+        self.url = url
+        self.calls_by_name: Counter[str] = Counter()
+        self._most_calls = most_calls
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=CALL_TIMEOUT_S, transport=transport, trust_env=False
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def read(self, key: str) -> Result[Stored | None, StoreError]:
+        """Return the value, or None if there is none."""
+        match await self._call("GET", key, None):
+            case Err(error):
+                return Err(error)
+            case Ok(response):
+                pass
+        if response.status_code == 404:
+            return Ok(None)
+        if response.status_code != 200:
+            return Err(self._error("GET", f"status {response.status_code}"))
+        try:
+            content = response.json()
+            return Ok(Stored(value=content["value"].encode(), revision=int(content["revision"])))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            return Err(self._error("GET", f"malformed answer: {error!r}"))
+
+    async def write(
+        self, key: str, value: bytes, *, expect: int
+    ) -> Result[int | Conflict, StoreError]:
+        """Write if the key has the revision ``expect`` (0: does not exist); returns the new one."""
+        body = {"value": value.decode(), "expect": expect}
+        match await self._call("PUT", key, body):
+            case Err(error):
+                return Err(error)
+            case Ok(response):
+                pass
+        if response.status_code == 409:
+            return Ok(Conflict())
+        if response.status_code != 200:
+            # The service may fail after it has written, so only a clear refusal rules that out.
+            lost = response.status_code >= 500
+            message = f"status {response.status_code}"
+            return Err(self._error("PUT", message, may_have_written=lost))
+        try:
+            return Ok(int(response.json()["revision"]))
+        except (ValueError, KeyError, TypeError) as error:
+            message = f"malformed answer: {error!r}"
+            return Err(self._error("PUT", message, may_have_written=True))
+
+    async def _call(
+        self, method: str, key: str, body: object
+    ) -> Result[httpx.Response, StoreError]:
+        if self.calls_by_name.total() >= self._most_calls:
+            message = f"not called: the limit of {self._most_calls} calls is reached"
+            return Err(self._error(method, message))
+        self.calls_by_name[method] += 1
+        path = f"/kv/{quote(key, safe='')}"
+        try:
+            return Ok(await self._client.request(method, path, json=body))
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            return Err(self._error(method, f"cannot connect: {error}"))
+        except httpx.HTTPError as error:
+            written = method == "PUT"
+            message = f"answer lost: {error!r}"
+            return Err(self._error(method, message, may_have_written=written))
+
+    def _error(self, method: str, message: str, *, may_have_written: bool = False) -> StoreError:
+        return StoreError(
+            step=f"store {method}",
+            peer=self.url,
+            message=message,
+            may_have_written=may_have_written,
+        )
--- a/src/eelgrassyard/config/_document.py
+++ b/src/eelgrassyard/config/_document.py
@@ -4,7 +4,7 @@
 
 import json
 import secrets
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from pydantic import ValidationError
@@ -24,7 +24,7 @@
 )
 from ._crosscheck import find_problems
 from ._errors import ConfigError
-from ._model import DOCUMENT_BYTES, FORMAT, DocumentModel, SiteModel
+from ._model import DOCUMENT_BYTES, FORMAT, HISTORY, DocumentModel, SiteModel
 from ._origins import Origin, flatten, pack_origins, unpack_origins
 
 CHANGE_ID_BYTES = 16
@@ -38,6 +38,7 @@
     """A configuration with its authorship.
 
     :param change_id: random, so that a writer recognizes its own write.
+    :param history: change ids of the documents before this one in the store, newest first.
     :param origins_by_key: origin by key of the value, such as ``kinds.rule-layout.share``.
     """
 
@@ -45,6 +46,7 @@
     author: str
     config: SiteConfig
     questionnaire: str = ""
+    history: tuple[str, ...] = ()
     origins_by_key: Mapping[str, Origin] = field(default_factory=dict)
 
 
@@ -85,6 +87,7 @@
             change_id=model.change_id,
             author=model.author,
             questionnaire=model.questionnaire,
+            history=model.history,
             config=_to_config(model.config),
             origins_by_key=origins_by_key,
         )
@@ -98,11 +101,13 @@
     origins_by_key: Mapping[str, Origin] | None = None,
     change_id: str | None = None,
     questionnaire: str = "",
+    history: Sequence[str] = (),
 ) -> bytes:
     """Write a configuration as a document, in the same order for the same content.
 
     :param change_id: 32 hexadecimal digits; a new random one if left out.
     :param questionnaire: name of the file that the configuration was generated from.
+    :param history: change ids of the documents before this one, newest first.
     """
     site = from_config(config)
     answers, origins = pack_origins(site, origins_by_key or {})
@@ -111,6 +116,7 @@
         "change_id": change_id or new_change_id(),
         "author": author,
         "questionnaire": questionnaire,
+        "history": list(history[:HISTORY]),
         "config": site.model_dump(mode="json", exclude_defaults=True),
         "answers": answers,
         "origins": origins,
@@ -118,6 +124,18 @@
     return _to_json(body).encode()
 
 
+def follow(document: Document, base: Document | None) -> bytes:
+    """Write a document as the successor of the one in the store."""
+    return render_document(
+        document.config,
+        author=document.author,
+        origins_by_key=document.origins_by_key,
+        change_id=document.change_id,
+        questionnaire=document.questionnaire,
+        history=(base.change_id, *base.history) if base else (),
+    )
+
+
 def config_values(config: SiteConfig) -> dict[str, object]:
     """Every value of a configuration by its key, such as ``kinds.rule-layout.share``."""
     return flatten(from_config(config))
--- a/src/eelgrassyard/config/_model.py
+++ b/src/eelgrassyard/config/_model.py
@@ -182,18 +182,25 @@
 """JSON path of an answer, its line (0 if there is none), and the rule applied to it."""
 
 
+ChangeId = Annotated[str, Field(pattern=r"^[0-9a-f]{32}$")]
+HISTORY = 16
+"""Change ids kept: an operator whose answer was lost looks for the own change among them."""
+
+
 class DocumentModel(Strict):
     """The document as stored.
 
+    :param history: change ids of the documents before this one in the store, newest first.
     :param answers: every distinct origin of a value.
     :param origins: for each entity, the index into ``answers`` of each of its fields in the order
         of the model; -1 where no origin is recorded.
     """
 
     format: Literal[1]
-    change_id: Annotated[str, Field(pattern=r"^[0-9a-f]{32}$")]
+    change_id: ChangeId
     author: Annotated[str, Field(min_length=1, max_length=200)]
     questionnaire: Annotated[str, Field(max_length=300)] = ""
+    history: Annotated[tuple[ChangeId, ...], Field(max_length=HISTORY)] = ()
     config: SiteModel
     answers: tuple[AnswerModel, ...] = ()
     origins: dict[str, tuple[int, ...]] = {}
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,196 @@
+"""The reference client: ids first, the same id until the outcome is known."""
+
+import anyio
+import httpx
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassyard.cli import Answer, Client, CommandError, ExitCode, State
+from eelgrassyard.cli._client_commands import read_submissions, worst_code
+from tool_fakes import FakeClock, FakeSite, outcome
+
+BODY = {"kind": "rule", "tasks": [{"payload": {"n": 1}}]}
+HOSTS = ["http://10.0.0.1:1", "http://10.0.0.2:1", "http://10.0.0.3:1"]
+
+
+def running() -> httpx.Response:
+    return httpx.Response(202, json={"state": "running"})
+
+
+def complete() -> httpx.Response:
+    return outcome("complete", 200, results=[{"page": 1}])
+
+
+def run(site: FakeSite, **arguments) -> Answer:
+    async def submit():
+        client = Client(
+            hosts=HOSTS,
+            key="secret",
+            transport=site.transport(),
+            clock=site.clock,
+            sleep=site.clock.sleep,
+        )
+        try:
+            return await client.run(BODY, **arguments)
+        finally:
+            await client.close()
+
+    return anyio.run(submit)
+
+
+def make_site(*script) -> FakeSite:
+    return FakeSite(clock=FakeClock(), script=list(script))
+
+
+def test_the_outcome_and_results_are_returned():
+    """Guards against results that are lost or reordered on the way."""
+    site = make_site(complete())
+    answer = run(site)
+    assert (answer.state, answer.results, answer.calls) == (State.COMPLETE, ({"page": 1},), 1)
+
+
+def test_the_issuing_host_is_called_first():
+    """Guards against a needless hop to the owner."""
+    issuers = []
+    site = make_site(complete())
+    issue = site._issue
+
+    def record(request: httpx.Request) -> httpx.Response:
+        issuers.append(request.url.host)
+        return issue(request)
+
+    site._issue = record
+    run(site)
+    assert site.calls[0][1] == issuers[0]
+
+
+LOST = [
+    httpx.ReadTimeout("t"),
+    httpx.RemoteProtocolError("closed"),
+    httpx.ConnectError("refused"),
+    httpx.Response(502, text="bad gateway"),
+    httpx.Response(503, json={"error": {"code": "draining", "message": "m"}}),
+    httpx.Response(200, text="<html>"),
+    httpx.Response(200, json={"outcome": "complete"}),
+    outcome("unknown", 504, reason="owner_lost"),
+]
+
+
+@pytest.mark.parametrize("lost", LOST, ids=repr)
+def test_a_lost_or_unknown_answer_is_repeated_with_the_same_id_elsewhere(lost):
+    """Guards against a new id, a changed body or a given-up submission after a lost answer."""
+    site = make_site(lost, complete())
+    answer = run(site)
+    assert answer.state is State.COMPLETE
+    (_, first_host, first_id), (method, second_host, second_id) = site.calls
+    assert (method, second_id, site.issued) == ("PUT", first_id, 1)
+    assert second_host != first_host
+    assert site.bodies[0] == site.bodies[1]
+
+
+def test_a_running_submission_is_asked_for_until_it_ends():
+    """Guards against sending the body again while the host already has it."""
+    site = make_site(running(), running(), complete())
+    assert run(site).state is State.COMPLETE
+    assert [method for method, _, _ in site.calls] == ["PUT", "GET", "GET"]
+
+
+def test_a_lost_query_falls_back_to_submitting_again():
+    """Guards against asking forever for a submission that died with its owner."""
+    site = make_site(running(), httpx.ReadError("lost"), outcome("failed", 502, reason="x"))
+    answer = run(site)
+    assert (answer.state, answer.reason) == (State.FAILED, "x")
+    assert [method for method, _, _ in site.calls] == ["PUT", "GET", "PUT"]
+
+
+def test_not_run_takes_a_new_id_only_when_asked_to():
+    """Guards against reusing an id that was refused, and against unasked resubmission."""
+    site = make_site(outcome("not_run", 503, retry_after_s=2), complete())
+    assert run(site).state is State.NOT_RUN
+    site = make_site(outcome("not_run", 503, retry_after_s=2), complete())
+    answer = run(site, run_again=True)
+    assert (answer.state, answer.calls, answer.submission_id) == (State.COMPLETE, 2, "id1")
+    assert site.clock.now >= 2
+    site = make_site(outcome("not_run", 422, reason="impossible"))
+    assert run(site, run_again=True).state is State.NOT_RUN
+
+
+@pytest.mark.parametrize("status", [400, 401, 403, 409, 413, 431])
+def test_a_refused_call_is_not_repeated(status):
+    """Guards against a flood of calls that can only be refused again."""
+    error = {"error": {"code": "body_conflict", "message": "m"}}
+    site = make_site(httpx.Response(status, json=error))
+    answer = run(site)
+    assert (answer.state, answer.reason, answer.message) == (State.REFUSED, "body_conflict", "m")
+
+
+def test_giving_up_tells_unknown_from_unreached():
+    """Guards against "nothing ran" after a call that may have arrived."""
+    site = make_site(*[httpx.ConnectError("refused")] * 100)
+    assert run(site, give_up_s=10).state is State.UNREACHED
+    site = make_site(httpx.ReadTimeout("t"), *[httpx.ConnectError("refused")] * 100)
+    assert run(site, give_up_s=10).state is State.UNKNOWN
+    assert len(site.calls) < 15
+    site = make_site(*[running()] * 2000)
+    assert run(site, give_up_s=10).state is State.RUNNING
+
+
+def test_ids_are_asked_for_again_until_time_is_over():
+    """Guards against a submission that fails because one host is away."""
+    site = make_site(complete())
+    site.id_faults = [httpx.ConnectError("x"), httpx.Response(503), httpx.Response(201, text="?")]
+    assert run(site).state is State.COMPLETE
+    site = make_site()
+    site.id_faults = [httpx.Response(503)] * 1000
+    with pytest.raises(CommandError) as raised:
+        run(site, give_up_s=5)
+    assert raised.value.code == ExitCode.UNREACHABLE
+    site.id_faults = [httpx.Response(401, json={"error": {"message": "no such key"}})]
+    with pytest.raises(CommandError, match="no such key"):
+        run(site)
+
+
+ANSWERS = st.sampled_from(["lost", "refused connect", "unknown", "running", "not submitted"])
+
+
+@settings(derandomize=True, deadline=None, max_examples=60, database=None)
+@given(before=st.lists(ANSWERS, max_size=8), last=st.sampled_from(["complete", "failed"]))
+def test_one_submission_keeps_one_id(before, last):
+    """Guards against a second id, by which the work could run twice, in any order of answers."""
+    make = {
+        "lost": lambda: httpx.ReadTimeout("t"),
+        "refused connect": lambda: httpx.ConnectError("c"),
+        "unknown": lambda: outcome("unknown", 504),
+        "running": running,
+        "not submitted": lambda: outcome("not_submitted", 404),
+        "complete": complete,
+        "failed": lambda: outcome("failed", 502),
+    }
+    site = make_site(*[make[name]() for name in [*before, last]])
+    answer = run(site, give_up_s=1000)
+    assert answer.state.value == last
+    assert {submission_id for _, _, submission_id in site.calls} == {"id0"}
+    assert answer.calls == len(before) + 1
+
+
+def test_files_of_submissions():
+    """Guards against a wrong line that is sent, or refused without its number."""
+    assert read_submissions(b'{"kind": "a",\n "tasks": [{}]}', "f") == [
+        {"kind": "a", "tasks": [{}]}
+    ]
+    lines = b'{"kind": "a", "tasks": [{}]}\n\n{"kind": "b", "tasks": [{}]}\n'
+    assert [item["kind"] for item in read_submissions(lines, "f")] == ["a", "b"]
+    for wrong in (b"", b"[]", b'{"kind": "a", "tasks": []}', b'{"tasks": [{}]}', b"\xff"):
+        with pytest.raises(CommandError):
+            read_submissions(wrong, "f")
+    with pytest.raises(CommandError) as raised:
+        read_submissions(lines + b"{", "f")
+    assert raised.value.peer == "f:4"
+
+
+def test_the_gravest_exit_code_is_reported():
+    """Guards against a success code while one of many submissions is unknown."""
+    assert worst_code([]) == ExitCode.DONE
+    assert worst_code([ExitCode.DONE, ExitCode.UNKNOWN, ExitCode.BROKEN]) == ExitCode.UNKNOWN
+    assert worst_code([ExitCode.NOT_RUN, ExitCode.DONE]) == ExitCode.NOT_RUN
