--- a/src/eelgrassyard/policy/__init__.py
+++ b/src/eelgrassyard/policy/__init__.py
@@ -21,6 +21,7 @@
     StateChanged,
     WatchStore,
 )
+from ._admission import Admission, RetryBudget
 from ._config import (
     CallerEntry,
     HostEntry,
@@ -52,6 +53,7 @@
     UsageEntry,
     UsageReported,
 )
+from ._fairqueue import FairQueue, QueueRefusal
 from ._identity import HostIdentity
 from ._messages import (
     ConfigDocument,
@@ -93,6 +95,7 @@
 
 __all__ = [
     "Action",
+    "Admission",
     "CallAbandoned",
     "CallerEntry",
     "CancelCalled",
@@ -107,6 +110,7 @@
     "DrainCalled",
     "Drained",
     "Event",
+    "FairQueue",
     "Fence",
     "ForwardCall",
     "ForwardReply",
@@ -135,6 +139,7 @@
     "PingRequest",
     "Placement",
     "QueryCalled",
+    "QueueRefusal",
     "QuotaDigest",
     "ReadinessChanged",
     "Reason",
@@ -143,6 +148,7 @@
     "ReplyIds",
     "ReplyRefusal",
     "ReplyState",
+    "RetryBudget",
     "Scope",
     "Send",
     "SiteConfig",
--- /dev/null
+++ b/src/eelgrassyard/policy/_admission.py
@@ -0,0 +1,164 @@
+"""Refusals at the host towards callers, before any work is done, and budgets for retries."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from ._fairqueue import FlowKey, QueueRefusal
+from ._outcomes import Reason, SubmissionBody
+from ._system import ConfigView
+
+MIN_RETRY_S = 0.1
+
+REFUSAL_HOLD_S = 0.25
+"""Longest time for which a scheduler's refusal is repeated locally.
+
+A full flow has seconds of work in its queue, so the scheduler does not run out of it meanwhile.
+"""
+
+MAX_FLOWS = 20_000
+"""Flows kept before those without news are dropped."""
+
+NEWS_S = 60.0
+"""Age at which the news of a flow is dropped."""
+
+MAX_SAVED_RETRIES = 100.0
+"""Retries that a long quiet time may save up."""
+
+
+@dataclass(slots=True)
+class FlowNews:
+    """What the scheduler last said of a flow.
+
+    :ivar start_at: time at which a task submitted at ``noted_at`` was expected to start.
+    :ivar closed_until: time up to which the scheduler's refusal is repeated.
+    :ivar retry_at: time at which the scheduler expected room.
+    """
+
+    noted_at: float
+    start_at: float = 0.0
+    closed_until: float = 0.0
+    retry_at: float = 0.0
+    reason: Reason = Reason.FLOW_LIMIT
+
+
+class RetryBudget:
+    """Allows repeated starts up to a part of all starts."""
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self._saved = 0.0
+
+    def note_start(self, starts: int = 1) -> None:
+        """Count starts of work that was not started before."""
+        self._saved = min(MAX_SAVED_RETRIES, self._saved + starts * self.ratio)
+
+    def try_retry(self) -> bool:
+        """Take one retry from the budget if it has one."""
+        if self._saved < 1.0 - 1e-9:
+            return False
+        self._saved -= 1.0
+        return True
+
+
+class Admission:
+    """Bounds per flow at one host, and what the schedulers said about waits."""
+
+    def __init__(self, *, config: ConfigView) -> None:
+        self._config = config
+        self._news_by_flow: dict[FlowKey, FlowNews] = {}
+        self._waiting_by_flow: dict[FlowKey, int] = {}
+        self._budget_by_kind: dict[str, RetryBudget] = defaultdict(self._new_budget)
+
+    def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
+        """Tell why a submission is refused here, or None if it may go on."""
+        flow = (caller, body.kind)
+        return self.check_flow(now, flow, len(body.tasks), body.deadline_s)
+
+    def check_flow(
+        self, now: float, flow: FlowKey, tasks: int, deadline_s: float
+    ) -> QueueRefusal | None:
+        """The same from the headers, before the body is read.
+
+        :param tasks: number of tasks; 1 if it is not known yet.
+        """
+        news = self._news_by_flow.get(flow)
+        wait_s = max(0.0, news.start_at - now) if news is not None else 0.0
+        site = self._config.current
+        waiting = self._waiting_by_flow.get(flow, 0)
+        if site is not None and waiting + tasks > site.limits.queued_tasks_per_flow:
+            message = f"{waiting} tasks of caller {flow[0]}, kind {flow[1]} are waiting here"
+            return _refusal(Reason.FLOW_LIMIT, message, wait_s)
+        if wait_s > deadline_s:
+            message = f"the expected wait is {wait_s:.1f} s, the deadline {deadline_s:.1f} s"
+            return _refusal(Reason.DEADLINE, message, wait_s - deadline_s)
+        if news is not None and now < news.closed_until:
+            message = f"the queue of caller {flow[0]}, kind {flow[1]} is full"
+            return _refusal(news.reason, message, news.retry_at - now)
+        return None
+
+    def note_wait(self, now: float, flow: FlowKey, wait_s: float) -> None:
+        """Take the expected wait of a flow from a grant or refusal.
+
+        The wait is taken to shrink as time passes, so a flow that is refused here is tried again
+        at the scheduler once the queue that was there must have been served.
+        """
+        self._news(now, flow).start_at = now + wait_s
+
+    def note_refusal(
+        self, now: float, flow: FlowKey, reason: Reason, retry_after_s: float | None
+    ) -> None:
+        """Repeat a scheduler's refusal of a flow here for a short time."""
+        if reason not in (Reason.FLOW_LIMIT, Reason.QUOTA):
+            return
+        news = self._news(now, flow)
+        retry_s = max(MIN_RETRY_S, retry_after_s or 0.0)
+        news.reason = reason
+        news.retry_at = now + retry_s
+        news.closed_until = now + min(retry_s, REFUSAL_HOLD_S)
+
+    def add_waiting(self, flow: FlowKey, tasks: int) -> None:
+        """Count tasks that wait for a place, or stop to if ``tasks`` is negative."""
+        left = self._waiting_by_flow.get(flow, 0) + tasks
+        if left > 0:
+            self._waiting_by_flow[flow] = left
+        else:
+            self._waiting_by_flow.pop(flow, None)
+
+    def note_start(self, kind: str, starts: int = 1) -> None:
+        """Count first starts of a kind towards its retry budget."""
+        self._budget_by_kind[kind].note_start(starts)
+
+    def try_retry(self, kind: str) -> bool:
+        """Take one retry from the budget of a kind if there is one."""
+        return self._budget_by_kind[kind].try_retry()
+
+    def dump(self) -> dict[str, object]:
+        """Waiting tasks and start times by flow."""
+        return {
+            "waiting": {"/".join(flow): tasks for flow, tasks in self._waiting_by_flow.items()},
+            "start_at": {"/".join(f): news.start_at for f, news in self._news_by_flow.items()},
+        }
+
+    def _news(self, now: float, flow: FlowKey) -> FlowNews:
+        news = self._news_by_flow.get(flow)
+        if news is None:
+            if len(self._news_by_flow) >= MAX_FLOWS:
+                self._forget(now)
+            news = self._news_by_flow[flow] = FlowNews(now)
+        news.noted_at = now
+        return news
+
+    def _forget(self, now: float) -> None:
+        fresh = {f: n for f, n in self._news_by_flow.items() if now - n.noted_at < NEWS_S}
+        self._news_by_flow = fresh if len(fresh) < MAX_FLOWS else {}
+
+    def _new_budget(self) -> RetryBudget:
+        site = self._config.current
+        return RetryBudget(site.limits.retry_budget_ratio if site is not None else 0.1)
+
+
+def _refusal(reason: Reason, message: str, retry_s: float) -> QueueRefusal:
+    retry_after_s = round(max(MIN_RETRY_S, retry_s), 3)
+    return QueueRefusal(reason=reason, message=message, retry_after_s=retry_after_s)
--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -1,35 +1,40 @@
-"""Queue of asks for places, shared fairly between flows."""
+"""Queue of asks for places, shared fairly between flows.
+
+A flow is one caller's work of one kind. The order between kinds is in :mod:`._kindorder`, the order
+between the callers of a kind in :mod:`._flows`, the estimate of waits in :mod:`._waits`.
+"""
 
 from __future__ import annotations
 
-from collections import deque
+import heapq
+import itertools
+import math
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from ._messages import SlotAsk, TaskSize
+from ._config import KindEntry, Limits, SiteConfig, Urgency
+from ._flows import AskKey, Flow, FlowKey, KindFlows, QueuedAsk
+from ._kindorder import KindOrder
+from ._messages import TaskSize
 from ._outcomes import Reason
 from ._system import ConfigView
+from ._waits import WaitEstimator
 
-FlowKey = tuple[str, str]
-"""Caller and kind of work."""
+__all__ = ["FairQueue", "FlowKey", "QueueRefusal", "QueuedAsk"]
 
+BURST_S = 1.0
+"""Seconds of unused guarantee that a kind may make up for."""
 
-@dataclass(slots=True, kw_only=True)
-class QueuedAsk:
-    """An ask with the tasks that have no place yet.
+MIN_BURST_COST_S = 10.0
+"""The same in seconds of cost, while the capacity is unknown."""
 
-    :param deadline_at: time at which the caller no longer needs the answer.
-    """
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 300.0
 
-    owner: str
-    ask: SlotAsk
-    asked_at: float
-    deadline_at: float
-    remaining: deque[TaskSize] = field(default_factory=deque)
+MIN_WEIGHT = 1e-3
 
-    @property
-    def flow(self) -> FlowKey:
-        return (self.ask.caller, self.ask.kind)
+IDLE_FLOWS_KEPT = 1_000
+"""Flows of a kind that are kept before idle ones are dropped."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,51 +47,256 @@
 
 
 class FairQueue:
-    """First in, first out for now; the interface is final."""
+    """Weighted fair queue over the flows of one pool."""
 
     def __init__(self, *, config: ConfigView) -> None:
         self._config = config
-        self._entries: deque[QueuedAsk] = deque()
+        self._site: SiteConfig | None = None
+        self._limits = Limits()
+        self._kind_by_name: dict[str, KindFlows] = {}
+        self._ask_by_key: dict[AskKey, QueuedAsk] = {}
+        self._deadlines: list[tuple[float, int, QueuedAsk]] = []
+        self._sequence = itertools.count()
+        self._queued = 0
+        self._order = KindOrder()
+        self._waits = WaitEstimator()
 
     def __len__(self) -> int:
         """Number of tasks that have no place yet."""
-        return sum(len(entry.remaining) for entry in self._entries)
+        return self._queued
+
+    def set_capacity(self, tasks_at_once: float) -> None:
+        """Set how many tasks the pool runs at once; used until a rate has been measured."""
+        self._waits.capacity = tasks_at_once
 
     def add(self, now: float, entry: QueuedAsk) -> QueueRefusal | None:
-        """Queue an ask, or tell why not (bounds, a wait beyond the deadline)."""
-        self._entries.append(entry)
-        return None
+        """Queue an ask, or tell why not (bounds, a wait beyond the deadline).
+
+        An ask of the same owner and submission replaces the earlier one.
+        """
+        self._read_config()
+        self._remove(entry.key)
+        if not entry.remaining:
+            return None
+        kind, flow = self._find_flow(entry)
+        refusal = self._check(now, entry, kind, flow)
+        if refusal is None:
+            self._insert(now, entry, kind, flow)
+        return refusal
 
     def select(self, now: float, *, skip: Collection[FlowKey] = ()) -> QueuedAsk | None:
         """Ask whose task is to be placed next, leaving out the flows in ``skip``."""
-        return next((entry for entry in self._entries if entry.flow not in skip), None)
+        return self._order.select(skip)
 
     def take(self, now: float, entry: QueuedAsk, count: int, cost_s: float) -> list[TaskSize]:
         """Remove the first ``count`` tasks of an ask and charge its flow ``cost_s`` for each."""
+        kind, flow = self._find_flow(entry)
         taken = [entry.remaining.popleft() for _ in range(count)]
+        burst_s = max(MIN_BURST_COST_S, self._waits.rate() * BURST_S)
+        self._order.charge(kind, flow, entry.ask.urgency, cost_s * count, burst_s)
+        self._waits.note_taken(now, cost_s, count)
+        flow.meter.add(now, cost_s * count)
+        self._count(kind, flow, entry.ask.urgency, -count)
         if not entry.remaining:
-            self._entries.remove(entry)
+            self._drop(entry, kind, flow)
+        self._rank(kind)
         return taken
 
     def correct_cost(self, flow: FlowKey, estimated_s: float, actual_s: float) -> None:
         """Replace an estimated charge by the time that the task really took."""
+        kind = self._kind_by_name.get(flow[1])
+        if kind is None:
+            return
+        kind.learn_cost(actual_s)
+        self._order.correct(kind, kind.flow_by_key.get(flow), actual_s - estimated_s)
 
     def withdraw(self, owner: str, submission_id: str) -> int:
         """Remove an ask; returns the number of tasks removed."""
-        found = [
-            e for e in self._entries if (e.owner, e.ask.submission_id) == (owner, submission_id)
-        ]
-        for entry in found:
-            self._entries.remove(entry)
-        return sum(len(entry.remaining) for entry in found)
+        return self._remove((owner, submission_id))
 
     def expire(self, now: float) -> list[QueuedAsk]:
         """Remove and return the asks whose deadline has passed."""
-        late = [entry for entry in self._entries if entry.deadline_at <= now]
-        for entry in late:
-            self._entries.remove(entry)
+        late = []
+        while self.next_deadline() <= now:
+            entry = heapq.heappop(self._deadlines)[2]
+            self._remove(entry.key)
+            late.append(entry)
         return late
 
-    def expected_wait(self, now: float, flow: FlowKey) -> float:
-        """Seconds that a new task of the flow is expected to wait."""
-        return 0.0
+    def next_deadline(self) -> float:
+        """Earliest time at which an ask expires; ``math.inf`` if none waits."""
+        while self._deadlines:
+            entry = self._deadlines[0][2]
+            if self._ask_by_key.get(entry.key) is entry:
+                return self._deadlines[0][0]
+            heapq.heappop(self._deadlines)
+        return math.inf
+
+    def expected_wait(self, now: float, flow: FlowKey, urgency: Urgency | None = None) -> float:
+        """Seconds that a new task of the flow is expected to wait.
+
+        :param urgency: urgency of the task; by default that of its kind.
+        """
+        self._read_config()
+        kind = self._find_kind(flow[1])
+        record = kind.flow_by_key.get(flow) or Flow(flow, self._weight(flow[0]))
+        if urgency is None:
+            urgency = self._kind_entry(flow[1]).urgency
+        return self._waits.wait(now, self._queued, kind, record, urgency, 1)
+
+    def dump(self) -> dict[str, object]:
+        """Queued tasks and shares by kind, and by flow for those with work waiting."""
+        return {
+            "queued": self._queued,
+            "served_per_s": self._waits.rate(),
+            "kinds": {
+                name: {"queued": kind.queued, "share": kind.share, "cost_s": kind.cost_s}
+                for name, kind in self._kind_by_name.items()
+            },
+            "flows": {
+                "/".join(key): flow.queued
+                for kind in self._kind_by_name.values()
+                for key, flow in kind.flow_by_key.items()
+                if flow.queued
+            },
+        }
+
+    def _read_config(self) -> None:
+        site = self._config.current
+        if site is self._site or site is None:
+            return
+        self._site = site
+        self._limits = site.limits
+        self._waits.background_share = site.limits.background_share
+        for kind in self._kind_by_name.values():
+            for key, flow in kind.flow_by_key.items():
+                kind.set_weight(flow, self._weight(key[0]))
+        self._set_shares()
+
+    def _kind_entry(self, name: str) -> KindEntry:
+        found = self._site.kinds_by_name.get(name) if self._site is not None else None
+        return found or KindEntry(name=name)
+
+    def _weight(self, caller: str) -> float:
+        found = self._site.callers_by_name.get(caller) if self._site is not None else None
+        return max(found.weight, MIN_WEIGHT) if found else 1.0
+
+    def _set_shares(self) -> None:
+        wanted_by_name = {n: max(0.0, self._kind_entry(n).share) for n in self._kind_by_name}
+        self._order.set_shares(wanted_by_name, self._limits.background_share)
+        for kind in self._kind_by_name.values():
+            self._waits.active.update(kind)
+
+    def _find_kind(self, name: str) -> KindFlows:
+        kind = self._kind_by_name.get(name)
+        if kind is None:
+            kind = KindFlows(name, self._kind_entry(name).typical_s)
+            self._kind_by_name[name] = kind
+            self._order.add_kind(kind)
+            self._set_shares()
+        return kind
+
+    def _find_flow(self, entry: QueuedAsk) -> tuple[KindFlows, Flow]:
+        kind = self._find_kind(entry.ask.kind)
+        flow = kind.flow_by_key.get(entry.flow)
+        if flow is None:
+            if len(kind.flow_by_key) >= IDLE_FLOWS_KEPT + 2 * kind.active_flows:
+                kind.forget_idle()
+            flow = Flow(entry.flow, self._weight(entry.ask.caller))
+            kind.flow_by_key[entry.flow] = flow
+        return kind, flow
+
+    def _check(
+        self, now: float, entry: QueuedAsk, kind: KindFlows, flow: Flow
+    ) -> QueueRefusal | None:
+        tasks = len(entry.remaining)
+        excess = self._excess(kind, flow, tasks)
+        if excess > 0:
+            over_s = self._waits.drain_time(now, kind, flow, entry.ask.urgency, excess)
+            return self._refuse(now, entry, kind, flow, Reason.FLOW_LIMIT, over_s)
+        if not kind.cost_samples and not flow.queued:
+            # The declared run time may be far too high; without a first run it is never corrected.
+            return None
+        wait_s = self._waits.wait(now, self._queued, kind, flow, entry.ask.urgency, tasks)
+        over_s = wait_s - (entry.deadline_at - now)
+        if over_s > 0.0:
+            return self._refuse(now, entry, kind, flow, Reason.DEADLINE, over_s)
+        return None
+
+    def _excess(self, kind: KindFlows, flow: Flow, tasks: int) -> int:
+        """Tasks by which an ask is over the bound of its flow or of the whole queue.
+
+        A kind may queue as much as it leaves free for others, so that a flood of one kind cannot
+        fill the queue. In a kind over that bound, each caller keeps an equal part.
+        """
+        over_flow = flow.queued + tasks - self._limits.queued_tasks_per_flow
+        free = max(0, self._limits.queued_tasks_total - self._queued)
+        over_kind = kind.queued + tasks - free
+        if over_kind <= 0:
+            return max(0, over_flow)
+        callers = kind.active_flows + (not flow.queued)
+        over_part = flow.queued + tasks - free // callers
+        return max(0, over_flow, min(over_kind, over_part))
+
+    def _refuse(
+        self,
+        now: float,
+        entry: QueuedAsk,
+        kind: KindFlows,
+        flow: Flow,
+        reason: Reason,
+        over_s: float,
+    ) -> QueueRefusal:
+        """Refuse with the time at which the flow is expected to have room.
+
+        Each refused ask books its place in that time, so that retries come back at the rate at
+        which the flow is served rather than all at once.
+        """
+        urgency = entry.ask.urgency
+        own_s = self._waits.drain_time(now, kind, flow, urgency, len(entry.remaining))
+        flow.retry_at = min(max(now + over_s, flow.retry_at + own_s), now + MAX_RETRY_S)
+        retry_s = max(MIN_RETRY_S, flow.retry_at - now)
+        message = f"{flow.queued} tasks of caller {flow.key[0]}, kind {flow.key[1]} are waiting"
+        return QueueRefusal(reason=reason, message=message, retry_after_s=round(retry_s, 3))
+
+    def _insert(self, now: float, entry: QueuedAsk, kind: KindFlows, flow: Flow) -> None:
+        if not self._queued:
+            self._waits.meter.restart(now)
+        if not flow.queued:
+            kind.activate(flow)
+            flow.meter.restart(now)
+        flow.asks_by_urgency[entry.ask.urgency][entry.key] = entry
+        self._ask_by_key[entry.key] = entry
+        heapq.heappush(self._deadlines, (entry.deadline_at, next(self._sequence), entry))
+        self._count(kind, flow, entry.ask.urgency, len(entry.remaining))
+        kind.rank(flow)
+        self._rank(kind)
+
+    def _remove(self, key: AskKey) -> int:
+        entry = self._ask_by_key.get(key)
+        if entry is None:
+            return 0
+        kind, flow = self._find_flow(entry)
+        tasks = len(entry.remaining)
+        self._count(kind, flow, entry.ask.urgency, -tasks)
+        self._drop(entry, kind, flow)
+        self._rank(kind)
+        return tasks
+
+    def _drop(self, entry: QueuedAsk, kind: KindFlows, flow: Flow) -> None:
+        del self._ask_by_key[entry.key]
+        del flow.asks_by_urgency[entry.ask.urgency][entry.key]
+        if flow.queued:
+            kind.rank(flow)
+        else:
+            kind.deactivate(flow)
+
+    def _count(self, kind: KindFlows, flow: Flow, urgency: int, tasks: int) -> None:
+        flow.queued += tasks
+        flow.queued_by_urgency[urgency] += tasks
+        kind.queued += tasks
+        self._queued += tasks
+
+    def _rank(self, kind: KindFlows) -> None:
+        self._order.rank(kind)
+        self._waits.active.update(kind)
--- /dev/null
+++ b/src/eelgrassyard/policy/_rooms.py
@@ -0,0 +1,213 @@
+"""Free room of workers, indexed so that finding a worker does not depend on their number."""
+
+from __future__ import annotations
+
+import bisect
+import enum
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ._config import UpstreamEntry
+from ._messages import TaskSize
+
+TOLERANCE = 1e-6
+"""Slack for sums of fractional cores."""
+
+CORE_LEVELS = (0.01, 0.25, 0.5, 1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128, 192, 256)
+MEMORY_LEVELS = tuple(float(2**power) for power in range(5, 23))
+ACCELERATOR_LEVELS = (1.0, 2.0, 4.0, 8.0, 16.0)
+
+PARTIAL_LEVEL_TRIES = 8
+"""Workers tried whose level does not tell whether a task fits; more would make it a scan."""
+
+SizeKey = tuple[float, int, int]
+"""Declared cores, memory in MiB and accelerators."""
+
+
+class Hold(enum.IntEnum):
+    """What a started task holds of its worker."""
+
+    FULL = 0
+    THROTTLED = 1
+    NONE = 2
+
+
+THROTTLED_CORES = 0.1
+"""Part of its cores that a throttled task goes on using."""
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Room that one task takes, after learning."""
+
+    cores: float
+    memory_mb: float
+    accelerators: int
+
+    def under(self, hold: Hold) -> Need:
+        """The room that the task takes when it is paused."""
+        if hold is Hold.FULL:
+            return self
+        if hold is Hold.NONE:
+            return Need(0.0, 0.0, 0)
+        return Need(self.cores * THROTTLED_CORES, self.memory_mb, self.accelerators)
+
+
+@dataclass(slots=True)
+class HeldGroup:
+    """Tasks of one kind, declared size and hold on one worker."""
+
+    need: Need
+    count: int = 0
+
+
+GroupKey = tuple[str, SizeKey, Hold]
+
+
+@dataclass(slots=True, kw_only=True)
+class Room:
+    """What is free on one worker."""
+
+    entry: UpstreamEntry
+    cores: float
+    memory_mb: float
+    accelerators: int
+    held_by_size: dict[GroupKey, HeldGroup] = field(default_factory=dict)
+
+    @classmethod
+    def empty(cls, entry: UpstreamEntry) -> Room:
+        """A worker that runs nothing."""
+        return cls(
+            entry=entry,
+            cores=entry.cores,
+            memory_mb=float(entry.memory_mb),
+            accelerators=entry.accelerators,
+        )
+
+    def fits(self, need: Need) -> int:
+        """How many tasks of one need there is room for."""
+        counts = []
+        if need.cores > 0.0:
+            counts.append(int((self.cores + TOLERANCE) // need.cores))
+        if need.memory_mb > 0.0:
+            counts.append(int((self.memory_mb + TOLERANCE) // need.memory_mb))
+        if need.accelerators > 0:
+            counts.append(self.accelerators // need.accelerators)
+        return max(0, min(counts, default=1_000_000))
+
+    def add(self, need: Need, count: int) -> None:
+        """Take room for ``count`` tasks, or give it back if ``count`` is negative."""
+        self.cores -= need.cores * count
+        self.memory_mb -= need.memory_mb * count
+        self.accelerators -= need.accelerators * count
+
+
+def size_key(size: TaskSize) -> SizeKey:
+    """Declared size without the task's index."""
+    return (size.cores, size.memory_mb, size.accelerators)
+
+
+def level(levels: tuple[float, ...], value: float) -> int:
+    """Number of levels that a value reaches."""
+    return bisect.bisect_right(levels, value + TOLERANCE)
+
+
+def level_above(levels: tuple[float, ...], value: float) -> int:
+    """Lowest level at which the value is sure to be available."""
+    return bisect.bisect_left(levels, value - TOLERANCE) + 1 if value > 0.0 else 0
+
+
+Cell = tuple[int, int, int]
+"""Levels of free accelerators, cores and memory."""
+
+
+class RoomIndex:
+    """Workers in cells by levels of what is free.
+
+    A search goes through the cells that are sure to fit, tightest first, with one bit mask of
+    memory levels for each level of accelerators and cores.
+    """
+
+    def __init__(self) -> None:
+        self._cell_by_name: dict[str, Cell] = {}
+        self._names_by_cell: dict[Cell, dict[str, None]] = {}
+        self._masks = [[0] * (len(CORE_LEVELS) + 1) for _ in range(len(ACCELERATOR_LEVELS) + 1)]
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._cell_by_name
+
+    def update(self, room: Room) -> None:
+        """Put a worker into the cell of its free room."""
+        name = room.entry.name
+        cell = (
+            level(ACCELERATOR_LEVELS, room.accelerators),
+            level(CORE_LEVELS, room.cores),
+            level(MEMORY_LEVELS, room.memory_mb),
+        )
+        if self._cell_by_name.get(name) == cell:
+            return
+        self.remove(name)
+        self._cell_by_name[name] = cell
+        self._names_by_cell.setdefault(cell, {})[name] = None
+        self._masks[cell[0]][cell[1]] |= 1 << cell[2]
+
+    def remove(self, name: str) -> None:
+        """Take a worker out."""
+        cell = self._cell_by_name.pop(name, None)
+        if cell is None:
+            return
+        names = self._names_by_cell[cell]
+        del names[name]
+        if not names:
+            del self._names_by_cell[cell]
+            self._masks[cell[0]][cell[1]] &= ~(1 << cell[2])
+
+    def find(self, need: Need, accept: Callable[[str], bool]) -> str | None:
+        """Worker with the tightest room that ``accept`` agrees to.
+
+        ``accept`` checks the exact room and may leave workers out for other reasons.
+        """
+        sure = (
+            level_above(ACCELERATOR_LEVELS, need.accelerators),
+            level_above(CORE_LEVELS, need.cores),
+            level_above(MEMORY_LEVELS, need.memory_mb),
+        )
+        partial = (
+            level(ACCELERATOR_LEVELS, need.accelerators),
+            level(CORE_LEVELS, need.cores),
+            level(MEMORY_LEVELS, need.memory_mb),
+        )
+        failed: list[tuple[Cell, str]] = []
+        found = self._search(partial, sure, accept, failed)
+        for cell, name in failed:
+            # Tried last next time, so that the bounded tries reach every worker in turn.
+            self._names_by_cell[cell][name] = self._names_by_cell[cell].pop(name)
+        return found
+
+    def _search(
+        self,
+        lowest: Cell,
+        sure: Cell,
+        accept: Callable[[str], bool],
+        failed: list[tuple[Cell, str]],
+    ) -> str | None:
+        for cell in self._cells(lowest):
+            is_sure = all(have >= enough for have, enough in zip(cell, sure, strict=True))
+            for name in self._names_by_cell[cell]:
+                if not is_sure and len(failed) >= PARTIAL_LEVEL_TRIES:
+                    break
+                if accept(name):
+                    return name
+                if not is_sure:
+                    failed.append((cell, name))
+        return None
+
+    def _cells(self, lowest: Cell) -> Iterator[Cell]:
+        for accelerators in range(lowest[0], len(self._masks)):
+            masks = self._masks[accelerators]
+            for cores in range(lowest[1], len(masks)):
+                mask = masks[cores] >> lowest[2] << lowest[2]
+                while mask:
+                    bit = mask & -mask
+                    yield (accelerators, cores, bit.bit_length() - 1)
+                    mask ^= bit
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,108 @@
+"""Refusals at the host and retry budgets."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassyard.policy import Limits, Reason, SiteConfig, SubmissionBody, TaskSpec
+from eelgrassyard.policy._admission import REFUSAL_HOLD_S, Admission, RetryBudget
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=60)
+FLOW = ("c", "k")
+
+
+class FixedConfig:
+    """A configuration that does not change by itself."""
+
+    revision = 1
+
+    def __init__(self, current: SiteConfig | None) -> None:
+        self.current = current
+
+
+def make_admission(**limits) -> Admission:
+    site = SiteConfig(site="test", failure_domains=("a",), limits=Limits(**limits))
+    return Admission(config=FixedConfig(site))
+
+
+def make_body(tasks: int = 1, deadline_s: float = 10.0, kind: str = "k") -> SubmissionBody:
+    return SubmissionBody(kind=kind, tasks=(TaskSpec(payload=b"0"),) * tasks, deadline_s=deadline_s)
+
+
+def test_wait_beyond_the_deadline_is_refused_until_the_queue_must_be_served():
+    """Guards against work sent to a scheduler that cannot serve it, and a flow closed for good."""
+    admission = make_admission()
+    assert admission.check(0.0, "c", make_body()) is None
+    admission.note_wait(0.0, FLOW, 14.0)
+    refusal = admission.check(1.0, "c", make_body())
+    assert refusal.reason is Reason.DEADLINE
+    assert refusal.retry_after_s == pytest.approx(3.0)
+    assert admission.check(4.1, "c", make_body()) is None
+    assert admission.check(1.0, "c", make_body(deadline_s=20.0)) is None
+
+
+def test_other_flows_are_not_refused():
+    """Guards against a flood of one flow that closes the host to others."""
+    admission = make_admission()
+    admission.note_wait(0.0, FLOW, 1000.0)
+    admission.note_refusal(0.0, FLOW, Reason.FLOW_LIMIT, 50.0)
+    assert admission.check(0.1, "other", make_body()) is None
+    assert admission.check(0.1, "c", make_body(kind="other")) is None
+
+
+def test_refusal_of_the_scheduler_is_repeated_for_a_short_time():
+    """Guards against a round trip for each refusal in a flood, and hints that grow shorter."""
+    admission = make_admission()
+    admission.note_refusal(0.0, FLOW, Reason.FLOW_LIMIT, 5.0)
+    refusal = admission.check(0.1, "c", make_body())
+    assert refusal.reason is Reason.FLOW_LIMIT
+    assert refusal.retry_after_s == pytest.approx(4.9)
+    assert admission.check(REFUSAL_HOLD_S + 0.01, "c", make_body()) is None
+
+
+def test_refusal_of_one_submission_does_not_close_the_flow():
+    """Guards against a flow closed because one of its jobs can never run."""
+    admission = make_admission()
+    admission.note_refusal(0.0, FLOW, Reason.IMPOSSIBLE, None)
+    assert admission.check(0.1, "c", make_body()) is None
+
+
+def test_bound_per_flow_counts_waiting_tasks():
+    """Guards against a host whose memory one flow fills."""
+    admission = make_admission(queued_tasks_per_flow=10)
+    admission.add_waiting(FLOW, 8)
+    assert admission.check(0.0, "c", make_body(tasks=2)) is None
+    refusal = admission.check(0.0, "c", make_body(tasks=3))
+    assert refusal.reason is Reason.FLOW_LIMIT
+    assert refusal.retry_after_s > 0.0
+    admission.add_waiting(FLOW, -8)
+    assert admission.check(0.0, "c", make_body(tasks=3)) is None
+
+
+@FIXED
+@given(
+    calls=st.lists(st.one_of(st.integers(1, 50), st.none()), max_size=200),
+    ratio=st.sampled_from((0.0, 0.05, 0.1, 0.5)),
+)
+def test_retries_stay_within_their_part_of_the_starts(calls, ratio):
+    """Guards against retries that add more load than the budget allows."""
+    budget = RetryBudget(ratio)
+    starts = retries = 0
+    for call in calls:
+        if call is None:
+            retries += budget.try_retry()
+        else:
+            budget.note_start(call)
+            starts += call
+        assert retries <= starts * ratio + 1e-6
+
+
+def test_each_kind_has_its_own_retry_budget():
+    """Guards against a sick service that uses up the retries of the others."""
+    admission = make_admission(retry_budget_ratio=0.1)
+    admission.note_start("k", 10)
+    assert not admission.try_retry("other")
+    assert admission.try_retry("k")
+    assert not admission.try_retry("k")
