--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -1,7 +1,7 @@
 """Queue of asks for places, shared fairly between flows.
 
 A flow is one caller's work of one kind. The order between kinds is in :mod:`._kindorder`, the order
-between the callers of a kind in :mod:`._flows`, the estimate of waits in :mod:`._waits`.
+between the callers of a kind in :mod:`._flows`, the estimate of waits in :mod:`._flowwaits`.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 
 from ._config import KindEntry, Limits, SiteConfig, Urgency
 from ._flows import AskKey, Flow, FlowKey, KindFlows, QueuedAsk
+from ._flowwaits import WaitEstimator
 from ._kindorder import KindOrder
 from ._messages import TaskSize
 from ._outcomes import Reason
 from ._system import ConfigView
-from ._waits import WaitEstimator
 
 __all__ = ["FairQueue", "FlowKey", "QueueRefusal", "QueuedAsk"]
 
--- a/src/eelgrassyard/policy/_waits.py
+++ b/src/eelgrassyard/policy/_waits.py
@@ -1,104 +1,109 @@
-"""Expected waits: how fast the pool and each flow are served."""
+"""Calls that wait for the outcome of a submission at its owner."""
 
 from __future__ import annotations
 
-import math
+from collections import defaultdict
 from dataclasses import dataclass
 
-from ._config import Urgency
-from ._flows import COST_SMOOTHING, Flow, KindFlows, RateMeter
-
-MIN_MEASURED_S = 0.5
-"""Seconds of waiting work before a measured rate is believed."""
-
-
-@dataclass(slots=True)
-class ActiveShares:
-    """Sums of the shares of kinds with work waiting, by the urgency of what is next."""
-
-    sums: list[float]
-    counted_by_name: dict[str, tuple[int, float]]
-
-    @classmethod
-    def empty(cls) -> ActiveShares:
-        """No kind has work waiting."""
-        return cls([0.0] * len(Urgency), {})
-
-    def update(self, kind: KindFlows) -> None:
-        """Count a kind as it is now."""
-        before = self.counted_by_name.pop(kind.name, None)
-        if before is not None:
-            self.sums[before[0]] -= before[1]
-        if kind.active_flows:
-            counted = (kind.urgency(), kind.share)
-            self.counted_by_name[kind.name] = counted
-            self.sums[counted[0]] += counted[1]
-        if not self.counted_by_name:
-            self.sums = [0.0] * len(Urgency)
-
-    def part(self, kind: KindFlows, urgency: int, background_share: float) -> float:
-        """Part of the capacity that work of a kind and urgency can expect."""
-        own = self.counted_by_name.get(kind.name, (urgency, 0.0))
-        others = [total - own[1] * (u == own[0]) for u, total in enumerate(self.sums)]
-        rest = max(0.0, 1.0 - sum(others) - kind.share)
-        if any(total > 1e-9 for total in others[:urgency]):
-            minimum = background_share if urgency == Urgency.BACKGROUND else 0.0
-            return max(kind.share, minimum)
-        return kind.share + rest * kind.share / (kind.share + max(0.0, others[urgency]))
-
-
-class WaitEstimator:
-    """Expected wait of tasks, from the queue ahead of them and the rate at which it shrinks."""
+from ._actions import Action, ReplyRefusal, ReplyState, Send
+from ._messages import ForwardReply
+from ._outcomes import Outcome, Reason
+from ._timers import TimerQueue
+
+
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A call at this host, or a call at another host that was forwarded.
+
+    :param host: host at which the caller called; None for the own host.
+    """
+
+    call: int
+    host: str | None = None
+    incarnation: int = 0
+
+    def reply(self, submission_id: str, outcome: Outcome | None, out: list[Action]) -> None:
+        """Answer with an outcome, or with "running"."""
+        if self.host is None:
+            out.append(ReplyState(call=self.call, submission_id=submission_id, outcome=outcome))
+            return
+        message = ForwardReply(call=self.call, submission_id=submission_id, outcome=outcome)
+        out.append(Send(to=self.host, message=message))
+
+    def refuse(
+        self,
+        submission_id: str,
+        reason: Reason,
+        message: str,
+        out: list[Action],
+        *,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Answer that the call could not be carried out."""
+        if self.host is None:
+            out.append(
+                ReplyRefusal(
+                    call=self.call, reason=reason, message=message, retry_after_s=retry_after_s
+                )
+            )
+            return
+        reply = ForwardReply(
+            call=self.call, submission_id=submission_id, refusal=reason, message=message
+        )
+        out.append(Send(to=self.host, message=reply))
+
+
+class Waits:
+    """Waiting calls by submission, with the times at which they are answered "running"."""
 
     def __init__(self) -> None:
-        self.capacity = 0.0
-        self.background_share = 0.05
-        self.meter = RateMeter()
-        self.active = ActiveShares.empty()
-        self._mean_cost_s = 0.0
-
-    def note_taken(self, now: float, cost_s: float, tasks: int) -> None:
-        """Count tasks that got a place."""
-        self.meter.add(now, cost_s * tasks)
-        smoothing = COST_SMOOTHING if self._mean_cost_s else 1.0
-        self._mean_cost_s += smoothing * (cost_s - self._mean_cost_s)
-
-    def rate(self) -> float:
-        """Cost in seconds that the pool serves per second; 0 if unknown."""
-        return self.meter.rate(MIN_MEASURED_S) or self.capacity
-
-    def flow_rate(self, now: float, kind: KindFlows, flow: Flow, urgency: int) -> float:
-        """Cost per second that a flow can expect: its share, or what it got if that is more."""
-        part = self.active.part(kind, urgency, self.background_share)
-        weight = kind.active_weight + (0.0 if flow.queued else flow.weight)
-        return max(self.rate() * part * flow.weight / weight, self._measured(now, flow))
-
-    def wait(
-        self, now: float, queued: int, kind: KindFlows, flow: Flow, urgency: int, tasks: int
-    ) -> float:
-        """Seconds until the last of ``tasks`` new tasks of a flow is expected to start.
-
-        :param queued: tasks that wait in the whole queue.
-        """
-        capacity = self.rate()
-        if not queued or capacity <= 0.0:
-            return 0.0
-        ahead = flow.queued_up_to(urgency) + tasks - 1
-        turn_s = kind.cost_s / capacity
-        wait_s = turn_s + ahead * kind.cost_s / self.flow_rate(now, kind, flow, urgency)
-        if self._measured(now, flow) > 0.0:
-            return wait_s
-        # Without a rate of its own, the flow waits at most for the whole queue.
-        mean_cost_s = self._mean_cost_s or kind.cost_s
-        everything_s = queued * mean_cost_s + (tasks - 1) * kind.cost_s
-        return min(wait_s, turn_s + everything_s / capacity)
-
-    def drain_time(
-        self, now: float, kind: KindFlows, flow: Flow, urgency: int, tasks: float
-    ) -> float:
-        """Seconds in which a flow is expected to get places for ``tasks``; 0 if unknown."""
-        rate = self.flow_rate(now, kind, flow, urgency)
-        return tasks * kind.cost_s / rate if rate > 0.0 else 0.0
-
-    def _measured(self, now: float, flow: Flow) -> float:
-        return flow.meter.rate(MIN_MEASURED_S, now if flow.queued else -math.inf)
+        self._expiry_by_waiter_by_id: defaultdict[str, dict[Waiter, float]] = defaultdict(dict)
+        self._id_by_local_call: dict[int, str] = {}
+        self._timers: TimerQueue[tuple[str, Waiter]] = TimerQueue()
+
+    def __len__(self) -> int:
+        return sum(len(waiters) for waiters in self._expiry_by_waiter_by_id.values())
+
+    def add(self, now: float, submission_id: str, waiter: Waiter, wait_s: float) -> None:
+        """Hold a call open; a repeat of a forwarded call replaces the earlier one."""
+        expires_at = now + max(wait_s, 0.0)
+        self._expiry_by_waiter_by_id[submission_id][waiter] = expires_at
+        if waiter.host is None:
+            self._id_by_local_call[waiter.call] = submission_id
+        self._timers.add(expires_at, (submission_id, waiter))
+
+    def abandon(self, call: int) -> None:
+        """Forget a local call whose caller disconnected."""
+        submission_id = self._id_by_local_call.pop(call, None)
+        if submission_id is not None:
+            self._remove(submission_id, Waiter(call))
+
+    def answer(self, submission_id: str, outcome: Outcome, out: list[Action]) -> int:
+        """Answer all calls that wait for a submission; returns their number."""
+        waiters = self._expiry_by_waiter_by_id.pop(submission_id, {})
+        for waiter in waiters:
+            self._id_by_local_call.pop(waiter.call, None) if waiter.host is None else None
+            waiter.reply(submission_id, outcome, out)
+        return len(waiters)
+
+    def advance(self, now: float, out: list[Action]) -> None:
+        """Answer "running" to the calls whose wait is over."""
+        for submission_id, waiter in self._timers.pop_due(now):
+            waiters = self._expiry_by_waiter_by_id.get(submission_id, {})
+            if waiters.get(waiter, now + 1.0) <= now:
+                self._remove(submission_id, waiter)
+                waiter.reply(submission_id, None, out)
+
+    def next_wake(self) -> float:
+        """Time at which the next wait is over."""
+        return self._timers.next_due()
+
+    def _remove(self, submission_id: str, waiter: Waiter) -> None:
+        waiters = self._expiry_by_waiter_by_id.get(submission_id)
+        if waiters is None:
+            return
+        waiters.pop(waiter, None)
+        if waiter.host is None:
+            self._id_by_local_call.pop(waiter.call, None)
+        if not waiters:
+            del self._expiry_by_waiter_by_id[submission_id]
