Refuse flows at the host by what the schedulers said of their waits

Cause: admission existed but nothing told it of waits and refusals. Change: the core passes its Admission to the owner side, which notes the expected wait in grants and refusals. Conclusion: a flooded flow is refused locally.

--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import itertools
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from result import Err, Ok
 
 from ._actions import Action, ReplyIds
+from ._admission import Admission
 from ._config import Limits
 from ._drain import Drain, DrainState
 from ._endings import RETRY_AFTER_S, expired
@@ -22,7 +23,6 @@
     StartFinished,
     SubmitCalled,
 )
-from ._fairqueue import QueueRefusal
 from ._forwarding import ForwardedCall, Forwarding
 from ._identity import HostIdentity
 from ._ids import MAX_IDS_PER_CALL, SubmissionId, issue_id, verify_id
@@ -61,17 +61,10 @@
 }
 
 
-class AdmissionCheck(Protocol):
-    """Bounds at the host towards callers."""
-
-    def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
-        """Why a new submission is refused, or None."""
-
-
 class Submissions:
     """Issues ids and answers calls; the submissions themselves are kept by their owner.
 
-    :param admission: bounds at this host; None for no bounds.
+    :param admission: bounds at this host.
     """
 
     HANDLES: ClassVar[tuple[type, ...]] = (
@@ -97,7 +90,7 @@
         identity: HostIdentity,
         config: ConfigView,
         membership: MembershipView,
-        admission: AdmissionCheck | None = None,
+        admission: Admission,
     ) -> None:
         self._identity = identity
         self._config = config
@@ -273,7 +266,7 @@
             message = _MESSAGES[Reason.NOT_READY]
             waiter.refuse(text, Reason.NOT_READY, message, out, retry_after_s=RETRY_AFTER_S)
             return True
-        refusal = None if self._admission is None else self._admission.check(now, caller, body)
+        refusal = self._admission.check(now, caller, body)
         if refusal is None:
             return False
         waiter.refuse(
@@ -334,8 +327,10 @@
                 self._owner.take_ack(now, event, message, out)
                 self._drain.take_ack(now, event, message, out)
             case SlotGrant() as message:
+                self._note_wait(now, message)
                 self._owner.take_grant(now, event, message, out)
             case SlotRefusal() as message:
+                self._note_wait(now, message)
                 self._owner.take_refusal(now, event, message, out)
             case TaskControl() as message:
                 self._owner.take_control(message, out)
@@ -366,6 +361,16 @@
             case Err(reason):
                 waiter.refuse(text, reason, _MESSAGES[reason], out)
 
+    def _note_wait(self, now: float, message: SlotGrant | SlotRefusal) -> None:
+        """Pass the scheduler's word on a flow to the admission at this host."""
+        submission = self._owner.by_id.get(message.submission_id)
+        if submission is None or submission.kind is None:
+            return
+        flow = (submission.caller, submission.kind.name)
+        self._admission.note_wait(now, flow, message.flow_wait_s)
+        if isinstance(message, SlotRefusal):
+            self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
+
     def _is_own(self, fields: SubmissionId) -> bool:
         own = (self._identity.name, self._identity.incarnation)
         return (fields.owner, fields.incarnation) == own
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -55,6 +55,7 @@
     WitnessRecord,
     WitnessVerdict,
 )
+from eelgrassyard.policy._admission import Admission
 from eelgrassyard.policy._fairqueue import QueueRefusal
 from eelgrassyard.policy._ids import parse_id
 from eelgrassyard.policy._submissions import Submissions
@@ -76,7 +77,7 @@
                 identity=identity_of(own),
                 config=self.config,
                 membership=self.membership,
-                admission=admission,
+                admission=admission or Admission(config=self.config),
             )
         )
 
