--- /dev/null
+++ b/src/eelgrassyard/daemon/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m eelgrassyard.daemon --settings=FILE``."""
+
+import sys
+
+from . import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/eelgrassyard/daemon/_addresses.py
@@ -0,0 +1,65 @@
+"""Addresses of hosts and upstreams by name."""
+
+from __future__ import annotations
+
+from ..policy import HostListRead, MemberUpdate, PeerMessage, Ping, PingReply, SiteConfig
+
+Address = tuple[str, int]
+
+
+class AddressBook:
+    """Where hosts and upstreams are reached.
+
+    What a host says of itself in its newest incarnation counts more than the host list, which
+    lags; the host list counts more than the configuration. A changed entry in the host list means
+    that the host was replaced, and counts again.
+    """
+
+    def __init__(self) -> None:
+        self._announced_by_host: dict[str, tuple[int, Address]] = {}
+        self._listed_by_host: dict[str, Address] = {}
+        self._configured_by_host: dict[str, Address] = {}
+        self._listed_url_by_upstream: dict[str, str] = {}
+        self._configured_url_by_upstream: dict[str, str] = {}
+
+    def host(self, name: str) -> Address | None:
+        """Address and port of a host, or None if it is not known."""
+        if name in self._announced_by_host:
+            return self._announced_by_host[name][1]
+        return self._listed_by_host.get(name) or self._configured_by_host.get(name)
+
+    def upstream_url(self, name: str) -> str | None:
+        """Base URL of an upstream, or None if it is not known."""
+        return self._listed_url_by_upstream.get(name) or self._configured_url_by_upstream.get(name)
+
+    def note_config(self, config: SiteConfig) -> None:
+        """Take addresses from the configuration."""
+        self._configured_by_host = {
+            entry.name: (entry.address, entry.port) for entry in config.hosts_by_name.values()
+        }
+        self._configured_url_by_upstream = {
+            entry.name: entry.url for entry in config.upstreams_by_name.values()
+        }
+
+    def note_host_list(self, listed: HostListRead) -> None:
+        """Take addresses from the host list."""
+        for item in listed.hosts:
+            address = (item.host.address, item.host.port)
+            if self._listed_by_host.get(item.host.name, address) != address:
+                self._announced_by_host.pop(item.host.name, None)
+            self._listed_by_host[item.host.name] = address
+        self._listed_url_by_upstream = {
+            item.upstream.name: item.upstream.url for item in listed.upstreams
+        }
+
+    def note_message(self, message: PeerMessage) -> None:
+        """Take addresses from the membership updates in a message."""
+        if isinstance(message, Ping | PingReply):
+            for update in message.updates:
+                self._note_update(update)
+
+    def _note_update(self, update: MemberUpdate) -> None:
+        known = self._announced_by_host.get(update.name)
+        if update.port and (known is None or update.incarnation >= known[0]):
+            address = (update.address, update.port)
+            self._announced_by_host[update.name] = (update.incarnation, address)
--- /dev/null
+++ b/src/eelgrassyard/daemon/_connections.py
@@ -0,0 +1,163 @@
+"""HTTP connections to one upstream or platform service.
+
+Each connection is a transport of its own, because a pool shared by many concurrent requests costs
+more than twice the processor time for each request.
+"""
+
+from __future__ import annotations
+
+import ssl
+import time
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import anyio
+import httpx
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """An answer with its whole body; header names are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class AnswerTooLargeError(Exception):
+    """The answer is larger than what is accepted; the request did reach the server."""
+
+
+class NeverSentError(Exception):
+    """The request provably did not reach the server: no connection could be opened."""
+
+
+class LostError(Exception):
+    """The request may have reached the server, and no whole answer came back."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _IdleConnection:
+    transport: httpx.AsyncHTTPTransport
+    since: float
+
+
+class HttpConnections:
+    """Connections to one base URL, kept open for a short while between requests.
+
+    :param idle_s: a connection not used for this long is closed. It must be shorter than the time
+        for which the server keeps it, or a request may be written to a connection that the server
+        is closing, and whether it arrived would be unknown.
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        tls: ssl.SSLContext,
+        connect_s: float,
+        idle_s: float,
+        max_idle: int,
+        max_answer_bytes: int,
+    ) -> None:
+        self.url = url
+        self._tls = tls
+        self._connect_s = connect_s
+        self._idle_s = idle_s
+        self._max_idle = max_idle
+        self._max_answer_bytes = max_answer_bytes
+        self._idle: deque[_IdleConnection] = deque()
+        self.in_use = 0
+
+    @property
+    def idle(self) -> int:
+        """Connections that are open without a request."""
+        return len(self._idle)
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        content: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        read_s: float | None = None,
+    ) -> HttpReply:
+        """Send one request and read the whole answer; the caller bounds the time.
+
+        :param path: path with query, already quoted.
+        :raises NeverSentError: if the request was not sent.
+        :raises LostError: if the request may have arrived and there is no whole answer.
+        :raises AnswerTooLargeError: if the answer is too large.
+        """
+        request = httpx.Request(
+            method,
+            self.url + path,
+            headers={"content-type": "application/json", **(headers or {})},
+            content=content or None,
+            extensions={"timeout": {"connect": self._connect_s, "read": read_s}},
+        )
+        transport = await self._take()
+        self.in_use += 1
+        reusable = False
+        try:
+            reply = await self._exchange(transport, request)
+            reusable = reply.headers.get("connection", "").lower() != "close"
+            return reply
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as error:
+            raise NeverSentError(str(error) or type(error).__name__) from error
+        except httpx.TransportError as error:
+            raise LostError(str(error) or type(error).__name__) from error
+        finally:
+            self.in_use -= 1
+            if reusable and len(self._idle) < self._max_idle:
+                self._idle.append(_IdleConnection(transport=transport, since=time.monotonic()))
+            else:
+                with anyio.CancelScope(shield=True):
+                    await transport.aclose()
+
+    async def _exchange(
+        self, transport: httpx.AsyncHTTPTransport, request: httpx.Request
+    ) -> HttpReply:
+        response = await transport.handle_async_request(request)
+        chunks = []
+        size = 0
+        try:
+            async for chunk in response.aiter_raw():
+                size += len(chunk)
+                if size > self._max_answer_bytes:
+                    raise AnswerTooLargeError(f"more than {self._max_answer_bytes} bytes")
+                chunks.append(chunk)
+        finally:
+            await response.aclose()
+        return HttpReply(
+            status=response.status_code, headers=response.headers, body=b"".join(chunks)
+        )
+
+    async def _take(self) -> httpx.AsyncHTTPTransport:
+        await self.close_expired()
+        if self._idle:
+            # The one used last is taken, so that connections beyond the need expire.
+            return self._idle.pop().transport
+        return httpx.AsyncHTTPTransport(
+            verify=self._tls,
+            trust_env=False,
+            retries=0,
+            limits=httpx.Limits(
+                max_connections=1,
+                max_keepalive_connections=1,
+                keepalive_expiry=self._idle_s,
+            ),
+        )
+
+    async def close_expired(self) -> None:
+        """Close connections that have not been used for a while."""
+        oldest = time.monotonic() - self._idle_s
+        while self._idle and self._idle[0].since < oldest:
+            await self._idle.popleft().transport.aclose()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self._idle.popleft().transport.aclose()
--- /dev/null
+++ b/src/eelgrassyard/daemon/_host.py
@@ -0,0 +1,378 @@
+"""One host: the decision core with everything that connects it to the outside."""
+
+from __future__ import annotations
+
+import random
+import ssl
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from ..config import parse_document
+from ..policy import (
+    Action,
+    ConfigLoaded,
+    ControlTask,
+    Core,
+    Count,
+    DrainCalled,
+    Drained,
+    HostIdentity,
+    HostListRead,
+    LoadConfig,
+    PeerFailed,
+    PeerMessage,
+    PeerReceived,
+    ReadinessChanged,
+    RenewLeases,
+    ReplyIds,
+    ReplyRefusal,
+    ReplyState,
+    Send,
+    SiteConfig,
+    StartTask,
+    StateChanged,
+    UpstreamEntry,
+    WatchStore,
+)
+from ._addresses import AddressBook
+from ._calls import Calls
+from ._clock import Clock
+from ._connections import HttpConnections
+from ._dump import shorten
+from ._http import HttpInterface
+from ._logs import log_change
+from ._loop import CoreLoop
+from ._metrics import Metrics
+from ._peer_server import PeerServer, make_tls_contexts
+from ._peers import PeerLink, PeerLinks
+from ._platform import HostListPoller, StoreWatcher
+from ._server import CallerServer, bind
+from ._settings import Settings
+from ._upstream_client import UpstreamAddress, UpstreamClient
+from ._usage import poll_usage, workers_to_poll
+
+FLUSH_S = 2.0
+"""Time for last messages to peers and last answers to callers after a planned stop."""
+
+MAX_PLATFORM_ANSWER_BYTES = 20_000_000
+SWEEP_S = 1.0
+
+MakeCore = Callable[[HostIdentity, int], Any]
+
+
+def _make_core(identity: HostIdentity, seed: int) -> Core:
+    return Core(identity=identity, seed=seed)
+
+
+class Host:
+    """Runs one host until it has drained or is cancelled.
+
+    :param make_core: builds the decision core from an identity and a seed.
+    :param seed: seed of the core and of all jitter.
+    """
+
+    def __init__(self, *, settings: Settings, seed: int, make_core: MakeCore = _make_core) -> None:
+        self._settings = settings
+        self._clock = Clock()
+        self._rng = random.Random(seed)
+        self.metrics = Metrics(settings=settings.statsd)
+        self.started = anyio.Event()
+        self._drain_called = anyio.Event()
+        self._drained = anyio.Event()
+        self._readiness = (False, "starting")
+        self._addresses = AddressBook()
+        self._upstream_by_name: dict[str, UpstreamEntry] = {}
+        self._http_socket = bind(settings.http.address, settings.http.port)
+        self._peer_socket = bind(settings.peer.address, settings.peer.port)
+        self.http_port = int(self._http_socket.getsockname()[1])
+        self.peer_port = int(self._peer_socket.getsockname()[1])
+        self._identity = HostIdentity(
+            name=settings.name,
+            address=settings.peer.address,
+            port=self.peer_port,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            weight=settings.weight,
+            incarnation=int(self._clock.now() * 1_000_000),
+            id_key=bytes.fromhex(settings.id_key),
+        )
+        self.core = make_core(self._identity, seed)
+        self._loop = CoreLoop(
+            core=self.core, clock=self._clock, metrics=self.metrics, carry_out=self._carry_out
+        )
+        self.calls = Calls(put=self._loop.put)
+        self._server = CallerServer(
+            application=HttpInterface(
+                gateway=self, calls=self.calls, limits=settings.limits, metrics=self.metrics
+            ),
+            settings=settings.http,
+            limits=settings.limits,
+            metrics=self.metrics,
+        )
+        self._server_tls, self._client_tls = make_tls_contexts(settings.peer.tls)
+        self._peer_server = PeerServer(
+            name=settings.name,
+            tls=self._server_tls,
+            max_connections=settings.limits.peer_connections,
+            metrics=self.metrics,
+            received=self._receive,
+        )
+        platform_tls = ssl.create_default_context()
+        self._store = StoreWatcher(
+            settings=settings.store,
+            connections=self._platform_connections(settings.store.url, platform_tls),
+            metrics=self.metrics,
+            rng=self._rng,
+            found=self._load_config,
+            revision=lambda: self.core.configsync.revision,
+        )
+        self._host_list = HostListPoller(
+            settings=settings.host_list,
+            connections=self._platform_connections(settings.host_list.url, platform_tls),
+            metrics=self.metrics,
+            rng=self._rng,
+            found=self._take_host_list,
+        )
+        self._links: PeerLinks | None = None
+        self._upstreams: UpstreamClient | None = None
+
+    # What the HTTP interface needs.
+
+    @property
+    def config(self) -> SiteConfig | None:
+        """The configuration in force."""
+        config: SiteConfig | None = self.core.configsync.current
+        return config
+
+    @property
+    def readiness(self) -> tuple[bool, str]:
+        """Whether the host is ready, and why not."""
+        return self._readiness
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._drain_called.is_set()
+
+    def dump(self, table: str | None = None) -> dict[str, object]:
+        """The state on a page, or one table whole.
+
+        :raises KeyError: if there is no such table.
+        """
+        tables = self._own_tables()
+        if table is not None:
+            return {table: tables[table]} if table in tables else self.core.dump(table)
+        page = {**self.core.dump(), **tables}
+        return {name: shorten(value) for name, value in page.items()}
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        if not self._drain_called.is_set():
+            self._drain_called.set()
+            log_change("drain", "planned stop begins")
+            self._loop.put(DrainCalled())
+
+    def refuse_early(self, caller: str, kind: str, submission_id: str) -> ReplyRefusal | None:
+        """Refusal of a submission whose flow the core refuses already, or None."""
+        refuse = getattr(self.core, "refuse_early", None)
+        if refuse is None:
+            return None
+        refusal: ReplyRefusal | None = refuse(self._clock.now(), caller, kind, submission_id)
+        return refusal
+
+    # Running.
+
+    async def run(self) -> bool:
+        """Serve until drained; returns False if the drain took too long."""
+        async with anyio.create_task_group() as group:
+            self._links = PeerLinks(make_link=self._make_link, group=group)
+            self._upstreams = UpstreamClient(
+                group=group,
+                address_of=self._upstream_address,
+                put=self._loop.put,
+                clock=self._clock,
+                limits=self._settings.limits,
+                metrics=self.metrics,
+            )
+            await self._server.start(self._http_socket)
+            group.start_soon(self._peer_server.serve, self._peer_socket)
+            group.start_soon(self._loop.run)
+            group.start_soon(self._host_list.run)
+            group.start_soon(self._store.run)
+            group.start_soon(self.metrics.run)
+            group.start_soon(self._sweep)
+            group.start_soon(self._poll_usage)
+            log_change("start", f"serving on {self._settings.http.address}:{self.http_port}")
+            self.started.set()
+            finished = await self._wait_until_drained()
+            await self._stop()
+            group.cancel_scope.cancel()
+        self.metrics.flush()
+        log_change("stop", "stopped")
+        return finished
+
+    async def _wait_until_drained(self) -> bool:
+        await self._drain_called.wait()
+        with anyio.move_on_after(self._settings.limits.drain_s):
+            await self._drained.wait()
+        if not self._drained.is_set():
+            log_change("drain", f"not finished after {self._settings.limits.drain_s:g} s")
+        return self._drained.is_set()
+
+    async def _stop(self) -> None:
+        with anyio.move_on_after(FLUSH_S):
+            await self._require_links().flushed()
+        await self._server.stop(FLUSH_S)
+        await self._require_upstreams().close()
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_S)
+            await self._require_upstreams().close_idle()
+            self.metrics.gauge("http.connections", self._server.open_connections)
+            self.metrics.gauge("http.calls", len(self.calls))
+            self.metrics.gauge("upstream.running", self._require_upstreams().running)
+            self.metrics.gauge("peer.connections", self._peer_server.open_connections)
+
+    async def _poll_usage(self) -> None:
+        def workers() -> list[str]:
+            config = self.config
+            if config is None:
+                return []
+            return workers_to_poll(config, self.core.membership, self._settings.name)
+
+        await poll_usage(
+            workers=workers,
+            read=self._require_upstreams().read_usage,
+            interval_s=self._settings.usage_poll_s,
+            rng=self._rng,
+        )
+
+    # Input.
+
+    def _receive(self, event: PeerReceived) -> None:
+        self._addresses.note_message(event.message)
+        self._loop.put(event)
+
+    def _take_host_list(self, listed: HostListRead) -> None:
+        self._addresses.note_host_list(listed)
+        for item in listed.upstreams:
+            self._upstream_by_name[item.upstream.name] = item.upstream
+        self._loop.put(listed)
+
+    def _load_config(self, revision: int, document: bytes) -> None:
+        if revision <= self.core.configsync.revision:
+            return
+        parsed = parse_document(document)
+        if parsed.is_err():
+            self.metrics.count("config.refused")
+            log_change("config", f"revision {revision} refused: {parsed.unwrap_err()}")
+            return
+        config = parsed.unwrap()
+        self._addresses.note_config(config)
+        for entry in config.upstreams_by_name.values():
+            self._upstream_by_name.setdefault(entry.name, entry)
+        self._loop.put(ConfigLoaded(revision=revision, document=document, config=config))
+
+    # Actions of the core.
+
+    def _carry_out(self, now: float, actions: Sequence[Action]) -> None:
+        messages_by_host: defaultdict[str, list[PeerMessage]] = defaultdict(list)
+        for action in actions:
+            if isinstance(action, Send):
+                messages_by_host[action.to].append(action.message)
+            else:
+                self._carry_out_one(now, action)
+        for host, messages in messages_by_host.items():
+            self._require_links().send(host, messages)
+
+    def _carry_out_one(self, now: float, action: Action) -> None:
+        match action:
+            case ReplyIds() | ReplyState() | ReplyRefusal():
+                self.calls.resolve(action)
+            case StartTask():
+                self._require_upstreams().start(now, action)
+            case ControlTask():
+                self._require_upstreams().control(action)
+            case RenewLeases():
+                self._require_upstreams().renew(action)
+            case LoadConfig(revision=revision, document=document):
+                self._load_config(revision, document)
+            case WatchStore(on=on):
+                self._store.switch(on)
+            case ReadinessChanged(ready=ready, reason=reason):
+                self._readiness = (ready, reason)
+                log_change("readiness", f"{'ready' if ready else 'not ready'}: {reason}")
+            case Drained():
+                self._drained.set()
+            case Count(metric=metric, value=value):
+                self.metrics.count(metric, value)
+            case StateChanged(step=step, peer=peer, message=message):
+                log_change(step, message, peer=peer)
+
+    # Helpers.
+
+    def _own_tables(self) -> dict[str, object]:
+        links = self._links.dump() if self._links else {}
+        upstreams = self._upstreams.dump() if self._upstreams else {}
+        return {
+            "host": {
+                "name": self._settings.name,
+                "failure_domain": self._settings.failure_domain,
+                "incarnation": self._identity.incarnation,
+                "ready": self._readiness[0],
+                "reason": self._readiness[1],
+                "draining": self.is_draining,
+                "connections": self._server.open_connections,
+                "waiting_calls": len(self.calls),
+                "watching_store": self._store.is_on,
+            },
+            "peers": links,
+            "connections": upstreams,
+            "counters": dict(sorted(self.metrics.total_by_name.items())),
+        }
+
+    def _upstream_address(self, name: str) -> UpstreamAddress | None:
+        entry = self._upstream_by_name.get(name)
+        url = self._addresses.upstream_url(name)
+        if entry is None or url is None:
+            return None
+        return UpstreamAddress(url=url, role=entry.role)
+
+    def _make_link(self, name: str) -> PeerLink:
+        return PeerLink(
+            name=name,
+            sender=self._settings.name,
+            incarnation=self._identity.incarnation,
+            address_of=self._addresses.host,
+            tls=self._client_tls,
+            max_messages=self._settings.limits.peer_queue_messages,
+            metrics=self.metrics,
+            failed=lambda peer: self._loop.put(PeerFailed(peer=peer)),
+            rng=self._rng,
+        )
+
+    def _platform_connections(self, url: str, tls: ssl.SSLContext) -> HttpConnections:
+        limits = self._settings.limits
+        return HttpConnections(
+            url=url,
+            tls=tls,
+            connect_s=limits.connect_s,
+            idle_s=limits.idle_s,
+            max_idle=1,
+            max_answer_bytes=MAX_PLATFORM_ANSWER_BYTES,
+        )
+
+    def _require_links(self) -> PeerLinks:
+        if self._links is None:
+            raise RuntimeError("the host is not running")
+        return self._links
+
+    def _require_upstreams(self) -> UpstreamClient:
+        if self._upstreams is None:
+            raise RuntimeError("the host is not running")
+        return self._upstreams
--- /dev/null
+++ b/src/eelgrassyard/daemon/_logs.py
@@ -0,0 +1,47 @@
+"""Log lines as JSON objects; written for changes of state only."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+import time
+
+logger = logging.getLogger("eelgrassyard")
+
+
+class JsonFormatter(logging.Formatter):
+    """One JSON object a line, with ``step`` and ``peer`` where they are known."""
+
+    def __init__(self, *, host: str) -> None:
+        super().__init__()
+        self._host = host
+
+    def format(self, record: logging.LogRecord) -> str:
+        moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        fields: dict[str, object] = {
+            "time": f"{moment}.{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "host": self._host,
+            "step": getattr(record, "step", record.name),
+            "peer": getattr(record, "peer", ""),
+            "message": record.getMessage(),
+        }
+        if record.exc_info:
+            fields["trace"] = self.formatException(record.exc_info)
+        return json.dumps(fields, ensure_ascii=False)
+
+
+def set_up(*, host: str, level: str) -> None:
+    """Write log lines of this process to stderr."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter(host=host))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(logging.WARNING)
+    logger.setLevel(level.upper())
+
+
+def log_change(step: str, message: str, *, peer: str = "", level: int = logging.INFO) -> None:
+    """Write a line about a change of state."""
+    logger.log(level, message, extra={"step": step, "peer": peer})
--- /dev/null
+++ b/src/eelgrassyard/daemon/_loop.py
@@ -0,0 +1,91 @@
+"""Drives the decision core: events in, actions out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import anyio
+
+from ..policy import Action, ConfigView, Event
+from ._clock import Clock
+from ._metrics import Metrics
+
+LONGEST_WAIT_S = 1.0
+"""The core measures gaps of its own host by the time since the last tick, so it ticks at least
+this often."""
+
+
+class Decider(Protocol):
+    """The part of :class:`eelgrassyard.policy.Core` that the loop uses."""
+
+    def tick(self, now: float, inbox: Sequence[Event]) -> list[Action]:
+        """Take events and return actions."""
+
+    def next_wake(self, now: float) -> float:
+        """Time at which the next tick is due."""
+
+
+class CoreLoop:
+    """Ticks the core when events arrive and when a timer of it is due.
+
+    Events that arrive before the loop gets its turn go into one tick.
+
+    :param carry_out: takes the actions of a tick and the time of the tick; must not block.
+    """
+
+    def __init__(
+        self,
+        *,
+        core: Decider,
+        clock: Clock,
+        metrics: Metrics,
+        carry_out: Callable[[float, Sequence[Action]], None],
+    ) -> None:
+        self._core = core
+        self._clock = clock
+        self._metrics = metrics
+        self._carry_out = carry_out
+        self._inbox: list[Event] = []
+        self._arrived = anyio.Event()
+
+    def put(self, event: Event) -> None:
+        """Add an event to the next tick."""
+        self._inbox.append(event)
+        self._arrived.set()
+
+    def tick(self) -> None:
+        """Run one tick with the events that have arrived."""
+        inbox, self._inbox = self._inbox, []
+        self._arrived = anyio.Event()
+        now = self._clock.now()
+        actions = self._core.tick(now, inbox)
+        self._metrics.count("loop.ticks")
+        if inbox:
+            self._metrics.count("loop.events", len(inbox))
+        if actions:
+            self._carry_out(now, actions)
+
+    async def run(self) -> None:
+        """Tick until cancelled.
+
+        An exception of the core ends the process: a table left half changed could start a task
+        twice, while a restart as a new incarnation only makes ids unknown.
+        """
+        while True:
+            self.tick()
+            now = self._clock.now()
+            wait_s = min(self._core.next_wake(now) - now, LONGEST_WAIT_S)
+            if not self._inbox and wait_s > 0:
+                with anyio.move_on_after(wait_s):
+                    await self._arrived.wait()
+            # Callers and peers get a turn between two ticks even if a timer is always due.
+            await anyio.lowlevel.checkpoint()
+
+
+class ConfigSource(Protocol):
+    """Where the configuration in force is read from."""
+
+    @property
+    def configsync(self) -> ConfigView:
+        """The view of the configuration."""
--- /dev/null
+++ b/src/eelgrassyard/daemon/_peer_server.py
@@ -0,0 +1,154 @@
+"""Receives frames from other hosts."""
+
+from __future__ import annotations
+
+import socket
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.tls import TLSListener, TLSStream
+
+from ..policy import PeerReceived
+from ._codec import MAX_FRAME_BYTES, Envelope, FrameError, FrameFault, decode_envelope
+from ._logs import log_change
+from ._metrics import Metrics
+from ._peers import LENGTH, certificate_names
+from ._settings import PeerTlsSettings
+
+FRAME_S = 10.0
+"""Time to send the rest of a frame once its length has arrived."""
+
+BACKLOG = 512
+
+
+class PeerServer:
+    """Accepts connections of other hosts and hands on what they send.
+
+    A frame that cannot be read closes its connection and is counted; nothing else is lost.
+
+    :param received: takes each message in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        tls: ssl.SSLContext | None,
+        max_connections: int,
+        metrics: Metrics,
+        received: Callable[[PeerReceived], None],
+    ) -> None:
+        self._name = name
+        self._tls = tls
+        self._max_connections = max_connections
+        self._metrics = metrics
+        self._received = received
+        self.open_connections = 0
+
+    async def serve(self, listening: socket.socket) -> None:
+        """Accept connections on a bound socket until cancelled."""
+        listening.listen(BACKLOG)
+        listener: Any = await anyio.abc.SocketListener.from_socket(listening)
+        if self._tls is not None:
+            listener = TLSListener(
+                listener, self._tls, standard_compatible=False, handshake_timeout=FRAME_S
+            )
+        async with listener:
+            await listener.serve(self._handle)
+
+    async def _handle(self, stream: anyio.abc.ByteStream) -> None:
+        async with stream:
+            if self.open_connections >= self._max_connections:
+                self._metrics.count("peer.connections_refused")
+                return
+            self.open_connections += 1
+            try:
+                fault = await self._read_frames(stream)
+            finally:
+                self.open_connections -= 1
+        if fault is not None:
+            self._metrics.count(f"peer.frame_{fault.fault.value}")
+            log_change("peer", f"connection closed: {fault.message}")
+
+    async def _read_frames(self, stream: anyio.abc.ByteStream) -> FrameError | None:
+        """Read until the connection ends; returns the fault that ended it, if any."""
+        names = certificate_names(stream) if isinstance(stream, TLSStream) else None
+        buffered = BufferedByteReceiveStream(stream)
+        while True:
+            try:
+                size = LENGTH.unpack(await buffered.receive_exactly(LENGTH.size))[0]
+            except (anyio.IncompleteRead, anyio.EndOfStream):
+                return _truncated("length") if buffered.buffer else None
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                return None
+            if size > MAX_FRAME_BYTES:
+                return FrameError(
+                    fault=FrameFault.OVERSIZED,
+                    message=f"a frame of {size} bytes, at most {MAX_FRAME_BYTES} are allowed",
+                )
+            try:
+                with anyio.fail_after(FRAME_S):
+                    frame = await buffered.receive_exactly(size)
+            except (anyio.IncompleteRead, TimeoutError):
+                return _truncated("frame")
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+                return _truncated("frame")
+            fault = self._take_frame(frame, names)
+            if fault is not None:
+                return fault
+
+    def _take_frame(self, frame: bytes, names: set[str] | None) -> FrameError | None:
+        decoded = decode_envelope(frame)
+        if decoded.is_err():
+            return decoded.unwrap_err()
+        envelope = decoded.unwrap()
+        if names is not None and envelope.sender not in names:
+            return _foreign(f"sender {envelope.sender!r} is not named by its certificate")
+        if envelope.sender == self._name:
+            return _foreign("a frame in the name of this host")
+        self._hand_on(envelope)
+        return None
+
+    def _hand_on(self, envelope: Envelope) -> None:
+        self._metrics.count("peer.frames_received")
+        for message in envelope.messages:
+            self._received(
+                PeerReceived(
+                    sender=envelope.sender, incarnation=envelope.incarnation, message=message
+                )
+            )
+
+
+def make_tls_contexts(
+    settings: PeerTlsSettings | None,
+) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Contexts of mutual TLS for the receiving and the sending side.
+
+    :raises OSError: if a file cannot be read or is not valid.
+    """
+    if settings is None:
+        return None, None
+    contexts = []
+    for protocol in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT):
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        # Hosts are reached by IP number; the name in the certificate is compared with the name
+        # of the host instead.
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_cert_chain(settings.certificate, settings.key)
+        context.load_verify_locations(settings.authorities)
+        contexts.append(context)
+    return contexts[0], contexts[1]
+
+
+def _truncated(part: str) -> FrameError:
+    return FrameError(fault=FrameFault.TRUNCATED, message=f"the connection ended within a {part}")
+
+
+def _foreign(message: str) -> FrameError:
+    return FrameError(fault=FrameFault.MALFORMED, message=message)
--- /dev/null
+++ b/src/eelgrassyard/daemon/_platform.py
@@ -0,0 +1,268 @@
+"""Clients of the platform: the key-value service and the host list."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import anyio
+import xxhash
+
+from ..policy import (
+    HostEntry,
+    HostListRead,
+    ListedHost,
+    ListedUpstream,
+    UpstreamEntry,
+    UpstreamRole,
+)
+from ._connections import AnswerTooLargeError, HttpConnections, HttpReply, LostError, NeverSentError
+from ._logs import log_change
+from ._metrics import Metrics
+from ._settings import HostListSettings, StoreSettings
+
+CALL_TIMEOUT_S = 5.0
+FIRST_BACKOFF_S = 0.2
+LONGEST_BACKOFF_S = 10.0
+REPEAT_LIST_S = 10.0
+"""An unchanged host list is passed on again after this time."""
+
+
+class Backoff:
+    """Growing waits with jitter, so that hosts do not call a returning service all at once."""
+
+    def __init__(self, *, rng: random.Random, longest_s: float = LONGEST_BACKOFF_S) -> None:
+        self._rng = rng
+        self._longest_s = longest_s
+        self.failures = 0
+
+    def reset(self) -> None:
+        """Note a success."""
+        self.failures = 0
+
+    def next_s(self) -> float:
+        """Seconds to wait after one more failure."""
+        self.failures += 1
+        full_s = min(FIRST_BACKOFF_S * 2.0 ** min(self.failures - 1, 20), self._longest_s)
+        return full_s * self._rng.uniform(0.5, 1.0)
+
+
+class _PlatformClient:
+    """Counts calls to one service and logs when it stops and starts answering."""
+
+    def __init__(
+        self, *, name: str, connections: HttpConnections, metrics: Metrics, backoff: Backoff
+    ) -> None:
+        self._name = name
+        self._connections = connections
+        self._metrics = metrics
+        self._backoff = backoff
+
+    async def get(self, path: str, timeout_s: float) -> HttpReply | None:
+        """Call the service; None if there is no answer. 404 and 204 are answers."""
+        self._metrics.count(f"{self._name}.calls")
+        problem = "no answer in time"
+        with anyio.move_on_after(timeout_s):
+            try:
+                reply = await self._connections.request("GET", path)
+                if reply.status in (200, 204, 404):
+                    self._note_answer()
+                    return reply
+                problem = f"status {reply.status}"
+            except (NeverSentError, LostError, AnswerTooLargeError) as error:
+                problem = str(error)
+        self._note_failure(problem)
+        return None
+
+    async def wait_after_failure(self) -> None:
+        """Wait before the next call."""
+        await anyio.sleep(self._backoff.next_s())
+
+    def _note_answer(self) -> None:
+        if self._backoff.failures:
+            log_change(self._name, "answers again")
+        self._backoff.reset()
+
+    def _note_failure(self, problem: str) -> None:
+        self._metrics.count(f"{self._name}.failed")
+        if self._backoff.failures == 0:
+            log_change(self._name, f"does not answer: {problem}")
+
+
+class StoreWatcher:
+    """Watches the configuration key while the core wants it.
+
+    :param found: takes the revision and the document.
+    :param revision: revision in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: StoreSettings,
+        connections: HttpConnections,
+        metrics: Metrics,
+        rng: random.Random,
+        found: Callable[[int, bytes], None],
+        revision: Callable[[], int],
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._found = found
+        self._revision = revision
+        self._client = _PlatformClient(
+            name="store", connections=connections, metrics=metrics, backoff=Backoff(rng=rng)
+        )
+        self._seen_revision = 0
+        self._is_on = False
+        self._changed = anyio.Event()
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def is_on(self) -> bool:
+        """Whether the key is being watched."""
+        return self._is_on
+
+    def switch(self, on: bool) -> None:
+        """Start or stop watching."""
+        if on == self._is_on:
+            return
+        self._is_on = on
+        self._changed.set()
+        if not on and self._scope is not None:
+            self._scope.cancel()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            while not self._is_on:
+                self._changed = anyio.Event()
+                await self._changed.wait()
+            with anyio.CancelScope() as self._scope:
+                await self._watch_once()
+            self._scope = None
+
+    async def _watch_once(self) -> None:
+        after = max(self._seen_revision, self._revision())
+        watch_s = self._settings.watch_s
+        path = f"/watch/{quote(self._settings.key)}?after={after}&timeout_s={watch_s:g}"
+        reply = await self._client.get(path, watch_s + CALL_TIMEOUT_S)
+        if reply is None:
+            await self._client.wait_after_failure()
+        elif reply.status == 200 and not self._take(reply.body):
+            self._metrics.count("store.bad_answer")
+            await self._client.wait_after_failure()
+        elif reply.status == 404:
+            await self._client.wait_after_failure()
+
+    def _take(self, body: bytes) -> bool:
+        try:
+            content = json.loads(body)
+            revision = int(content["revision"])
+            value = content["value"]
+        except (ValueError, KeyError, TypeError):
+            return False
+        document = value if isinstance(value, str) else json.dumps(value, ensure_ascii=False)
+        self._seen_revision = revision
+        self._found(revision, document.encode())
+        return True
+
+
+class HostListPoller:
+    """Reads the host list at an interval; the last list stays in force while there is none."""
+
+    def __init__(
+        self,
+        *,
+        settings: HostListSettings,
+        connections: HttpConnections,
+        metrics: Metrics,
+        rng: random.Random,
+        found: Callable[[HostListRead], None],
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._found = found
+        self._client = _PlatformClient(
+            name="host_list", connections=connections, metrics=metrics, backoff=Backoff(rng=rng)
+        )
+        self._rng = rng
+        self._digest = 0
+        self._passed_on_at = -REPEAT_LIST_S
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            reply = await self._client.get("/hosts", CALL_TIMEOUT_S)
+            if reply is None:
+                await self._client.wait_after_failure()
+                continue
+            self._take(reply)
+            await anyio.sleep(self._settings.poll_s * self._rng.uniform(0.9, 1.1))
+
+    def _take(self, reply: HttpReply) -> None:
+        if reply.status != 200:
+            return
+        now = anyio.current_time()
+        digest = xxhash.xxh64_intdigest(reply.body)
+        if digest == self._digest and now - self._passed_on_at < REPEAT_LIST_S:
+            return
+        listed = read_host_list(reply.body, self._metrics)
+        if listed is not None:
+            self._digest = digest
+            self._passed_on_at = now
+            self._found(listed)
+
+
+def read_host_list(body: bytes, metrics: Metrics) -> HostListRead | None:
+    """Read the platform's list; a bad entry is counted and left out, a bad list is None."""
+    try:
+        items = json.loads(body)["hosts"]
+        if not isinstance(items, list):
+            raise TypeError
+    except (ValueError, KeyError, TypeError):
+        metrics.count("host_list.bad_answer")
+        return None
+    hosts: list[ListedHost] = []
+    upstreams: list[ListedUpstream] = []
+    for item in items:
+        try:
+            leaving = item["state"] == "leaving"
+            if item["role"] == "entry":
+                hosts.append(ListedHost(host=_host_entry(item), leaving=leaving))
+            else:
+                upstreams.append(ListedUpstream(upstream=_upstream_entry(item), leaving=leaving))
+        except (ValueError, KeyError, TypeError):
+            metrics.count("host_list.bad_entry")
+    return HostListRead(hosts=tuple(hosts), upstreams=tuple(upstreams))
+
+
+def _host_entry(item: Any) -> HostEntry:
+    return HostEntry(
+        name=str(item["name"]),
+        address=str(item["address"]),
+        port=int(item["port"]),
+        failure_domain=str(item["failure_domain"]),
+        region=str(item.get("region", "")),
+        weight=float(item.get("weight", 1.0)),
+    )
+
+
+def _upstream_entry(item: Any) -> UpstreamEntry:
+    url = item.get("url") or f"http://{item['address']}:{int(item['port'])}"
+    return UpstreamEntry(
+        name=str(item["name"]),
+        role=UpstreamRole(item["role"]),
+        url=str(url),
+        failure_domain=str(item["failure_domain"]),
+        rack=str(item.get("rack", "")),
+        service=str(item.get("service", "")),
+        slots=int(item.get("slots", 0)),
+        connections=int(item.get("connections", 60)),
+        cores=float(item.get("cores", 0.0)),
+        memory_mb=int(item.get("memory_mb", 0)),
+        accelerators=int(item.get("accelerators", 0)),
+    )
--- /dev/null
+++ b/src/eelgrassyard/daemon/_server.py
@@ -0,0 +1,306 @@
+"""Connections of callers: hypercorn's HTTP/1.1 protocol with bounds on slow and idle clients."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import ssl
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.asyncio.task_group import TaskGroup
+from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
+from hypercorn.asyncio.worker_context import WorkerContext
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol.h11 import H2CProtocolRequiredError, H2ProtocolAssumedError, H11Protocol
+from hypercorn.typing import ConnectionState
+from hypercorn.utils import parse_socket_addr
+
+from ._metrics import Metrics
+from ._settings import HttpSettings, LimitSettings
+
+BACKLOG = 512
+SEND_BUFFER_BYTES = 65_536
+"""Bytes that may wait for a client before sending pauses and its time limit runs."""
+
+Application = Callable[..., Awaitable[None]]
+
+
+class CallerConnection(TCPServer):
+    """One connection of a caller.
+
+    Only HTTP/1.1 is spoken, because a bound on connections would mean little if one connection
+    carried many requests.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: CallerServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        super().__init__(
+            server.wrapper,
+            loop,
+            server.config,
+            server.context,
+            server.lifespan_state,
+            reader,
+            writer,
+        )
+        self._server = server
+        self._timer: asyncio.TimerHandle | None = None
+        self._is_idle = True
+        self._has_partial_request = False
+        self._unsent: list[bytes] = []
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        try:
+            async with TaskGroup(self.loop) as task_group:
+                self._task_group = task_group
+                self.protocol = self._make_protocol(task_group)  # type: ignore[assignment]
+                self._set_idle(True)
+                await self._read_data()
+        except OSError:
+            pass
+        finally:
+            self._stop_timer()
+            self._server.forget(self)
+            self._flush()
+            await self._close()
+
+    def abort(self) -> None:
+        """End the connection without regard to data under way."""
+        self.writer.transport.abort()
+
+    def _make_protocol(self, task_group: TaskGroup) -> H11Protocol:
+        peer = self.writer.get_extra_info("socket")
+        return H11Protocol(
+            self.app,
+            self.config,
+            self.context,
+            task_group,
+            ConnectionState(self.state),
+            self.writer.get_extra_info("ssl_object") is not None,
+            parse_socket_addr(peer.family, self.writer.get_extra_info("peername") or ("", 0)),
+            parse_socket_addr(peer.family, self.writer.get_extra_info("sockname")),
+            self.protocol_send,
+        )
+
+    async def protocol_send(self, event: Event) -> None:
+        """Carry out what the protocol asks for."""
+        if isinstance(event, RawData):
+            await self._write(event.data)
+        elif isinstance(event, Closed):
+            self._flush()
+            await self._close()
+        elif isinstance(event, Updated):
+            self._flush()
+            self._set_idle(event.idle)
+
+    async def _write(self, data: bytes) -> None:
+        """Collect the parts of an answer, so that a small one is sent by one system call."""
+        self._unsent.append(data)
+        if len(data) < SEND_BUFFER_BYTES:
+            if len(self._unsent) == 1:
+                self.loop.call_soon(self._flush)
+            return
+        self._flush()
+        if self.writer.transport.get_write_buffer_size() <= SEND_BUFFER_BYTES:
+            return
+        try:
+            await asyncio.wait_for(self.writer.drain(), self._server.limits.request_s)
+        except TimeoutError:
+            self._server.metrics.count("http.slow_receiver")
+            self.abort()
+        except (ConnectionError, RuntimeError):
+            await self.protocol.handle(Closed())
+
+    def _flush(self) -> None:
+        if self._unsent:
+            data = b"".join(self._unsent)
+            self._unsent.clear()
+            if not self.writer.transport.is_closing():
+                self.writer.write(data)
+
+    async def _read_data(self) -> None:
+        while not self.reader.at_eof():
+            try:
+                data = await self.reader.read(MAX_RECV)
+            except (OSError, ssl.SSLError):
+                break
+            if self._is_idle and not self._has_partial_request and data:
+                self._has_partial_request = True
+                self._restart_timer(self._server.limits.request_s)
+            try:
+                await self.protocol.handle(RawData(data))
+            except (H2CProtocolRequiredError, H2ProtocolAssumedError):
+                self._server.metrics.count("http.not_http11")
+                break
+        await self.protocol.handle(Closed())
+
+    def _set_idle(self, idle: bool) -> None:
+        self._is_idle = idle
+        self._has_partial_request = False
+        self._server.note_idle(self, idle)
+        if not idle:
+            self._stop_timer()
+        elif self._server.is_stopping:
+            self.writer.close()
+        else:
+            self._restart_timer(self._server.limits.keep_alive_s)
+
+    def _restart_timer(self, seconds: float) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(seconds, self._expire)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _expire(self) -> None:
+        if self._has_partial_request:
+            self._server.metrics.count("http.slow_header")
+        self.writer.transport.abort()
+
+
+class CallerServer:
+    """Accepts connections of callers and bounds their number.
+
+    When all connections are taken, the one that has been without a request for the longest time
+    makes room, so silent clients cannot keep others out.
+    """
+
+    def __init__(
+        self,
+        *,
+        application: Any,
+        settings: HttpSettings,
+        limits: LimitSettings,
+        metrics: Metrics,
+    ) -> None:
+        self.wrapper = ASGIWrapper(application)
+        self.config = make_config(settings, limits)
+        self.context = WorkerContext(None)
+        self.lifespan_state: dict[str, Any] = {}
+        self.limits = limits
+        self.metrics = metrics
+        self.is_stopping = False
+        self._connections: set[CallerConnection] = set()
+        self._idle: OrderedDict[CallerConnection, None] = OrderedDict()
+        self._all_closed = anyio.Event()
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """Connections open now."""
+        return len(self._connections)
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        if self._listener is None:
+            raise RuntimeError("the server has not started")
+        return int(self._listener.sockets[0].getsockname()[1])
+
+    async def start(self, listening: socket.socket) -> None:
+        """Accept connections on a bound socket."""
+        context = self.config.create_ssl_context()
+        self._listener = await asyncio.start_server(
+            self._serve,
+            sock=listening,
+            backlog=BACKLOG,
+            ssl=context,
+            ssl_handshake_timeout=self.limits.request_s if context else None,
+        )
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop accepting, let answers under way finish for up to ``grace_s`` seconds, close."""
+        self.is_stopping = True
+        await self.context.terminated.set()
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._idle):
+            connection.writer.close()
+        with anyio.move_on_after(grace_s):
+            while self._connections:
+                self._all_closed = anyio.Event()
+                await self._all_closed.wait()
+        for connection in list(self._connections):
+            connection.abort()
+
+    def forget(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+        self._connections.discard(connection)
+        self._idle.pop(connection, None)
+        self._all_closed.set()
+
+    def note_idle(self, connection: CallerConnection, idle: bool) -> None:
+        """Note whether a connection has a request."""
+        self._idle.pop(connection, None)
+        if idle:
+            self._idle[connection] = None
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_stopping or not self._make_room():
+            self.metrics.count("http.connections_refused")
+            writer.transport.abort()
+            return
+        connection = CallerConnection(server=self, reader=reader, writer=writer)
+        self._connections.add(connection)
+        await connection.run()
+
+    def _make_room(self) -> bool:
+        if len(self._connections) < self.limits.connections:
+            return True
+        if not self._idle:
+            return False
+        oldest = next(iter(self._idle))
+        self.metrics.count("http.connections_evicted")
+        oldest.abort()
+        self.forget(oldest)
+        return True
+
+
+def make_config(settings: HttpSettings, limits: LimitSettings) -> Config:
+    """Hypercorn's configuration."""
+    config = Config()
+    config.include_server_header = False
+    config.errorlog = None
+    config.h11_max_incomplete_size = limits.header_bytes
+    # The protocol must never wait for an application that has already answered: a bounded queue
+    # that nobody reads would keep the connection for ever.
+    config.max_app_queue_size = 0
+    config.alpn_protocols = ["http/1.1"]
+    if settings.tls is not None:
+        config.certfile = settings.tls.certificate
+        config.keyfile = settings.tls.key
+        if settings.tls.authorities is not None:
+            config.ca_certs = settings.tls.authorities
+            config.verify_mode = ssl.CERT_REQUIRED
+    return config
+
+
+def bind(address: str, port: int) -> socket.socket:
+    """Bind a listening socket.
+
+    :raises OSError: if the address is not available.
+    """
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setblocking(False)
+        listening.bind((address, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
--- /dev/null
+++ b/src/eelgrassyard/daemon/_settings.py
@@ -0,0 +1,226 @@
+"""Settings of a host: a JSON file with comments.
+
+Every error names the file, the key, the value and what is allowed.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import pathlib
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+from urllib.parse import urlsplit
+
+import json5
+import result
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+MAX_SETTINGS_BYTES = 100_000
+SECRET_KEYS = frozenset({"id_key"})
+"""Keys whose values never appear in an error message."""
+
+MAX_SHOWN_VALUE = 80
+
+
+def _check_ip(value: str) -> str:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError("must be an IP number such as 10.0.0.1") from None
+    return value
+
+
+def _check_url(value: str) -> str:
+    parts = urlsplit(value)
+    allowed = "must be http://IP:PORT or https://IP:PORT without a path"
+    try:
+        ipaddress.ip_address(parts.hostname or "")
+        port = parts.port
+    except ValueError:
+        raise ValueError(allowed) from None
+    if parts.scheme not in ("http", "https") or port is None or parts.path or parts.query:
+        raise ValueError(allowed)
+    return value
+
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9](?:[a-z0-9._-]{0,62}[a-z0-9])?$")]
+Ip = Annotated[str, AfterValidator(_check_ip)]
+Url = Annotated[str, AfterValidator(_check_url)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+"""Port 0 lets the system choose a free port; useful for tests only."""
+
+Seconds = Annotated[float, Field(gt=0, le=3600)]
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, allow_inf_nan=False, frozen=True)
+
+
+class TlsSettings(_Strict):
+    """Files in PEM format.
+
+    :param authorities: certificates that clients are checked against; without it no client
+        certificate is asked for.
+    """
+
+    certificate: str
+    key: str
+    authorities: str | None = None
+
+
+class PeerTlsSettings(_Strict):
+    """Mutual TLS between hosts; a host's certificate names the host as its common name."""
+
+    certificate: str
+    key: str
+    authorities: str
+
+
+class HttpSettings(_Strict):
+    """The interface towards callers and operators."""
+
+    address: Ip
+    port: Port
+    tls: TlsSettings | None = None
+
+
+class PeerSettings(_Strict):
+    """The interface towards other hosts."""
+
+    address: Ip
+    port: Port
+    tls: PeerTlsSettings | None = None
+
+
+class StoreSettings(_Strict):
+    """The platform's key-value service and the key of the site configuration."""
+
+    url: Url
+    key: Annotated[str, Field(pattern=r"^[A-Za-z0-9._/-]{1,200}$")]
+    watch_s: Annotated[float, Field(ge=1, le=60)] = 30.0
+
+
+class HostListSettings(_Strict):
+    """The platform's list of hosts."""
+
+    url: Url
+    poll_s: Annotated[float, Field(ge=0.1, le=60)] = 1.0
+
+
+class StatsdSettings(_Strict):
+    """Where metrics are sent by UDP."""
+
+    address: Ip
+    port: Annotated[int, Field(ge=1, le=65535)]
+    prefix: Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,100}$")] = "eelgrassyard"
+
+
+class LimitSettings(_Strict):
+    """Bounds of the host; times in seconds, sizes in bytes.
+
+    :param request_s: time that a client has to send a request.
+    :param keep_alive_s: time for which a connection without a request stays open.
+    :param connection_share: largest part of the connections on which one caller may have calls.
+    :param idle_connections: connections kept open to each upstream while not in use.
+    :param idle_s: time for which they are kept; must be shorter than the upstream keeps them.
+    """
+
+    connections: Annotated[int, Field(ge=4, le=100_000)] = 512
+    connection_share: Annotated[float, Field(gt=0, le=1)] = 0.5
+    request_s: Seconds = 10.0
+    keep_alive_s: Seconds = 75.0
+    header_bytes: Annotated[int, Field(ge=1_000, le=1_000_000)] = 16_384
+    connect_s: Seconds = 2.0
+    answer_bytes: Annotated[int, Field(ge=1_000, le=100_000_000)] = 2_000_000
+    idle_connections: Annotated[int, Field(ge=0, le=1_000)] = 4
+    idle_s: Seconds = 2.0
+    peer_queue_messages: Annotated[int, Field(ge=10, le=1_000_000)] = 10_000
+    peer_connections: Annotated[int, Field(ge=1, le=100_000)] = 256
+    drain_s: Seconds = 120.0
+
+
+class Settings(_Strict):
+    """All settings of a host."""
+
+    name: Name
+    failure_domain: Name
+    region: Name | Literal[""] = ""
+    weight: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    id_key: Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+    http: HttpSettings
+    peer: PeerSettings
+    store: StoreSettings
+    host_list: HostListSettings
+    statsd: StatsdSettings | None = None
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    usage_poll_s: Seconds = 2.0
+    limits: LimitSettings = LimitSettings()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SettingsError:
+    """Why settings were refused.
+
+    :param peer: the settings file.
+    """
+
+    message: str
+    peer: str
+    step: str = "settings"
+
+    def __str__(self) -> str:
+        return f"{self.peer}: {self.message}"
+
+
+def read_settings(path: str) -> result.Result[Settings, SettingsError]:
+    """Read and check a settings file."""
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        return _refuse(path, f"cannot be read: {error.strerror}")
+    if len(content) > MAX_SETTINGS_BYTES:
+        return _refuse(path, f"{len(content)} bytes, at most {MAX_SETTINGS_BYTES} are allowed")
+    return parse_settings(content, path)
+
+
+def parse_settings(content: bytes, path: str) -> result.Result[Settings, SettingsError]:
+    """Check the content of a settings file.
+
+    :param path: name of the file for messages.
+    """
+    try:
+        values = json5.loads(content.decode(), allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        return _refuse(path, f"not JSON with comments: {_one_line(str(error))}")
+    if not isinstance(values, dict):
+        return _refuse(path, "must be an object of settings")
+    try:
+        return result.Ok(Settings.model_validate(values))
+    except ValidationError as error:
+        problems = [_describe(problem) for problem in error.errors(include_url=False)]
+        return _refuse(path, "; ".join(problems))
+
+
+def _refuse(path: str, message: str) -> result.Err[SettingsError]:
+    return result.Err(SettingsError(peer=path, message=message))
+
+
+def _describe(problem: Any) -> str:
+    key = ".".join(str(part) for part in problem["loc"])
+    if problem["type"] == "missing":
+        return f"{key}: is missing"
+    if problem["type"] == "extra_forbidden":
+        return f"{key}: is not a known setting"
+    allowed = problem["msg"].removeprefix("Value error, ")
+    return f"{key}: {_show(key, problem['input'])}: {_one_line(allowed)}"
+
+
+def _show(key: str, value: Any) -> str:
+    if key in SECRET_KEYS:
+        return "(value hidden)"
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN_VALUE else text[:MAX_SHOWN_VALUE] + "..."
+
+
+def _one_line(text: str) -> str:
+    return " ".join(text.split())
--- /dev/null
+++ b/src/eelgrassyard/daemon/_upstream_client.py
@@ -0,0 +1,310 @@
+"""Starts and controls tasks on upstreams."""
+
+from __future__ import annotations
+
+import json
+import math
+import ssl
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NoReturn
+from urllib.parse import quote
+
+import anyio
+import anyio.abc
+
+from ..policy import (
+    Control,
+    ControlTask,
+    Event,
+    RenewLeases,
+    StartFinished,
+    StartResult,
+    StartTask,
+    UpstreamRole,
+    UsageEntry,
+    UsageReported,
+)
+from ._clock import Clock
+from ._connections import AnswerTooLargeError, HttpConnections, HttpReply, LostError, NeverSentError
+from ._metrics import Metrics
+from ._settings import LimitSettings
+
+NOT_STARTED_HEADER = "eelgrassyard-not-started"
+LEAVING_HEADER = "eelgrassyard-leaving"
+TASK_HEADER = "eelgrassyard-task"
+CONTROL_TIMEOUT_S = 5.0
+MAX_MESSAGE_BYTES = 500
+
+
+@dataclass(slots=True, kw_only=True)
+class RunningStart:
+    """A start that has no end yet."""
+
+    action: StartTask
+    role: UpstreamRole
+    scope: anyio.CancelScope
+    stop_asked: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamAddress:
+    """How an upstream is reached."""
+
+    url: str
+    role: UpstreamRole
+
+
+class UpstreamClient:
+    """Carries out the actions of the core that concern upstreams.
+
+    :param address_of: address of an upstream by name, or None if it is not known.
+    :param put: takes events for the core.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: anyio.abc.TaskGroup,
+        address_of: Callable[[str], UpstreamAddress | None],
+        put: Callable[[Event], None],
+        clock: Clock,
+        limits: LimitSettings,
+        metrics: Metrics,
+    ) -> None:
+        self._group = group
+        self._address_of = address_of
+        self._put = put
+        self._clock = clock
+        self._limits = limits
+        self._metrics = metrics
+        self._tls = ssl.create_default_context()
+        self._connections_by_url: dict[str, HttpConnections] = {}
+        self._start_by_number: dict[int, RunningStart] = {}
+
+    @property
+    def running(self) -> int:
+        """Starts that have no end yet."""
+        return len(self._start_by_number)
+
+    def start(self, decided_at: float, action: StartTask) -> None:
+        """Start a task; the end is reported as StartFinished.
+
+        :param decided_at: time of the tick that decided the start.
+        """
+        address = self._address_of(action.upstream)
+        if address is None:
+            self._metrics.count("upstream.unknown")
+            self._put(_finished(action, StartResult.NOT_STARTED, b"unknown upstream", refused=True))
+            return
+        running = RunningStart(action=action, role=address.role, scope=anyio.CancelScope())
+        self._start_by_number[action.start] = running
+        self._group.start_soon(self._run_start, decided_at, running, address)
+
+    def control(self, action: ControlTask) -> None:
+        """Stop, checkpoint, throttle or resume a task."""
+        running = self._start_by_number.get(action.start)
+        if action.control is Control.STOP and running is not None:
+            running.stop_asked = True
+            if running.role is UpstreamRole.RUNNER:
+                running.scope.cancel()
+                return
+        address = self._address_of(action.upstream)
+        if address is None or address.role is UpstreamRole.RUNNER:
+            return
+        task = quote(f"{action.submission_id}/{action.index}", safe="/")
+        self._group.start_soon(
+            self._send_control, address.url, f"/tasks/{task}/{action.control.value}", b"{}"
+        )
+
+    def renew(self, action: RenewLeases) -> None:
+        """Renew leases on a worker."""
+        address = self._address_of(action.upstream)
+        if address is not None:
+            content = json.dumps({"tasks": action.tasks, "lease_s": action.lease_s}).encode()
+            self._group.start_soon(self._send_control, address.url, "/leases", content)
+
+    async def read_usage(self, upstream: str) -> None:
+        """Ask a worker for its usage report and pass it to the core."""
+        address = self._address_of(upstream)
+        if address is None:
+            return
+        reply = await self._send_control(address.url, "/usage", b"", method="GET")
+        if reply is None or reply.status != 200:
+            return
+        try:
+            tasks = tuple(_usage_entry(item) for item in json.loads(reply.body)["tasks"])
+        except (ValueError, KeyError, TypeError):
+            self._metrics.count("upstream.bad_usage")
+            return
+        self._put(UsageReported(upstream=upstream, tasks=tasks))
+
+    async def close_idle(self) -> None:
+        """Close connections that have not been used for a while."""
+        for url, connections in list(self._connections_by_url.items()):
+            await connections.close_expired()
+            if not connections.idle and not connections.in_use:
+                self._connections_by_url.pop(url, None)
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for connections in self._connections_by_url.values():
+            await connections.close()
+
+    def dump(self) -> dict[str, object]:
+        """Connections by upstream URL."""
+        return {
+            url: {"idle": connections.idle, "in_use": connections.in_use}
+            for url, connections in sorted(self._connections_by_url.items())
+        }
+
+    def _connections(self, url: str) -> HttpConnections:
+        connections = self._connections_by_url.get(url)
+        if connections is None:
+            connections = self._connections_by_url[url] = HttpConnections(
+                url=url,
+                tls=self._tls,
+                connect_s=self._limits.connect_s,
+                idle_s=self._limits.idle_s,
+                max_idle=self._limits.idle_connections,
+                max_answer_bytes=self._limits.answer_bytes,
+            )
+        return connections
+
+    async def _run_start(
+        self, decided_at: float, running: RunningStart, address: UpstreamAddress
+    ) -> None:
+        action = running.action
+        began = time.monotonic()
+        event: StartFinished | None = None
+        with running.scope as scope, anyio.move_on_after(action.timeout_s):
+            event = await self._try_start(decided_at, running, address)
+        if event is None and scope.cancelled_caught and running.stop_asked:
+            event = _finished(action, StartResult.STOPPED, b"stopped")
+        elif event is None:
+            event = _finished(action, StartResult.LOST, b"no answer in time")
+        del self._start_by_number[action.start]
+        self._metrics.count(f"upstream.{event.result.name.lower()}")
+        self._put(
+            StartFinished(
+                start=event.start,
+                upstream=event.upstream,
+                result=event.result,
+                run_s=time.monotonic() - began,
+                payload=event.payload,
+                leaving=event.leaving,
+                refused_by_connect=event.refused_by_connect,
+            )
+        )
+
+    async def _try_start(
+        self, decided_at: float, running: RunningStart, address: UpstreamAddress
+    ) -> StartFinished:
+        action = running.action
+        # The process may have been paused between the decision and now; by then the witness may
+        # have reported the submission as not run.
+        if self._clock.now() - decided_at > action.lease_s:
+            return _finished(action, StartResult.NOT_STARTED, b"decided too long ago")
+        path, headers, content = _request_of(action, address.role)
+        try:
+            reply = await self._connections(address.url).request(
+                "POST", path, headers=headers, content=content
+            )
+        except NeverSentError as error:
+            return _finished(action, StartResult.NOT_STARTED, str(error).encode(), refused=True)
+        except LostError as error:
+            return _finished(action, StartResult.LOST, str(error).encode())
+        except AnswerTooLargeError as error:
+            return _finished(action, StartResult.FAILED, str(error).encode())
+        return _read_reply(action, reply, stop_asked=running.stop_asked)
+
+    async def _send_control(
+        self, url: str, path: str, content: bytes, method: str = "POST"
+    ) -> HttpReply | None:
+        """Send a call whose loss is harmless, because it is repeated or bounded by a lease."""
+        with anyio.move_on_after(CONTROL_TIMEOUT_S):
+            try:
+                return await self._connections(url).request(method, path, content=content)
+            except (NeverSentError, LostError, AnswerTooLargeError):
+                pass
+        self._metrics.count("upstream.control_failed")
+        return None
+
+
+def _request_of(action: StartTask, role: UpstreamRole) -> tuple[str, dict[str, str], bytes]:
+    task = f"{action.submission_id}/{action.index}"
+    if role is UpstreamRole.RUNNER:
+        return f"/run/{quote(action.kind, safe='')}", {TASK_HEADER: task}, action.payload
+    fields = {
+        "task": task,
+        "fence": {
+            "owner": action.fence.owner,
+            "incarnation": action.fence.incarnation,
+            "sequence": action.fence.sequence,
+        },
+        "lease_s": action.lease_s,
+        "cores": action.cores,
+        "memory_mb": action.memory_mb,
+        "accelerators": action.accelerators,
+        "kind": action.kind,
+    }
+    head = json.dumps(fields)
+    return "/tasks", {}, head[:-1].encode() + b',"payload":' + action.payload + b"}"
+
+
+def _read_reply(action: StartTask, reply: HttpReply, *, stop_asked: bool) -> StartFinished:
+    leaving = reply.headers.get(LEAVING_HEADER) == "1"
+    if reply.status == 200:
+        if _is_json(reply.body):
+            return _finished(action, StartResult.OK, reply.body, leaving=leaving)
+        return _finished(action, StartResult.FAILED, b"the answer is not JSON", leaving=leaving)
+    if reply.status == 503 and reply.headers.get(NOT_STARTED_HEADER) == "1":
+        return _finished(action, StartResult.NOT_STARTED, b"refused", leaving=leaving)
+    result = StartResult.STOPPED if stop_asked else StartResult.FAILED
+    message = f"status {reply.status}: ".encode() + reply.body[:MAX_MESSAGE_BYTES]
+    return _finished(action, result, message, leaving=leaving)
+
+
+def _finished(
+    action: StartTask,
+    result: StartResult,
+    payload: bytes,
+    *,
+    leaving: bool = False,
+    refused: bool = False,
+) -> StartFinished:
+    return StartFinished(
+        start=action.start,
+        upstream=action.upstream,
+        result=result,
+        run_s=0.0,
+        payload=payload,
+        leaving=leaving,
+        refused_by_connect=refused,
+    )
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise ValueError(name)
+
+
+def _is_json(body: bytes) -> bool:
+    """Tell whether the body may stand in the answer to a caller as it is."""
+    try:
+        json.loads(body.decode(), parse_constant=_refuse_constant)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
+def _usage_entry(item: Any) -> UsageEntry:
+    cores = float(item["cores"])
+    if not math.isfinite(cores):
+        raise ValueError("cores")
+    return UsageEntry(
+        task=str(item["task"]),
+        kind=str(item["kind"]),
+        cores=cores,
+        memory_mb=int(item["memory_mb"]),
+    )
