Test the scheduler and the table of upstreams; weight waits against run times

Cause: a task that waits for a fast slot delays the tasks behind it, so waiting whenever it is shorter for the task itself raises the mean above that of least local in-flight at load 0.95. Change: waiting time counts ten times in the choice; tests with any order of messages.

--- a/src/eelgrassyard/policy/_classes.py
+++ b/src/eelgrassyard/policy/_classes.py
@@ -11,6 +11,10 @@
 WAIT = ""
 """Result of a choice: a free slot exists, but waiting for a faster one is shorter."""
 
+WAIT_WEIGHT = 10.0
+"""Weight of waiting time against run time. A task that waits also delays the tasks behind it, which
+its own wait does not show."""
+
 LAST_RESORT = speed_class(MIN_SPEED) + 1
 """Class of upstreams that fail but that the ejection floor keeps in use."""
 
@@ -104,7 +108,7 @@
                     return name
             rate += entry.rate
             if rate > 0.0:
-                wait_cost = min(wait_cost, (ahead + 1) / rate + run_s)
+                wait_cost = min(wait_cost, WAIT_WEIGHT * (ahead + 1) / rate + run_s)
         return None
 
     def _enter(self, number: int) -> SpeedClass:
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -91,7 +91,8 @@
         self._maintain_at = -math.inf
         self._quota_at = math.inf
         self._dirty = False
-        self._mine = False
+        self._opened = False
+        self._mine = True
         self._lost_at = math.inf
         self.has_news = False
 
@@ -209,10 +210,9 @@
         return bool(self.grants) or bool(self.parked) or len(self.queue) > 0
 
     def _open(self, now: float) -> None:
-        if self._ready_at == math.inf:
-            others = len(self._context.membership.alive_hosts(self.scope.failure_domain)) > 1
-            self._ready_at = now + REBUILD_GRACE_S if others else now
-            self._mine = True
+        if not self._opened:
+            self._opened = True
+            self._ready_at = min(self._ready_at, now + REBUILD_GRACE_S)
 
     def _is_ready(self, now: float) -> bool:
         if now >= self._ready_at:
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,638 @@
+"""The pool scheduler: grants, refusals, rebuild, and messages in any order."""
+
+import itertools
+import random
+
+import pytest
+from bench.pool_site import (
+    DOMAINS,
+    KINDS,
+    POOL,
+    FixedMembership,
+    make_config,
+    make_runners,
+    make_scheduler,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassyard.policy import (
+    HeldPlace,
+    HostListRead,
+    ListedUpstream,
+    PeerReceived,
+    Reason,
+    Release,
+    Scope,
+    Send,
+    SiteConfig,
+    SlotAsk,
+    SlotGrant,
+    SlotHeld,
+    SlotRefusal,
+    SlotRelease,
+    SlotWithdraw,
+    SpeedDigest,
+    StartResult,
+    TaskSize,
+    UpstreamEntry,
+    UpstreamRole,
+    Urgency,
+)
+from eelgrassyard.policy._pool import GRANT_MARGIN_S, MOVED_GRACE_S, REBUILD_GRACE_S
+from eelgrassyard.policy._pools import pool_for, pool_name, pool_scope
+
+KIND = KINDS[0].name
+HOSTS = ("host-0", "host-1", "host-2")
+
+
+class Site:
+    """A scheduler with owners that keep what they are told."""
+
+    def __init__(self, *, runners: int = 3, slots: int = 2, hosts=HOSTS, config=None) -> None:
+        if config is None:
+            config = make_config(make_runners(runners, slots=slots)[0])
+        self.config = config
+        self.membership = FixedMembership(hosts)
+        self.scheduler = make_scheduler(config, self.membership, name=hosts[0])
+        self.now = 1000.0
+        self.grants: dict[int, tuple[str, SlotGrant, int, str]] = {}
+        self.refusals: list[tuple[str, SlotRefusal]] = []
+        self.sent: list[Send] = []
+
+    def tell(self, *messages, sender: str = "host-1", incarnation: int = 1) -> list:
+        """Hand messages over in one tick; returns the messages sent."""
+        return self.tick(
+            PeerReceived(sender=sender, incarnation=incarnation, message=m) for m in messages
+        )
+
+    def tick(self, events=()) -> list:
+        out = []
+        for event in events:
+            self.scheduler.handle(self.now, event, out)
+        self.scheduler.advance(self.now, out)
+        sends = [action for action in out if isinstance(action, Send)]
+        for send in sends:
+            if isinstance(send.message, SlotGrant):
+                for place in send.message.placements:
+                    self.grants[place.grant] = (
+                        send.to,
+                        send.message,
+                        place.index,
+                        place.upstream,
+                    )
+            elif isinstance(send.message, SlotRefusal):
+                self.refusals.append((send.to, send.message))
+        self.sent.extend(sends)
+        return [send.message for send in sends]
+
+    def wait(self, seconds: float) -> list:
+        """Advance the clock by the scheduler's own timers."""
+        end = self.now + seconds
+        sent = []
+        while True:
+            self.now = min(end, max(self.scheduler.next_wake(self.now), self.now + 1e-3))
+            sent.extend(self.tick())
+            if self.now >= end:
+                return sent
+
+    def open(self) -> None:
+        """Let the pause after the first ask of a new scheduler pass."""
+        self.tell(SlotWithdraw(submission_id="none", pool=POOL))
+        for host in HOSTS:
+            self.tell(SlotHeld(pool=POOL, places=()), sender=host)
+
+    @property
+    def pool(self):
+        return self.scheduler.pools_by_name[POOL]
+
+    def in_use(self) -> dict[str, int]:
+        return {name: len(u.starts) for name, u in self.pool.table.by_name.items()}
+
+    def release(self, number: int, result=StartResult.OK, run_s=0.1, leaving=False):
+        owner, _, _, upstream = self.grants.pop(number)
+        return owner, SlotRelease(
+            pool=POOL,
+            releases=(
+                Release(
+                    grant=number,
+                    upstream=upstream,
+                    kind=KIND,
+                    result=result,
+                    run_s=run_s,
+                    leaving=leaving,
+                ),
+            ),
+        )
+
+
+def make_ask(submission: str, count: int = 1, **fields) -> SlotAsk:
+    defaults = {
+        "pool": POOL,
+        "caller": "caller",
+        "team": "team",
+        "kind": KIND,
+        "urgency": Urgency.NORMAL,
+        "deadline_s": 30.0,
+    }
+    return SlotAsk(
+        submission_id=submission,
+        tasks=tuple(TaskSize(index=i) for i in range(count)),
+        **(defaults | fields),
+    )
+
+
+def test_pool_names_follow_the_scope():
+    """Guards against owners and schedulers naming a pool differently."""
+    config = make_config([])
+    assert pool_for(config, KIND, "patan") == POOL
+    scoped = SiteConfig(
+        site="s",
+        failure_domains=DOMAINS,
+        scope=Scope.FAILURE_DOMAIN,
+        kinds_by_name=config.kinds_by_name,
+    )
+    assert pool_for(scoped, KIND, "patan") == POOL + "@patan"
+    for service, domain in itertools.product(("", "ledger", "workers"), (None, "patan")):
+        scope = pool_scope(pool_name(service, domain))
+        assert (scope.service, scope.failure_domain) == (service, domain)
+
+
+def test_ask_is_granted_up_to_the_slots_and_the_rest_on_release():
+    """Guards against more grants than slots, and against a queue that is not served."""
+    site = Site(runners=3, slots=2)
+    site.open()
+    site.tell(make_ask("s", 10))
+    assert len(site.grants) == 6
+    for number in list(site.grants):
+        owner, release = site.release(number)
+        site.tell(release, sender=owner)
+    assert len(site.grants) == 4
+    assert {index for _, _, index, _ in site.grants.values()} == {6, 7, 8, 9}
+
+
+def test_grant_carries_the_record_and_the_attempt():
+    """Guards against an owner waiting for an acknowledgement that the witness has given."""
+    site = Site()
+    site.open()
+    (grant,) = site.tell(make_ask("s", attempt=3))
+    assert grant.recorded and grant.attempt == 3
+
+
+def test_duplicate_ask_is_not_granted_twice():
+    """Guards against a duplicated message using two slots."""
+    site = Site()
+    site.open()
+    ask = make_ask("s")
+    site.tell(ask, ask)
+    site.tell(ask)
+    assert len(site.grants) == 1
+
+
+def test_repeated_ask_gets_the_same_grant_again():
+    """Guards against a lost grant holding a slot while the task takes another."""
+    site = Site()
+    site.open()
+    (first,) = site.tell(make_ask("s"))
+    (second,) = site.tell(make_ask("s", attempt=1))
+    assert [p.grant for p in first.placements] == [p.grant for p in second.placements]
+    assert sum(site.in_use().values()) == 1
+
+
+def test_repeat_after_a_refused_start_gets_a_new_grant_in_any_order():
+    """Guards against an ended grant being sent again when the ask precedes the release."""
+    site = Site()
+    site.open()
+    site.tell(make_ask("s"))
+    (number,) = site.grants
+    _, release = site.release(number, StartResult.NOT_STARTED)
+    (grant,) = site.tell(make_ask("s", attempt=1), release)
+    assert grant.placements[0].grant != number
+
+
+def test_repeat_that_avoids_its_upstream_moves():
+    """Guards against a task sent again to the upstream that failed it."""
+    site = Site()
+    site.open()
+    (first,) = site.tell(make_ask("s"))
+    upstream = first.placements[0].upstream
+    (second,) = site.tell(make_ask("s", attempt=1, avoid=(upstream,)))
+    assert second.placements[0].upstream != upstream
+    assert sum(site.in_use().values()) == 1
+
+
+def test_withdrawn_tasks_are_not_granted():
+    """Guards against grants for cancelled submissions."""
+    site = Site(runners=1, slots=1)
+    site.open()
+    site.tell(make_ask("a"))
+    site.tell(make_ask("b", 3))
+    site.tell(SlotWithdraw(submission_id="b", pool=POOL))
+    owner, release = site.release(next(iter(site.grants)))
+    assert site.tell(release, sender=owner) == []
+
+
+def test_withdrawal_that_overtakes_its_ask_wins():
+    """Guards against a reordered ask of a cancelled submission."""
+    site = Site()
+    site.open()
+    site.tell(SlotWithdraw(submission_id="s", pool=POOL))
+    assert site.tell(make_ask("s")) == []
+
+
+def test_unknown_pool_is_refused():
+    """Guards against an ask that waits for a pool that does not exist."""
+    site = Site()
+    (refusal,) = site.tell(make_ask("s", pool="service:other"))
+    assert refusal.reason is Reason.NO_UPSTREAM
+
+
+def test_no_configuration_is_refused_as_not_ready():
+    """Guards against a permanent refusal from a host that has just started."""
+    site = Site()
+    site.scheduler._config.current = None
+    (refusal,) = site.tell(make_ask("s"))
+    assert refusal.reason is Reason.NOT_READY
+
+
+def test_ask_is_refused_when_its_deadline_passes():
+    """Guards against a caller that waits for a refusal that never comes."""
+    site = Site(runners=1, slots=1)
+    site.open()
+    site.tell(make_ask("a"))
+    site.tell(make_ask("b", deadline_s=0.5))
+    site.wait(1.0)
+    assert [(r.submission_id, r.reason) for _, r in site.refusals] == [("b", Reason.DEADLINE)]
+
+
+def test_all_upstreams_leaving_is_refused():
+    """Guards against work queued for a pool that nothing serves."""
+    site = Site()
+    entries = list(site.config.upstreams_by_name.values())
+    leaving = HostListRead(
+        hosts=(), upstreams=tuple(ListedUpstream(upstream=e, leaving=True) for e in entries)
+    )
+    site.open()
+    site.tick([leaving])
+    (refusal,) = site.tell(make_ask("s"))
+    assert refusal.reason is Reason.NO_UPSTREAM
+
+
+@pytest.mark.parametrize("source", ["list", "release"])
+def test_leaving_upstream_gets_no_grant(source):
+    """Guards against new work for a leaving upstream, by either evidence."""
+    site = Site(runners=2, slots=2)
+    site.open()
+    site.tell(make_ask("a", 4))
+    if source == "list":
+        entries = site.config.upstreams_by_name.values()
+        items = tuple(ListedUpstream(upstream=e, leaving=e.name == "runner-0") for e in entries)
+        site.tick([HostListRead(hosts=(), upstreams=items)])
+    else:
+        number = next(n for n, g in site.grants.items() if g[3] == "runner-0")
+        owner, release = site.release(number, leaving=True)
+        site.tell(release, sender=owner)
+    for number in list(site.grants):
+        owner, release = site.release(number)
+        site.tell(release, sender=owner)
+    site.tell(make_ask("b", 8))
+    assert {g[3] for g in site.grants.values()} == {"runner-1"}
+
+
+def test_grants_of_a_dead_owner_are_freed():
+    """Guards against slots that stay in use after their owner died."""
+    site = Site(runners=1, slots=2)
+    site.open()
+    site.tell(make_ask("a", 2))
+    site.grants.clear()
+    site.membership.dead.add("host-1")
+    site.tell(make_ask("b"), sender="host-2")
+    site.wait(3.0)
+    assert [g[0] for g in site.grants.values()] == ["host-2"]
+
+
+def test_grant_that_is_never_released_is_freed():
+    """Guards against a lost release that holds a slot for ever."""
+    site = Site(runners=1, slots=1)
+    site.open()
+    site.tell(make_ask("a"))
+    site.grants.clear()
+    longest = site.config.kinds_by_name[KIND].longest_s
+    site.tell(make_ask("b", deadline_s=1000.0))
+    site.wait(2 * longest + GRANT_MARGIN_S + 1.0)
+    assert len(site.grants) == 1
+    assert sum(site.in_use().values()) == 1
+
+
+def test_release_of_another_owner_is_ignored():
+    """Guards against a wrong message freeing a slot in use."""
+    site = Site()
+    site.open()
+    site.tell(make_ask("a"))
+    _, release = site.release(next(iter(site.grants)))
+    site.tell(release, sender="host-2")
+    assert sum(site.in_use().values()) == 1
+
+
+def test_new_scheduler_waits_for_held_places_before_it_grants():
+    """Guards against a new scheduler granting slots that are in use."""
+    site = Site(runners=1, slots=2)
+    held = SlotHeld(pool=POOL, places=(make_held(7), make_held(8, index=1)))
+    site.tell(make_ask("b"), sender="host-2")
+    site.tell(held, sender="host-1")
+    site.wait(REBUILD_GRACE_S * 2)
+    assert site.grants == {}
+    release = Release(grant=7, upstream="runner-0", kind=KIND, result=StartResult.OK, run_s=0.1)
+    site.tell(SlotRelease(pool=POOL, releases=(release,)), sender="host-1")
+    assert [g[0] for g in site.grants.values()] == ["host-2"]
+
+
+def make_held(grant: int, index: int = 0, upstream: str = "runner-0") -> HeldPlace:
+    return HeldPlace(
+        submission_id="held",
+        caller="caller",
+        team="team",
+        kind=KIND,
+        upstream=upstream,
+        size=TaskSize(index=index),
+        running_s=0.05,
+        grant=grant,
+    )
+
+
+def test_delayed_report_does_not_bring_a_released_place_back():
+    """Guards against a reordered report holding a free slot."""
+    site = Site(runners=1, slots=1)
+    release = Release(grant=7, upstream="runner-0", kind=KIND, result=StartResult.OK, run_s=0.1)
+    site.tell(SlotRelease(pool=POOL, releases=(release,)))
+    site.tell(SlotHeld(pool=POOL, places=(make_held(7),)))
+    assert sum(site.in_use().values()) == 0
+
+
+def test_full_report_frees_what_the_owner_no_longer_has():
+    """Guards against a grant whose message was lost holding its slot."""
+    site = Site(runners=1, slots=1)
+    site.open()
+    site.tell(make_ask("a"))
+    site.grants.clear()
+    site.now += 5.0
+    site.tell(SlotHeld(pool=POOL, places=()))
+    assert sum(site.in_use().values()) == 0
+
+
+def test_grant_numbers_of_two_schedulers_differ():
+    """Guards against a release of the old scheduler's grant freeing one of the new."""
+    numbers = []
+    for name, incarnation in (("host-0", 1), ("host-1", 1), ("host-0", 2)):
+        site = Site(hosts=(name, "host-2"))
+        site.scheduler = make_scheduler(
+            site.config, site.membership, name=name, incarnation=incarnation
+        )
+        site.tell(make_ask("a", 6))
+        site.wait(REBUILD_GRACE_S * 2)
+        numbers.append(set(site.grants))
+    assert all(len(n) == 6 for n in numbers)
+    assert len(set.union(*numbers)) == 18
+
+
+def test_old_scheduler_drops_its_queue():
+    """Guards against two schedulers that keep granting the same queue."""
+    site = Site(runners=1, slots=1)
+    site.open()
+    site.tell(make_ask("a"))
+    site.tell(make_ask("b", 5))
+    site.membership.scheduler = "host-1"
+    site.wait(MOVED_GRACE_S + 0.5)
+    owner, release = site.release(next(iter(site.grants)))
+    assert site.tell(release, sender=owner) == []
+
+
+def test_speed_digest_goes_to_other_hosts_and_is_read():
+    """Guards against a new scheduler that has to learn all speeds again."""
+    site = Site()
+    site.open()
+    for round_ in range(30):
+        site.tell(make_ask(f"s{round_}"))
+        for number in list(site.grants):
+            owner, release = site.release(number)
+            site.now += 0.5
+            site.tell(release, sender=owner)
+    digests = [s for s in site.sent if isinstance(s.message, SpeedDigest)]
+    assert digests and {d.to for d in digests} == {"host-1", "host-2"}
+    other = Site()
+    other.tell(digests[-1].message)
+    assert other.pool.table.by_name.keys() == site.pool.table.by_name.keys()
+
+
+def make_workers_config(workers: int = 2) -> SiteConfig:
+    entries = [
+        UpstreamEntry(
+            name=f"worker-{i}",
+            role=UpstreamRole.WORKER,
+            url="http://127.0.0.1:1",
+            failure_domain=DOMAINS[0],
+            rack="rack",
+            cores=8.0,
+            memory_mb=4096,
+        )
+        for i in range(workers)
+    ]
+    return SiteConfig(
+        site="s",
+        failure_domains=DOMAINS,
+        upstreams_by_name={e.name: e for e in entries},
+        kinds_by_name=make_config([]).kinds_by_name,
+    )
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_job_is_placed_on_workers(gang):
+    """Guards against jobs that the pool of workers does not place."""
+    site = Site(config=make_workers_config())
+    site.tell(make_ask("job", 4, pool="workers", gang=gang))
+    site.wait(REBUILD_GRACE_S * 2)
+    assert {index for _, _, index, _ in site.grants.values()} == {0, 1, 2, 3}
+    assert len([s for s in site.sent if isinstance(s.message, SlotGrant)]) == 1
+
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["ask", "release", "fail", "withdraw", "wait", "duplicate", "held", "repeat", "list"]
+        ),
+        st.integers(0, 2**16),
+    ),
+    max_size=60,
+)
+
+
+class RandomOwners:
+    """Owners behind a network that delays, repeats and reorders."""
+
+    def __init__(self) -> None:
+        self.site = Site(runners=3, slots=2)
+        self.site.open()
+        self.waiting: dict[str, set[int]] = {}
+        self.asks: dict[str, SlotAsk] = {}
+        self.running: dict[int, tuple[str, int, str]] = {}
+        self.ended: set[int] = set()
+        self.log: list = []
+        self.leaving: set[str] = set()
+        self.reported_at = 0.0
+
+    def tell(self, message) -> None:
+        self.log.append(message)
+        self.read(self.site.tell(message))
+
+    def read(self, messages) -> None:
+        pending = list(messages)
+        while pending:
+            message = pending.pop(0)
+            if isinstance(message, SlotGrant):
+                for place in message.placements:
+                    assert place.upstream not in self.leaving
+                    pending.extend(self.take(message.submission_id, place))
+            elif isinstance(message, SlotRefusal):
+                self.waiting.pop(message.submission_id, None)
+            self.check()
+
+    def take(self, submission: str, place) -> list:
+        if place.grant in self.running or place.grant in self.ended:
+            return []
+        waiting = self.waiting.get(submission, set())
+        if place.index in waiting:
+            waiting.discard(place.index)
+            self.running[place.grant] = (submission, place.index, place.upstream)
+            return []
+        return self.end(place.grant, place.upstream, StartResult.UNUSED)
+
+    def end(self, number: int, upstream: str, result: StartResult, leaving=False) -> list:
+        self.running.pop(number, None)
+        self.ended.add(number)
+        release = Release(
+            grant=number, upstream=upstream, kind=KIND, result=result, run_s=0.1, leaving=leaving
+        )
+        message = SlotRelease(pool=POOL, releases=(release,))
+        self.log.append(message)
+        return self.site.tell(message)
+
+    def check(self) -> None:
+        pool = self.site.pool
+        for upstream in pool.table.by_name.values():
+            assert len(upstream.starts) <= upstream.slots
+        assert len(pool.grants) == sum(self.site.in_use().values())
+        assert pool.table.ejected_count() <= pool.table.max_ejected()
+
+    def act(self, action: str, value: int) -> None:
+        match action:
+            case "ask":
+                name = f"s{len(self.asks)}"
+                self.asks[name] = make_ask(name, 1 + value % 4, idempotent=value % 2 == 0)
+                self.waiting[name] = set(range(1 + value % 4))
+                self.tell(self.asks[name])
+            case "release" | "fail" if self.running:
+                number = sorted(self.running)[value % len(self.running)]
+                result = StartResult.OK
+                if action == "fail":
+                    failures = (StartResult.FAILED, StartResult.LOST, StartResult.STOPPED)
+                    result = failures[value % 3]
+                self.read(self.end(number, self.running[number][2], result))
+            case "withdraw" if self.waiting:
+                name = sorted(self.waiting)[value % len(self.waiting)]
+                del self.waiting[name]
+                self.tell(SlotWithdraw(submission_id=name, pool=POOL))
+            case "wait":
+                self.read(self.site.wait((value % 30) / 10))
+            case "duplicate" if self.log:
+                message = self.log[value % len(self.log)]
+                self.read(self.site.tell(message))
+            case "held":
+                self.tell(self.held())
+            case "repeat":
+                self.repeat()
+            case "list":
+                self.read_list(value)
+
+    def held(self) -> SlotHeld:
+        return SlotHeld(
+            pool=POOL,
+            places=tuple(
+                HeldPlace(
+                    submission_id=submission,
+                    caller="caller",
+                    team="team",
+                    kind=KIND,
+                    upstream=upstream,
+                    size=TaskSize(index=index),
+                    running_s=0.1,
+                    grant=number,
+                )
+                for number, (submission, index, upstream) in self.running.items()
+            ),
+        )
+
+    def repeat(self) -> None:
+        for name, indexes in list(self.waiting.items()):
+            if indexes and name in self.waiting:
+                ask = self.asks[name]
+                self.asks[name] = make_ask(name, attempt=ask.attempt + 1, idempotent=ask.idempotent)
+                tasks = tuple(TaskSize(index=i) for i in sorted(indexes))
+                fields = {f: getattr(self.asks[name], f) for f in SlotAsk.__slots__}
+                self.asks[name] = SlotAsk(**(fields | {"tasks": tasks}))
+                self.tell(self.asks[name])
+
+    def read_list(self, value: int) -> None:
+        entries = list(self.site.config.upstreams_by_name.values())
+        self.leaving = {entries[value % 3].name} if value % 5 else set()
+        items = tuple(ListedUpstream(upstream=e, leaving=e.name in self.leaving) for e in entries)
+        self.read(self.site.tick([HostListRead(hosts=(), upstreams=items)]))
+
+    def finish(self) -> None:
+        """Let everything end without further disturbance, repeating asks as owners do."""
+        for _ in range(200):
+            if not self.running and not any(self.waiting.values()):
+                return
+            for number in sorted(self.running):
+                if number in self.running:
+                    upstream = self.running[number][2]
+                    self.read(self.end(number, upstream, StartResult.OK))
+            self.repeat()
+            self.read(self.site.wait(1.0))
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(ACTIONS)
+def test_slots_floor_and_progress_hold_for_any_order_of_messages(actions):
+    """Guards against leaked or doubled slots when messages repeat, delay and reorder."""
+    owners = RandomOwners()
+    for action, value in actions:
+        owners.act(action, value)
+    owners.finish()
+    assert not owners.running
+    assert not any(owners.waiting.values())
+    site = owners.site
+    site.wait(2 * site.config.kinds_by_name[KIND].longest_s + GRANT_MARGIN_S + 1.0)
+    assert sum(site.in_use().values()) == 0
+    assert len(site.pool.queue) == 0 and len(site.pool.parked) == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_rebuild_after_the_scheduler_died(seed):
+    """Guards against lost or doubled tasks when another host takes the pool over."""
+    source = random.Random(seed)
+    owners = RandomOwners()
+    for _ in range(60):
+        owners.act(source.choice(["ask", "ask", "release", "wait"]), source.randrange(1000))
+    replaced = owners.site
+    site = Site(runners=3, slots=2)
+    site.scheduler = make_scheduler(site.config, site.membership, name="host-2", incarnation=2)
+    site.membership.scheduler = "host-2"
+    site.now = replaced.now
+    owners.site = site
+    before = len(owners.running)
+    owners.tell(owners.held())
+    assert sum(site.in_use().values()) == before
+    owners.repeat()
+    owners.finish()
+    assert not owners.running and not any(owners.waiting.values())
+    assert sum(site.in_use().values()) == 0
