Split the pool into granting and messages; let repeated asks keep their turn

Cause: owners repeat an unanswered ask after two seconds, and a repeat replaced the queued ask, so it went to the end of its flow. Grants could also expire before their owner gave the start up.

--- /dev/null
+++ b/src/eelgrassyard/policy/_granting.py
@@ -0,0 +1,328 @@
+"""Turns queued asks of one pool into grants."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from dataclasses import dataclass
+
+from ._actions import Action, Send
+from ._classes import WAIT
+from ._fairqueue import FairQueue, FlowKey, QueuedAsk
+from ._grants import Grant, GrantTable
+from ._messages import Placement, Release, SlotAsk, SlotGrant, StartResult, TaskSize
+from ._parked import ParkedTask, ParkedTasks
+from ._placement import WorkerPlacement
+from ._quotas import Quotas
+from ._system import ConfigView, MembershipView, WitnessView
+from ._upstreams import UpstreamTable
+
+LIFETIME_FACTOR = 3.0
+"""Owners give a start up after three times the declared longest run time, or at the deadline."""
+
+LIFETIME_MARGIN_S = 5.0
+"""A grant without a release is taken back this long after its owner must have given it up."""
+
+PARKED_TRIES = 4
+"""Parked tasks looked at when a slot becomes free; all of them are looked at by the timer."""
+
+QUOTA_MIN_WAIT_S = 0.001
+
+
+@dataclass(slots=True, kw_only=True)
+class PoolContext:
+    """What the pools of a scheduler share."""
+
+    config: ConfigView
+    membership: MembershipView
+    quotas: Quotas
+    witness: WitnessView
+    host: str
+    numbers: itertools.count[int]
+
+
+class Granting:
+    """Queue, parked tasks and grants of one pool.
+
+    :param quota_at: time at which a team that is out of quota may start a task again.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        table: UpstreamTable,
+        placement: WorkerPlacement | None,
+        context: PoolContext,
+    ) -> None:
+        self.queue = FairQueue(config=context.config)
+        self.parked = ParkedTasks()
+        self.grants = GrantTable()
+        self.quota_at = math.inf
+        self._pool = pool
+        self._table = table
+        self._placement = placement
+        self._context = context
+        self._outgoing: dict[tuple[str, str, int], list[Grant]] = {}
+        self._entry_by_key: dict[tuple[str, str], QueuedAsk] = {}
+        self._incarnation_by_owner: dict[str, int] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether there are asks or grants."""
+        return self.has_asks or len(self.grants) > 0
+
+    @property
+    def has_asks(self) -> bool:
+        """Whether any task has no place yet."""
+        return len(self.parked) > 0 or len(self.queue) > 0
+
+    def clear_asks(self) -> None:
+        """Forget all tasks that have no place."""
+        self.parked.clear()
+        self._entry_by_key.clear()
+        self.queue = FairQueue(config=self._context.config)
+
+    def note_queued(self, entry: QueuedAsk, incarnation: int) -> None:
+        """Note that the queue has taken an ask."""
+        self._entry_by_key[entry.owner, entry.ask.submission_id] = entry
+        known = self._incarnation_by_owner.get(entry.owner, 0)
+        self._incarnation_by_owner[entry.owner] = max(known, incarnation)
+
+    def renew(self, owner: str, ask: SlotAsk) -> bool:
+        """Let a repeat of an ask that is still queued keep its place in the queue.
+
+        Returns False if the repeat asks for other tasks than the queue holds.
+        """
+        entry = self._entry_by_key.get((owner, ask.submission_id))
+        if entry is None or len(entry.remaining) != len(ask.tasks):
+            return False
+        if any(mine != theirs for mine, theirs in zip(entry.remaining, ask.tasks, strict=True)):
+            return False
+        if (ask.avoid, ask.gang, ask.kind) != (entry.ask.avoid, entry.ask.gang, entry.ask.kind):
+            return False
+        entry.ask = ask
+        return True
+
+    def forget(self, owner: str, submission_id: str) -> None:
+        """Note that the queue no longer holds an ask."""
+        self._entry_by_key.pop((owner, submission_id), None)
+
+    def withdraw(self, owner: str, submission_id: str) -> None:
+        """Forget the tasks of a submission that have no place."""
+        self._entry_by_key.pop((owner, submission_id), None)
+        self.queue.withdraw(owner, submission_id)
+        if self.parked:
+            self.parked.withdraw(owner, submission_id)
+
+    # From the queue to a grant
+
+    def dispatch(self, now: float) -> None:
+        """Grant what the free slots, quotas and waits for faster slots allow."""
+        self.try_parked(now, PARKED_TRIES)
+        skip: set[FlowKey] = set()
+        while True:
+            entry = self.queue.select(now, skip=skip)
+            if entry is None:
+                return
+            ask = entry.ask
+            allowed = self._context.quotas.allowed(now, ask.team, len(entry.remaining))
+            if allowed <= 0:
+                again = self._context.quotas.next_allowed(now, ask.team)
+                self.quota_at = min(self.quota_at, max(again, now + QUOTA_MIN_WAIT_S))
+                skip.add(entry.flow)
+            elif self._placement is not None:
+                if not self._place_on_worker(now, entry, allowed, self._placement):
+                    skip.add(entry.flow)
+            elif not self._place_on_runner(now, entry):
+                if not ask.avoid:
+                    return
+                skip.add(entry.flow)
+
+    def try_parked(self, now: float, tries: int) -> None:
+        """Grant parked tasks for which a slot that is free now is good enough."""
+        if not self.parked:
+            return
+        for ahead, task in enumerate(list(itertools.islice(self.parked, tries))):
+            ask = task.entry.ask
+            name = self._table.speeds.choose(ask.kind, ahead, ask.avoid)
+            if name is None:
+                return
+            if name != WAIT:
+                self.parked.remove(task)
+                expected_s = self._expected_s(name, ask.kind)
+                self.queue.correct_cost(task.entry.flow, task.cost_s, expected_s)
+                self._grant(now, task.entry, task.size, name, expected_s)
+
+    def _place_on_runner(self, now: float, entry: QueuedAsk) -> bool:
+        """Grant or park the next task of an ask; False if no slot is free."""
+        ask = entry.ask
+        name = self._probe_for(now, ask)
+        probe = name is not None
+        if name is None:
+            ahead = self.parked.ahead_of(ask.urgency)
+            name = self._table.speeds.choose(ask.kind, ahead, ask.avoid)
+        if name is None:
+            return False
+        if name == WAIT:
+            cost_s = self._table.speeds.work.work(ask.kind)
+            size = self._take(now, entry, 1, cost_s)[0]
+            self.parked.add(ParkedTask(entry=entry, size=size, cost_s=cost_s))
+        else:
+            expected_s = self._expected_s(name, ask.kind)
+            size = self._take(now, entry, 1, expected_s)[0]
+            self._grant(now, entry, size, name, expected_s, probe=probe)
+        self._context.quotas.charge(now, ask.team, 1)
+        return True
+
+    def _place_on_worker(
+        self, now: float, entry: QueuedAsk, allowed: int, placement: WorkerPlacement
+    ) -> bool:
+        """Grant as many tasks of an ask as fit, or all of a gang; False if none fits."""
+        ask = entry.ask
+        count = len(entry.remaining)
+        if ask.gang and allowed < count:
+            return False
+        count = count if ask.gang else min(count, allowed)
+        probe = None if ask.gang else self._probe_for(now, ask)
+        usable = self._table.speeds.names_with_room if probe is None else {probe}
+        count = count if probe is None else 1
+        while count > 0:
+            sizes = list(itertools.islice(entry.remaining, count))
+            workers = placement.place(
+                ask.kind, sizes, usable=usable, avoid=ask.avoid, spread_racks=ask.spread_racks
+            )
+            if workers is not None:
+                self._grant_workers(now, entry, workers, probe=probe is not None)
+                return True
+            if ask.gang:
+                return False
+            count //= 2
+        return False
+
+    def _grant_workers(
+        self, now: float, entry: QueuedAsk, workers: list[str], *, probe: bool
+    ) -> None:
+        expected = [self._expected_s(name, entry.ask.kind) for name in workers]
+        sizes = self._take(now, entry, len(workers), sum(expected) / len(expected))
+        for name, size, expected_s in zip(workers, sizes, expected, strict=True):
+            self._grant(now, entry, size, name, expected_s, probe=probe)
+        self._context.quotas.charge(now, entry.ask.team, len(workers))
+
+    def _take(self, now: float, entry: QueuedAsk, count: int, cost_s: float) -> list[TaskSize]:
+        sizes = self.queue.take(now, entry, count, cost_s)
+        if not entry.remaining:
+            self._entry_by_key.pop((entry.owner, entry.ask.submission_id), None)
+        return sizes
+
+    def _probe_for(self, now: float, ask: SlotAsk) -> str | None:
+        if not self._table.probes_due:
+            return None
+        return self._table.take_probe(ask.avoid, idempotent=ask.idempotent, now=now)
+
+    def _expected_s(self, name: str, kind: str) -> float:
+        return self._table.speeds.expected_s(self._table.by_name[name], kind)
+
+    # Grants
+
+    def _grant(
+        self,
+        now: float,
+        entry: QueuedAsk,
+        size: TaskSize,
+        upstream: str,
+        expected_s: float,
+        *,
+        probe: bool = False,
+    ) -> None:
+        ask = entry.ask
+        lifetime_s = max(self.lifetime_s(ask.kind, expected_s), entry.deadline_at - now)
+        grant = Grant(
+            number=next(self._context.numbers),
+            owner=entry.owner,
+            incarnation=self._incarnation_by_owner[entry.owner],
+            submission_id=ask.submission_id,
+            caller=ask.caller,
+            kind=ask.kind,
+            size=size,
+            upstream=upstream,
+            granted_at=now,
+            expected_s=expected_s,
+            expires_at=now + lifetime_s + LIFETIME_MARGIN_S,
+            attempt=ask.attempt,
+            urgency=ask.urgency,
+            probe=probe,
+        )
+        self.grants.add(grant)
+        self._table.acquire(now, grant)
+        self._announce(grant)
+
+    def lifetime_s(self, kind: str, expected_s: float) -> float:
+        """Seconds after which the owner of a start without a deadline has given it up."""
+        return LIFETIME_FACTOR * max(self._table.speeds.longest_s(kind), expected_s)
+
+    def repeat_grant(self, owner: str, ask: SlotAsk, size: TaskSize) -> bool:
+        """Send the grant of a task again, as the first one may have been lost."""
+        grant = self.grants.of_task((owner, ask.submission_id, size.index))
+        if grant is None:
+            return False
+        if grant.upstream in ask.avoid:
+            self.take_back(grant)
+            return False
+        grant.attempt = ask.attempt
+        self._announce(grant)
+        return True
+
+    def take_back(self, grant: Grant) -> None:
+        """Free the place of a grant that was not released."""
+        self.grants.remove(grant.number)
+        self._table.give_back(grant)
+        self._give_room_back(grant)
+
+    def take_release(self, now: float, owner: str, release: Release) -> bool:
+        """Free the place of a finished start; returns whether its grant was known."""
+        grant = self.grants.by_number.get(release.grant)
+        if grant is not None and grant.owner != owner:
+            return False
+        self.grants.remove(release.grant)
+        if grant is None:
+            if release.leaving:
+                self._table.note_leaving(now, release.upstream)
+            return False
+        self._table.note_result(now, grant, release)
+        self._give_room_back(grant)
+        ran = release.result not in (StartResult.UNUSED, StartResult.NOT_STARTED)
+        actual_s = release.run_s if ran else 0.0
+        self.queue.correct_cost((grant.caller, grant.kind), grant.expected_s, actual_s)
+        return True
+
+    def _give_room_back(self, grant: Grant) -> None:
+        if self._placement is not None:
+            self._placement.release(grant.upstream, grant.kind, grant.size)
+
+    def _announce(self, grant: Grant) -> None:
+        key = (grant.owner, grant.submission_id, grant.attempt)
+        self._outgoing.setdefault(key, []).append(grant)
+
+    def send_grants(self, now: float, out: list[Action]) -> None:
+        """Send the grants of this tick, one message a submission."""
+        for (owner, submission_id, attempt), grants in self._outgoing.items():
+            placements = tuple(
+                Placement(
+                    grant=grant.number,
+                    index=grant.size.index,
+                    upstream=grant.upstream,
+                    expected_s=grant.expected_s,
+                )
+                for grant in grants
+            )
+            message = SlotGrant(
+                submission_id=submission_id,
+                pool=self._pool,
+                attempt=attempt,
+                placements=placements,
+                recorded=self._context.witness.is_recorded(submission_id),
+                flow_wait_s=self.queue.expected_wait(now, (grants[0].caller, grants[0].kind)),
+            )
+            out.append(Send(to=owner, message=message))
+        self._outgoing.clear()
--- a/src/eelgrassyard/policy/_scheduler.py
+++ b/src/eelgrassyard/policy/_scheduler.py
@@ -11,6 +11,7 @@
 from ._actions import Action, Send
 from ._config import UpstreamEntry
 from ._events import Event, HostListRead, PeerReceived, UsageReported
+from ._granting import PoolContext
 from ._identity import HostIdentity
 from ._messages import (
     SlotAsk,
@@ -21,7 +22,7 @@
     SpeedDigest,
 )
 from ._outcomes import Reason
-from ._pool import Pool, PoolContext
+from ._pool import Pool
 from ._pools import pool_scope
 from ._quotas import Quotas
 from ._system import ConfigView, MembershipView, WitnessView
@@ -122,7 +123,7 @@
             case SpeedDigest():
                 pool = self._pool(now, message.pool)
                 if pool is not None:
-                    pool.table.read_digest(message.speeds)
+                    pool.table.speeds.read_digest(message.speeds)
             case _:
                 pass
 
@@ -201,7 +202,7 @@
             pool.has_news = False
             hosts = self._membership.alive_hosts(pool.scope.failure_domain)
             others = [host for host in hosts if host != self._identity.name]
-            digest = SpeedDigest(pool=pool.name, speeds=pool.table.digest())
+            digest = SpeedDigest(pool=pool.name, speeds=pool.table.speeds.digest())
             for offset in range(min(DIGEST_RECEIVERS, len(others))):
                 index = self._digest_round * DIGEST_RECEIVERS + offset
                 out.append(Send(to=others[index % len(others)], message=digest))
--- /dev/null
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -0,0 +1,73 @@
+"""One upstream as the scheduler of its pool sees it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from ._config import UpstreamEntry
+from ._grants import Grant
+from ._health import Health, UpstreamState
+from ._speeds import UpstreamSpeed
+
+WORKER_SLOTS_PER_CORE = 4
+"""Starts at once on a healthy worker; cores and memory bound it before this does."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Upstream:
+    """State, learned speed and starts of one upstream.
+
+    :param limit: slots in use at most; below ``slots`` after failures.
+    :param stalled: it was ejected because its starts did not end.
+    :param blocked_until: no new work until then, after a refused start.
+    :param held_run_s: average time that a slot is in use.
+    :param last_resort: it fails, but the ejection floor keeps it in use.
+    :param probe: grant of the start that tries it out.
+    """
+
+    entry: UpstreamEntry
+    slots: int
+    limit: int
+    state: UpstreamState = UpstreamState.LIVE
+    stalled: bool = False
+    cut_off: bool = False
+    listed: bool = False
+    listed_leaving: bool = False
+    removed: bool = False
+    last_resort: bool = False
+    leaving_since: float = -math.inf
+    blocked_until: float = -math.inf
+    held_run_s: float = 0.0
+    probe: int | None = None
+    health: Health = field(default_factory=Health)
+    speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
+    starts: dict[int, Grant] = field(default_factory=dict)
+
+    @property
+    def name(self) -> str:
+        return self.entry.name
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get ordinary work when a slot is free."""
+        return self.state is UpstreamState.LIVE and not self.cut_off
+
+    @property
+    def has_room(self) -> bool:
+        """Whether it may get ordinary work now."""
+        return self.usable and len(self.starts) < self.limit and self.blocked_until == -math.inf
+
+
+def slots_of(entry: UpstreamEntry) -> int:
+    """Most starts at once."""
+    return entry.slots or max(1, int(entry.cores * WORKER_SLOTS_PER_CORE))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StateChange:
+    """A change of an upstream's state, for the log."""
+
+    upstream: str
+    message: str
+    metric: str
--- a/src/eelgrassyard/policy/_upstreams.py
+++ b/src/eelgrassyard/policy/_upstreams.py
@@ -1,21 +1,17 @@
-"""Upstreams of one pool: state, learned speed, health."""
+"""Upstreams of one pool: which may get work, and what their answers say about them."""
 
 from __future__ import annotations
 
 import math
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass, field
 
-from ._classes import LAST_RESORT, ClassIndex
 from ._config import KindEntry, UpstreamEntry
 from ._events import ListedUpstream
 from ._grants import Grant
-from ._health import Health, UpstreamState, has_stalled
-from ._messages import Release, SpeedEntry, StartResult
-from ._speeds import KindWork, UpstreamSpeed, speed_class
-
-WORKER_SLOTS_PER_CORE = 4
-"""Starts at once on a healthy worker; cores and memory bound it before this does."""
+from ._health import UpstreamState, has_stalled
+from ._messages import Release, StartResult
+from ._speedindex import SpeedIndex
+from ._upstream import StateChange, Upstream, slots_of
 
 LEAVING_RECHECK_S = 60.0
 """A restart at the same address may never show in the host list. An upstream that the list has
@@ -24,62 +20,7 @@
 LEAVING_LIST_LAG_S = 2.0
 """A list that turns from leaving to live sooner than this is taken for a stale copy."""
 
-RUN_WINDOW = 30.0
-"""Starts over which the time that a slot stays in use is averaged."""
-
 NORMALIZE_INTERVAL_S = 5.0
-NORMALIZE_TOLERANCE = 0.02
-
-DIGEST_ENTRIES = 256
-"""Upstreams in a speed digest; those whose speed differs most from the average are sent."""
-
-
-@dataclass(slots=True, kw_only=True)
-class Upstream:
-    """One upstream as its scheduler sees it.
-
-    :param limit: slots in use at most; below ``slots`` after failures.
-    :param blocked_until: no new work until then, after a refused start.
-    :param held_run_s: average time that a slot is in use.
-    :param last_resort: it fails, but the ejection floor keeps it in use.
-    """
-
-    entry: UpstreamEntry
-    slots: int
-    limit: int
-    state: UpstreamState = UpstreamState.LIVE
-    stalled: bool = False
-    cut_off: bool = False
-    listed: bool = False
-    listed_leaving: bool = False
-    removed: bool = False
-    last_resort: bool = False
-    leaving_since: float = -math.inf
-    blocked_until: float = -math.inf
-    held_run_s: float = 0.0
-    probe: int | None = None
-    health: Health = field(default_factory=Health)
-    speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
-    starts: dict[int, Grant] = field(default_factory=dict)
-
-    @property
-    def usable(self) -> bool:
-        """Whether it may get ordinary work when a slot is free."""
-        return self.state is UpstreamState.LIVE and not self.cut_off
-
-    @property
-    def has_room(self) -> bool:
-        """Whether it may get ordinary work now."""
-        return self.usable and len(self.starts) < self.limit and self.blocked_until == -math.inf
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StateChange:
-    """A change of an upstream's state, for the log."""
-
-    upstream: str
-    message: str
-    metric: str
 
 
 class UpstreamTable:
@@ -87,17 +28,13 @@
 
     def __init__(self) -> None:
         self.by_name: dict[str, Upstream] = {}
-        self.work = KindWork()
+        self.speeds = SpeedIndex(self.by_name)
         self.changes: list[StateChange] = []
         self.probes_due: dict[str, None] = {}
-        self.usable_names: set[str] = set()
-        self._longest_s_by_kind: dict[str, float] = {}
-        self._index_by_kind: dict[str, ClassIndex] = {}
         self._out_of_use: dict[str, None] = {}
         self._blocked: dict[str, None] = {}
         self._failing: dict[str, None] = {}
         self._cut_off: frozenset[str] = frozenset()
-        self._prior_by_name: dict[str, float] = {}
         self._max_ejected_ratio = 0.5
         self._failure_ratio = 0.0
         self._normalize_at = -math.inf
@@ -112,9 +49,7 @@
     ) -> None:
         """Take the upstreams of the configuration and of the host list together."""
         self._max_ejected_ratio = max_ejected_ratio
-        for kind in kinds_by_name.values():
-            self.work.declare(kind.name, kind.typical_s)
-            self._longest_s_by_kind[kind.name] = kind.longest_s
+        self.speeds.declare(kinds_by_name.values())
         seen = set()
         for entry in entries:
             seen.add(entry.name)
@@ -123,11 +58,11 @@
             self._remove(self.by_name[name])
 
     def _set_entry(self, entry: UpstreamEntry) -> None:
-        slots = entry.slots or max(1, int(entry.cores * WORKER_SLOTS_PER_CORE))
+        slots = slots_of(entry)
         upstream = self.by_name.get(entry.name)
         if upstream is None:
             upstream = Upstream(entry=entry, slots=slots, limit=slots)
-            upstream.speed.prior = self._prior_by_name.pop(entry.name, 1.0)
+            upstream.speed.prior = self.speeds.prior_of(entry.name)
             upstream.cut_off = entry.failure_domain in self._cut_off
             self.by_name[entry.name] = upstream
         else:
@@ -139,15 +74,15 @@
                 self._restore(upstream, -math.inf)
                 upstream.speed.forget()
         upstream.limit = min(upstream.health.slots_limit(slots), slots)
-        self._reindex(upstream)
+        self.speeds.update(upstream)
 
     def _remove(self, upstream: Upstream) -> None:
         upstream.removed = True
         upstream.state = UpstreamState.LEAVING
         self._forget_probe(upstream)
-        self._reindex(upstream)
+        self.speeds.update(upstream)
         if not upstream.starts:
-            del self.by_name[upstream.entry.name]
+            del self.by_name[upstream.name]
 
     def read_list(self, now: float, listed: Iterable[ListedUpstream]) -> None:
         """Take the states of the host list; the upstreams must be in the table already."""
@@ -164,7 +99,7 @@
             else:
                 self._note_listed_live(now, upstream)
         for upstream in self.by_name.values():
-            if upstream.listed and upstream.entry.name not in names:
+            if upstream.listed and upstream.name not in names:
                 upstream.listed_leaving = True
                 self._set_leaving(now, upstream, "it is no longer in the host list")
 
@@ -188,31 +123,18 @@
         self._cut_off = domains
         for upstream in self.by_name.values():
             upstream.cut_off = upstream.entry.failure_domain in domains
-            self._reindex(upstream)
+            self.speeds.update(upstream)
 
     # Choice
 
-    def choose(self, kind: str, ahead: int, avoid: Collection[str]) -> str | None:
-        """Upstream for the next task of a kind, ``WAIT`` or None; see :class:`ClassIndex`."""
-        index = self._index_by_kind.get(kind) or self._build_index(kind)
-        return index.choose(self.work.work(kind), ahead, avoid)
-
     @property
     def has_prospect(self) -> bool:
         """Whether any upstream may get work, now or after a probe."""
-        if self.usable_names:
+        if self.speeds.names_with_room:
             return True
         leaving = UpstreamState.LEAVING
         return any(u.state is not leaving and not u.cut_off for u in self.by_name.values())
 
-    def expected_s(self, upstream: Upstream, kind: str) -> float:
-        """Expected run time of a kind on an upstream."""
-        return self.work.work(kind) / upstream.speed.speed(kind)
-
-    def longest_s(self, kind: str) -> float:
-        """Declared longest run time of a kind."""
-        return self._longest_s_by_kind.get(kind, 5.0)
-
     def take_probe(self, avoid: Collection[str], *, idempotent: bool, now: float) -> str | None:
         """Upstream that is to be tried with the next task.
 
@@ -236,7 +158,7 @@
             upstream.probe = grant.number
             self.probes_due.pop(grant.upstream, None)
         if len(upstream.starts) >= upstream.limit:
-            self._set_free(upstream)
+            self.speeds.update_room(upstream)
 
     # Results
 
@@ -250,7 +172,7 @@
         if upstream.removed and not upstream.starts:
             del self.by_name[grant.upstream]
             return
-        self._set_free(upstream)
+        self.speeds.update_room(upstream)
 
     def note_leaving(self, now: float, name: str) -> None:
         """An answer of the upstream said that it is leaving."""
@@ -281,16 +203,10 @@
         self, now: float, upstream: Upstream, grant: Grant, release: Release, was_probe: bool
     ) -> None:
         upstream.health.note_ok(now)
-        work_s = self.work.work(grant.kind)
-        speed = upstream.speed.speed(grant.kind)
-        run_s = max(release.run_s, 1e-4)
-        upstream.speed.add(grant.kind, run_s / work_s)
-        self.work.add(grant.kind, run_s * speed)
-        previous = upstream.held_run_s
-        upstream.held_run_s = run_s if not previous else previous + (run_s - previous) / RUN_WINDOW
+        self.speeds.learn(upstream, grant.kind, release.run_s)
         if upstream.limit < upstream.slots:
             upstream.limit = min(upstream.slots, upstream.limit * 2)
-            self._set_free(upstream)
+            self.speeds.update_room(upstream)
         answered = not release.leaving and not upstream.listed_leaving and not upstream.removed
         recovered = (
             was_probe
@@ -305,8 +221,8 @@
             self._report(upstream, "it is back in use", "upstream.restored")
         if upstream.last_resort and not upstream.health.is_failing(self._failure_ratio):
             upstream.last_resort = False
-            self._failing.pop(upstream.entry.name, None)
-        self._reindex(upstream, grant.kind)
+            self._failing.pop(upstream.name, None)
+        self.speeds.update(upstream, grant.kind)
 
     def _note_failure(self, now: float, upstream: Upstream, grant: Grant, was_probe: bool) -> None:
         health = upstream.health
@@ -318,7 +234,7 @@
         upstream.limit = min(upstream.limit, health.slots_limit(upstream.slots))
         if health.is_failing(self._failure_ratio):
             self._eject(now, upstream, "its starts fail")
-        self._set_free(upstream)
+        self.speeds.update_room(upstream)
 
     def _note_not_started(
         self, now: float, upstream: Upstream, grant: Grant, was_probe: bool
@@ -336,8 +252,8 @@
             health.schedule_probe(now, first=True)
             return
         upstream.blocked_until = now + health.backoff_s()
-        self._blocked[upstream.entry.name] = None
-        self._set_free(upstream)
+        self._blocked[upstream.name] = None
+        self.speeds.update_room(upstream)
 
     # Changes of state
 
@@ -353,21 +269,21 @@
         upstream.state = state
         upstream.last_resort = False
         upstream.blocked_until = -math.inf
-        name = upstream.entry.name
+        name = upstream.name
         self._blocked.pop(name, None)
         self._failing.pop(name, None)
         self.probes_due.pop(name, None)
         self._out_of_use[name] = None
-        self._reindex(upstream)
+        self.speeds.update(upstream)
         self._report(upstream, why, f"upstream.{state.value}")
 
     def _eject(self, now: float, upstream: Upstream, why: str, *, stalled: bool = False) -> None:
         if self.ejected_count() >= self.max_ejected():
             if not upstream.last_resort:
                 upstream.last_resort = True
-                self._failing[upstream.entry.name] = None
+                self._failing[upstream.name] = None
                 self._report(upstream, why + ", kept by the floor", "upstream.kept_by_floor")
-                self._reindex(upstream)
+                self.speeds.update(upstream)
             return
         upstream.stalled = stalled
         self._take_out(now, upstream, UpstreamState.EJECTED, why)
@@ -382,10 +298,10 @@
         upstream.health.restore(now)
         upstream.health.ended_at = now
         self._forget_probe(upstream)
-        self._reindex(upstream)
+        self.speeds.update(upstream)
 
     def _forget_probe(self, upstream: Upstream) -> None:
-        name = upstream.entry.name
+        name = upstream.name
         upstream.probe = None
         upstream.blocked_until = -math.inf
         for table in (self.probes_due, self._out_of_use, self._blocked, self._failing):
@@ -393,9 +309,7 @@
 
     def _report(self, upstream: Upstream, why: str, metric: str) -> None:
         message = f"{upstream.state.value}: {why}"
-        self.changes.append(
-            StateChange(upstream=upstream.entry.name, message=message, metric=metric)
-        )
+        self.changes.append(StateChange(upstream=upstream.name, message=message, metric=metric))
 
     def ejected_count(self) -> int:
         """Upstreams that are ejected now."""
@@ -417,7 +331,7 @@
         for name in [n for n in self._blocked if self.by_name[n].blocked_until <= now]:
             del self._blocked[name]
             self.by_name[name].blocked_until = -math.inf
-            self._set_free(self.by_name[name])
+            self.speeds.update_room(self.by_name[name])
         self._update_failure_ratio()
         for upstream in [u for u in self.by_name.values() if u.starts]:
             self._check_stall(now, upstream)
@@ -428,7 +342,7 @@
             self._check_probe(now, self.by_name[name])
         if now >= self._normalize_at:
             self._normalize_at = now + NORMALIZE_INTERVAL_S
-            self._normalize()
+            self.speeds.normalize()
 
     @property
     def needs_timer(self) -> bool:
@@ -443,7 +357,7 @@
         first, second = _first_two(upstream.starts)
         if upstream.probe is not None and upstream.probe in upstream.starts:
             probe = upstream.starts[upstream.probe]
-            if now - probe.granted_at > max(1.0, 2.0 * self.longest_s(probe.kind)):
+            if now - probe.granted_at > max(1.0, 2.0 * self.speeds.longest_s(probe.kind)):
                 upstream.probe = None
                 upstream.health.schedule_probe(now, first=False)
             return
@@ -452,7 +366,7 @@
         overdue = 1 + (second is not None)
         slowest_s = max(first.expected_s, second.expected_s if second else 0.0)
         if second is None:
-            slowest_s = max(slowest_s, self.longest_s(first.kind))
+            slowest_s = max(slowest_s, self.speeds.longest_s(first.kind))
             overdue = 2
         newest = second or first
         if has_stalled(
@@ -473,49 +387,9 @@
             and len(upstream.starts) < upstream.slots
         )
         if due:
-            self.probes_due[upstream.entry.name] = None
+            self.probes_due[upstream.name] = None
         else:
-            self.probes_due.pop(upstream.entry.name, None)
-
-    def _normalize(self) -> None:
-        """Keep the average speed at 1.0; speeds and work are learned from each other."""
-        logs = [math.log(u.speed.slowness()) for u in self.by_name.values() if u.usable]
-        shift = sum(logs) / len(logs) if logs else 0.0
-        if abs(shift) < NORMALIZE_TOLERANCE:
-            return
-        for upstream in self.by_name.values():
-            upstream.speed.scale(math.exp(-shift))
-        self.work.scale(math.exp(shift))
-        for upstream in self.by_name.values():
-            self._reindex(upstream)
-
-    # Speed digests
-
-    def digest(self) -> tuple[SpeedEntry, ...]:
-        """Learned speeds to send to other hosts, bounded in number."""
-        known = [u for u in self.by_name.values() if u.speed.overall.weight > 0]
-        known.sort(key=lambda u: (-abs(math.log(u.speed.slowness())), u.entry.name))
-        return tuple(
-            SpeedEntry(
-                upstream=u.entry.name,
-                speed=1.0 / u.speed.slowness(),
-                samples=int(u.speed.overall.weight),
-            )
-            for u in known[:DIGEST_ENTRIES]
-        )
-
-    def read_digest(self, entries: Iterable[SpeedEntry]) -> None:
-        """Start from the speeds that another scheduler learned, where nothing is known here."""
-        for entry in entries:
-            if not (entry.speed > 0.0 and math.isfinite(entry.speed)):
-                continue
-            upstream = self.by_name.get(entry.upstream)
-            if upstream is None:
-                if len(self._prior_by_name) < 2 * DIGEST_ENTRIES:
-                    self._prior_by_name[entry.upstream] = entry.speed
-            elif upstream.speed.overall.weight == 0.0:
-                upstream.speed.prior = entry.speed
-                self._reindex(upstream)
+            self.probes_due.pop(upstream.name, None)
 
     def dump(self) -> dict[str, object]:
         """The upstreams as JSON values."""
@@ -532,45 +406,6 @@
             for name, upstream in self.by_name.items()
         }
 
-    # Index
-
-    def _build_index(self, kind: str) -> ClassIndex:
-        index = self._index_by_kind[kind] = ClassIndex()
-        for upstream in self.by_name.values():
-            self._index_one(upstream, kind, index)
-        return index
-
-    def _reindex(self, upstream: Upstream, kind: str | None = None) -> None:
-        self._note_room(upstream)
-        for name, index in self._index_by_kind.items():
-            if kind is None or name == kind:
-                self._index_one(upstream, name, index)
-
-    def _index_one(self, upstream: Upstream, kind: str, index: ClassIndex) -> None:
-        name = upstream.entry.name
-        if not upstream.usable:
-            index.remove(name)
-            return
-        number = speed_class(upstream.speed.speed(kind))
-        held_s = upstream.held_run_s or self.expected_s(upstream, kind)
-        rate = upstream.limit / max(held_s, 1e-3)
-        if upstream.last_resort:
-            number, rate = LAST_RESORT, 0.0
-        index.put(name, number, rate, free=upstream.has_room)
-
-    def _set_free(self, upstream: Upstream) -> None:
-        free = self._note_room(upstream)
-        for index in self._index_by_kind.values():
-            index.set_free(upstream.entry.name, free)
-
-    def _note_room(self, upstream: Upstream) -> bool:
-        free = upstream.has_room
-        if free:
-            self.usable_names.add(upstream.entry.name)
-        else:
-            self.usable_names.discard(upstream.entry.name)
-        return free
-
 
 def _first_two(starts: dict[int, Grant]) -> tuple[Grant | None, Grant | None]:
     iterator = iter(starts.values())
