Add state machines for membership and the spread of the configuration

Kills, restarts, pauses, cuts, loss, duplicates and wrong host lists in any order, then a quiet period after which all views must agree.

--- /dev/null
+++ b/tests/test_spread_states.py
@@ -0,0 +1,229 @@
+"""State machines over several real cores: faults in any order, then a quiet period."""
+
+from __future__ import annotations
+
+from bench.spread import SpreadSite, make_config
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from eelgrassyard.policy import ListedHost
+
+DOMAINS = 3
+HOSTS = 8
+POOLS = ("runners/ruling", "workers", "runners/stamping")
+QUIET_S = 20.0
+"""Time after the last fault by which all views must agree."""
+
+SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=25,
+    stateful_step_count=14,
+    suppress_health_check=list(HealthCheck),
+)
+
+hosts = st.sampled_from([f"d{i % DOMAINS}-{i // DOMAINS}" for i in range(HOSTS)])
+domains = st.sampled_from([f"d{i}" for i in range(DOMAINS)])
+
+
+class Faults(RuleBasedStateMachine):
+    """Faults of hosts and of the network, shared by both machines."""
+
+    site: SpreadSite
+    frozen_until: dict[str, float]
+
+    @initialize(
+        seed=st.integers(0, 1000),
+        loss=st.sampled_from([0.0, 0.05, 0.2]),
+        duplicates=st.sampled_from([0.0, 0.1]),
+        jitter_s=st.sampled_from([0.0, 0.01, 0.1]),
+    )
+    def start(self, seed: int, loss: float, duplicates: float, jitter_s: float) -> None:
+        self.site = SpreadSite(
+            config=make_config(HOSTS, DOMAINS),
+            hosts_named=False,
+            seed=seed,
+            loss=loss,
+            duplicates=duplicates,
+            jitter_s=jitter_s,
+        )
+        self.frozen_until = {}
+        self.prepare()
+        self.site.start_all()
+        self.site.run_for(3.0)
+
+    def prepare(self) -> None:
+        """Set up what a machine observes."""
+
+    @rule(seconds=st.sampled_from([0.05, 0.4, 1.5, 4.0]))
+    def run(self, seconds: float) -> None:
+        self.site.run_for(seconds)
+
+    @rule(name=hosts)
+    def kill(self, name: str) -> None:
+        self.site.kill(name)
+
+    @rule(name=hosts)
+    def restart(self, name: str) -> None:
+        # Two incarnations differ by a microsecond at least.
+        self.site.run_for(0.001)
+        self.site.start(name)
+
+    @rule(name=hosts, seconds=st.sampled_from([0.5, 3.0, 12.0]))
+    def pause(self, name: str, seconds: float) -> None:
+        self.site.freeze(name, seconds)
+        self.frozen_until[name] = self.site.now + seconds
+
+    @rule(first=domains, second=domains)
+    def cut(self, first: str, second: str) -> None:
+        self.site.cut(first, second)
+
+    @rule()
+    def heal(self) -> None:
+        self.site.heal()
+
+    def end_faults(self) -> None:
+        """Undo every fault and let the quiet period pass."""
+        site = self.site
+        site.heal()
+        site.loss = site.duplicates = 0.0
+        site.run_until(max([site.now, *self.frozen_until.values()]))
+        site.run_for(QUIET_S)
+
+
+class MembershipStates(Faults):
+    """Guards against hosts that stay dead, come back from the dead, or split views for good."""
+
+    def prepare(self) -> None:
+        self.seen_dead: dict[tuple[str, int], set[tuple[str, int]]] = {}
+        self.incarnations: set[tuple[str, int]] = set()
+
+    @rule(
+        dropped=st.sets(hosts, max_size=4),
+        leaving=st.sets(hosts, max_size=2),
+        receivers=st.sets(hosts, min_size=1),
+    )
+    def read_wrong_list(self, dropped: set[str], leaving: set[str], receivers: set[str]) -> None:
+        listed = [
+            ListedHost(host=host.entry, leaving=name in leaving)
+            for name, host in self.site.host_by_name.items()
+            if name not in dropped
+        ]
+        self.site.listed = lambda: listed
+        for name in receivers:
+            self.site.deliver(name, self.site.host_list())
+
+    @rule(name=hosts)
+    def lose_connection(self, name: str) -> None:
+        for other in self.site.running():
+            if other != name:
+                self.site.fail_connection(other, name)
+
+    @invariant()
+    def ended_incarnations_stay_ended(self) -> None:
+        if not hasattr(self, "site"):
+            return
+        running = self.site.running()
+        self.incarnations |= {(n, c.identity.incarnation) for n, c in running.items()}
+        for name, core in running.items():
+            membership = core.membership
+            seen = self.seen_dead.setdefault((name, core.identity.incarnation), set())
+            for other, incarnation in self.incarnations:
+                dead = membership.is_dead(other, incarnation)
+                assert dead or (other, incarnation) not in seen
+                if dead:
+                    seen.add((other, incarnation))
+                    assert not membership.is_alive(other, incarnation)
+
+    @invariant()
+    def running_incarnations_are_not_ended(self) -> None:
+        if not hasattr(self, "site"):
+            return
+        running = self.site.running()
+        for core in running.values():
+            for other, other_core in running.items():
+                assert not core.membership.is_dead(other, other_core.identity.incarnation)
+
+    def teardown(self) -> None:
+        if not hasattr(self, "site"):
+            return
+        self.site.listed = None
+        for name in self.site.running():
+            self.site.deliver(name, self.site.host_list())
+        self.end_faults()
+        running = self.site.running()
+        expected = tuple(sorted(running))
+        for name, core in running.items():
+            assert core.membership.alive_hosts() == expected, name
+        for pool in POOLS:
+            assert len({c.membership.scheduler_for(pool) for c in running.values()}) <= 1
+
+
+class ConfigStates(Faults):
+    """Guards against a configuration that goes back, or that some host never gets."""
+
+    def prepare(self) -> None:
+        self.last_revision: dict[tuple[str, int], int] = {}
+        self.floor_by_host: dict[str, int] = {}
+        self.site.on_ready = self.check_ready
+
+    @rule()
+    def write(self) -> None:
+        self.site.write_config()
+
+    @rule(up=st.booleans())
+    def set_store(self, up: bool) -> None:
+        self.site.store_up = up
+
+    @rule(seconds=st.sampled_from([0.003, 1.0, 8.0]))
+    def slow_store(self, seconds: float) -> None:
+        self.site.store_latency_s = seconds
+
+    @rule(name=hosts)
+    def restart(self, name: str) -> None:
+        super().restart(name)
+        self.floor_by_host[name] = self.neighbours_revision(name)
+
+    def neighbours_revision(self, name: str) -> int:
+        """Highest revision at the hosts of the same failure domain."""
+        domain = name.split("-")[0]
+        neighbours = (
+            core.configsync.revision
+            for other, core in self.site.running().items()
+            if other != name
+            and other.startswith(domain)
+            and self.frozen_until.get(other, 0.0) <= self.site.now
+        )
+        return max(neighbours, default=0)
+
+    def check_ready(self, name: str) -> None:
+        """A restarted host does not serve an older configuration than its neighbours."""
+        core = self.site.running()[name]
+        assert core.configsync.revision >= self.floor_by_host.get(name, 0)
+
+    @invariant()
+    def revisions_never_decrease(self) -> None:
+        if not hasattr(self, "site"):
+            return
+        for name, core in self.site.running().items():
+            key = (name, core.identity.incarnation)
+            revision = core.configsync.revision
+            assert revision >= self.last_revision.get(key, 0)
+            self.last_revision[key] = revision
+
+    def teardown(self) -> None:
+        if not hasattr(self, "site"):
+            return
+        known = max((c.configsync.revision for c in self.site.running().values()), default=0)
+        self.end_faults()
+        wanted = self.site.stored_revision if self.site.store_up else known
+        for name, core in self.site.running().items():
+            assert core.configsync.revision >= wanted, name
+            assert self.site.ready_by_host[name] or not wanted, name
+
+
+MembershipStates.TestCase.settings = SETTINGS
+ConfigStates.TestCase.settings = SETTINGS
+TestMembershipStates = MembershipStates.TestCase
+TestConfigStates = ConfigStates.TestCase
