--- a/src/eelgrassyard/daemon/_connections.py
+++ b/src/eelgrassyard/daemon/_connections.py
@@ -43,6 +43,13 @@
     since: float
 
 
+def client_tls(url: str) -> ssl.SSLContext:
+    """TLS context for a base URL; loading certificate authorities is skipped where none is used."""
+    if url.startswith("https:"):
+        return ssl.create_default_context()
+    return ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+
+
 class HttpConnections:
     """Connections to one base URL, kept open for a short while between requests.
 
--- a/src/eelgrassyard/daemon/_host.py
+++ b/src/eelgrassyard/daemon/_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import ssl
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -41,7 +40,7 @@
 from ._addresses import AddressBook
 from ._calls import Calls
 from ._clock import Clock
-from ._connections import HttpConnections
+from ._connections import HttpConnections, client_tls
 from ._dump import shorten
 from ._http import HttpInterface
 from ._logs import log_change
@@ -121,10 +120,9 @@
             metrics=self.metrics,
             received=self._receive,
         )
-        platform_tls = ssl.create_default_context()
         self._store = StoreWatcher(
             settings=settings.store,
-            connections=self._platform_connections(settings.store.url, platform_tls),
+            connections=self._platform_connections(settings.store.url),
             metrics=self.metrics,
             rng=self._rng,
             found=self._load_config,
@@ -132,7 +130,7 @@
         )
         self._host_list = HostListPoller(
             settings=settings.host_list,
-            connections=self._platform_connections(settings.host_list.url, platform_tls),
+            connections=self._platform_connections(settings.host_list.url),
             metrics=self.metrics,
             rng=self._rng,
             found=self._take_host_list,
@@ -356,11 +354,11 @@
             rng=self._rng,
         )
 
-    def _platform_connections(self, url: str, tls: ssl.SSLContext) -> HttpConnections:
+    def _platform_connections(self, url: str) -> HttpConnections:
         limits = self._settings.limits
         return HttpConnections(
             url=url,
-            tls=tls,
+            tls=client_tls(url),
             connect_s=limits.connect_s,
             idle_s=limits.idle_s,
             max_idle=1,
--- a/src/eelgrassyard/daemon/_server.py
+++ b/src/eelgrassyard/daemon/_server.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import anyio
+import h11
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.task_group import TaskGroup
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
@@ -24,6 +25,9 @@
 from ._settings import HttpSettings, LimitSettings
 
 BACKLOG = 512
+LINGER_S = 2.0
+"""Time for a client that is refused while sending to read the answer."""
+
 SEND_BUFFER_BYTES = 65_536
 """Bytes that may wait for a client before sending pauses and its time limit runs."""
 
@@ -58,6 +62,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle = True
         self._has_partial_request = False
+        self._is_lingering = False
         self._unsent: list[bytes] = []
 
     async def run(self) -> None:
@@ -100,7 +105,7 @@
             await self._write(event.data)
         elif isinstance(event, Closed):
             self._flush()
-            await self._close()
+            await self._end()
         elif isinstance(event, Updated):
             self._flush()
             self._set_idle(event.idle)
@@ -123,6 +128,24 @@
         except (ConnectionError, RuntimeError):
             await self.protocol.handle(Closed())
 
+    async def _end(self) -> None:
+        """Close; if the client is still sending, first let it read the answer.
+
+        Closing with unread data would reset the connection and take the answer from the client.
+        """
+        transport = self.writer.transport
+        if self._is_lingering or transport.is_closing():
+            return
+        if self._has_whole_request() or not transport.can_write_eof():
+            await self._close()
+            return
+        self._is_lingering = True
+        self.writer.write_eof()
+        self._restart_timer(LINGER_S)
+
+    def _has_whole_request(self) -> bool:
+        return self.protocol.connection.their_state is h11.DONE  # type: ignore[attr-defined]
+
     def _flush(self) -> None:
         if self._unsent:
             data = b"".join(self._unsent)
@@ -136,6 +159,8 @@
                 data = await self.reader.read(MAX_RECV)
             except (OSError, ssl.SSLError):
                 break
+            if self._is_lingering:
+                continue
             if self._is_idle and not self._has_partial_request and data:
                 self._has_partial_request = True
                 self._restart_timer(self._server.limits.request_s)
@@ -144,7 +169,8 @@
             except (H2CProtocolRequiredError, H2ProtocolAssumedError):
                 self._server.metrics.count("http.not_http11")
                 break
-        await self.protocol.handle(Closed())
+        if not self._is_lingering:
+            await self.protocol.handle(Closed())
 
     def _set_idle(self, idle: bool) -> None:
         self._is_idle = idle
--- a/src/eelgrassyard/daemon/_upstream_client.py
+++ b/src/eelgrassyard/daemon/_upstream_client.py
@@ -27,7 +27,14 @@
     UsageReported,
 )
 from ._clock import Clock
-from ._connections import AnswerTooLargeError, HttpConnections, HttpReply, LostError, NeverSentError
+from ._connections import (
+    AnswerTooLargeError,
+    HttpConnections,
+    HttpReply,
+    LostError,
+    NeverSentError,
+    client_tls,
+)
 from ._metrics import Metrics
 from ._settings import LimitSettings
 
@@ -79,7 +86,7 @@
         self._clock = clock
         self._limits = limits
         self._metrics = metrics
-        self._tls = ssl.create_default_context()
+        self._tls_by_scheme: dict[str, ssl.SSLContext] = {}
         self._connections_by_url: dict[str, HttpConnections] = {}
         self._start_by_number: dict[int, RunningStart] = {}
 
@@ -162,9 +169,12 @@
     def _connections(self, url: str) -> HttpConnections:
         connections = self._connections_by_url.get(url)
         if connections is None:
+            scheme = url.partition(":")[0]
+            if scheme not in self._tls_by_scheme:
+                self._tls_by_scheme[scheme] = client_tls(url)
             connections = self._connections_by_url[url] = HttpConnections(
                 url=url,
-                tls=self._tls,
+                tls=self._tls_by_scheme[scheme],
                 connect_s=self._limits.connect_s,
                 idle_s=self._limits.idle_s,
                 max_idle=self._limits.idle_connections,
