Refuse submissions of full flows before the HTTP library

Change: while flows are being refused, plain whole requests are judged from their bytes; anything unusual takes the usual way. The admission of the core is asked, with the longest deadline that the body could mean; ids that the host owns are never refused for their flow.

--- a/src/eelgrassyard/daemon/_host.py
+++ b/src/eelgrassyard/daemon/_host.py
@@ -174,13 +174,21 @@
             log_change("drain", "planned stop begins")
             self._loop.put(DrainCalled())
 
-    def refuse_early(self, caller: str, kind: str, submission_id: str) -> ReplyRefusal | None:
+    def refuse_early(
+        self, caller: str, kind: str, submission_id: str, deadline_s: float
+    ) -> ReplyRefusal | None:
         """Refusal of a submission whose flow the core refuses already, or None."""
-        refuse = getattr(self.core, "refuse_early", None)
-        if refuse is None:
+        if self.core.submissions.knows(submission_id):
             return None
-        refusal: ReplyRefusal | None = refuse(self._clock.now(), caller, kind, submission_id)
-        return refusal
+        refusal = self.core.admission.check_flow(self._clock.now(), (caller, kind), 1, deadline_s)
+        if refusal is None:
+            return None
+        return ReplyRefusal(
+            call=0,
+            reason=refusal.reason,
+            message=refusal.message,
+            retry_after_s=refusal.retry_after_s,
+        )
 
     # Running.
 
--- a/src/eelgrassyard/daemon/_http.py
+++ b/src/eelgrassyard/daemon/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections import Counter
 from collections.abc import Callable
@@ -53,10 +54,14 @@
 MAX_IDS_BODY_BYTES = 16_384
 NOT_READY_RETRY_S = 1.0
 PEEK_BYTES = 1_024
+REFUSING_S = 1.0
+"""Time after an early refusal for which requests are judged before they are parsed."""
+
 SUBMISSION_PREFIX = "/v1/submissions/"
 STATE_PREFIX = "/v1/state/"
 
 _ID = re.compile(r"[A-Za-z0-9._~:@=+-]{1,256}")
+_DEADLINE = re.compile(rb'"deadline_s"\s*:\s*([0-9.eE+-]{1,30})')
 _LEADING_KIND = re.compile(rb'\s*\{\s*"kind"\s*:\s*"([^"\\]{1,64})"')
 
 
@@ -84,7 +89,9 @@
     def drain(self) -> None:
         """Begin a planned stop."""
 
-    def refuse_early(self, caller: str, kind: str, submission_id: str) -> ReplyRefusal | None:
+    def refuse_early(
+        self, caller: str, kind: str, submission_id: str, deadline_s: float
+    ) -> ReplyRefusal | None:
         """Refusal of a submission that the core would refuse for its flow, or None."""
 
 
@@ -99,6 +106,7 @@
         self._limits = limits
         self._metrics = metrics
         self._authenticator = Authenticator()
+        self.refusing_until = 0.0
         self._open_by_caller: Counter[str] = Counter()
         self._max_open = max(1, int(limits.connections * limits.connection_share))
 
@@ -174,8 +182,8 @@
         return config
 
     def _authenticate(self, request: Request) -> CallerEntry:
-        authorization = request.headers.get(b"authorization", b"")
-        caller = self._authenticator.caller_of(self._require_config(), authorization)
+        self._require_config()
+        caller = self.caller_of(request.headers.get(b"authorization", b""))
         if caller is None:
             raise http_error(
                 401,
@@ -278,11 +286,11 @@
 
         def check_flow(start: bytes) -> None:
             # Callers that name the kind first are refused before the rest of the body is read.
-            match = _LEADING_KIND.match(start, 0, PEEK_BYTES)
-            if match is not None:
-                self._refuse_flow(
-                    caller.name, match.group(1).decode(errors="replace"), submission_id
-                )
+            refusal = self._early_refusal(
+                caller, submission_id, start, is_whole=len(start) == request.content_length()
+            )
+            if refusal is not None:
+                raise refusal
 
         content = await request.read_body(
             max_bytes=config.limits.body_bytes,
@@ -303,13 +311,45 @@
             raise http_error(400, "bad_body", body.unwrap_err(), step="parse")
         return body.unwrap()
 
-    def _refuse_flow(self, caller: str, kind: str, submission_id: str) -> None:
-        refusal = self._gateway.refuse_early(caller, kind, submission_id)
+    def refuse_whole(
+        self, caller: CallerEntry, submission_id: str, content: bytes
+    ) -> Answer | None:
+        """Answer to a submission whose flow is refused; None if it is not, or on a planned stop.
+
+        :param content: the whole body.
+        """
+        if self._gateway.is_draining:
+            return None
+        refusal = self._early_refusal(caller, submission_id, content, is_whole=True)
         if refusal is None:
-            return
+            return None
+        self._metrics.count(f"http.status.{refusal.status}")
+        return refusal.to_answer()
+
+    def caller_of(self, authorization: bytes) -> CallerEntry | None:
+        """The caller with that ``Authorization`` header, or None."""
+        config = self._gateway.config
+        if config is None:
+            return None
+        return self._authenticator.caller_of(config, authorization)
+
+    def _early_refusal(
+        self, caller: CallerEntry, submission_id: str, start: bytes, *, is_whole: bool
+    ) -> HttpError | None:
+        match = _LEADING_KIND.match(start, 0, PEEK_BYTES)
+        if match is None:
+            return None
+        kind = self._require_config().kinds_by_name.get(match.group(1).decode(errors="replace"))
+        if kind is None:
+            return None
+        deadline_s = longest_deadline(start, kind.deadline_s) if is_whole else math.inf
+        refusal = self._gateway.refuse_early(caller.name, kind.name, submission_id, deadline_s)
+        if refusal is None:
+            return None
         self._metrics.count("http.refused_early")
+        self.refusing_until = anyio.current_time() + REFUSING_S
         answer = refusal_answer(refusal.reason, refusal.message, refusal.retry_after_s)
-        raise HttpError(
+        return HttpError(
             status=answer.status,
             error=ErrorInfo(code=refusal.reason.value, message=refusal.message, step="admission"),
             headers=answer.headers,
@@ -343,6 +383,21 @@
         return reply
 
 
+def longest_deadline(content: bytes, of_kind_s: float) -> float:
+    """The deadline of a body that is not parsed yet, or a longer one.
+
+    A payload may hold a key of the same name, so the longest value counts: refusing too little
+    here is harmless, because the core decides again.
+    """
+    longest_s = of_kind_s
+    for text in _DEADLINE.findall(content):
+        try:
+            longest_s = max(longest_s, float(text))
+        except ValueError:
+            return math.inf
+    return longest_s
+
+
 def _expect_operator(caller: CallerEntry) -> None:
     if not caller.operator:
         raise http_error(403, "operators_only", "this call is for operators", step="authenticate")
--- a/src/eelgrassyard/daemon/_server.py
+++ b/src/eelgrassyard/daemon/_server.py
@@ -6,7 +6,6 @@
 import socket
 import ssl
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -21,6 +20,8 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 
+from ._gate import Gate
+from ._http import HttpInterface
 from ._metrics import Metrics
 from ._settings import HttpSettings, LimitSettings
 
@@ -31,8 +32,6 @@
 SEND_BUFFER_BYTES = 65_536
 """Bytes that may wait for a client before sending pauses and its time limit runs."""
 
-Application = Callable[..., Awaitable[None]]
-
 
 class CallerConnection(TCPServer):
     """One connection of a caller.
@@ -162,6 +161,8 @@
             if self._is_lingering:
                 continue
             if self._is_idle and not self._has_partial_request and data:
+                if self._refuse_at_once(data):
+                    continue
                 self._has_partial_request = True
                 self._restart_timer(self._server.limits.request_s)
             try:
@@ -172,6 +173,21 @@
         if not self._is_lingering:
             await self.protocol.handle(Closed())
 
+    def _refuse_at_once(self, data: bytes) -> bool:
+        """Answer a request of a refused flow without the HTTP library."""
+        if not self._server.is_refusing() or self.protocol.connection.trailing_data[0]:  # type: ignore[attr-defined]
+            return False
+        refusal = self._server.gate.judge(data)
+        if refusal is None:
+            return False
+        self._flush()
+        self.writer.write(refusal)
+        if self.writer.transport.get_write_buffer_size() > SEND_BUFFER_BYTES:
+            self._server.metrics.count("http.slow_receiver")
+            self.abort()
+        self._restart_timer(self._server.limits.keep_alive_s)
+        return True
+
     def _set_idle(self, idle: bool) -> None:
         self._is_idle = idle
         self._has_partial_request = False
@@ -208,12 +224,18 @@
     def __init__(
         self,
         *,
-        application: Any,
+        application: HttpInterface,
         settings: HttpSettings,
         limits: LimitSettings,
         metrics: Metrics,
     ) -> None:
-        self.wrapper = ASGIWrapper(application)
+        self.wrapper = ASGIWrapper(application)  # type: ignore[arg-type]
+        self.gate = Gate(
+            max_head_bytes=limits.header_bytes,
+            caller_of=application.caller_of,
+            refuse=application.refuse_whole,
+        )
+        self._application = application
         self.config = make_config(settings, limits)
         self.context = WorkerContext(None)
         self.lifespan_state: dict[str, Any] = {}
@@ -237,6 +259,10 @@
             raise RuntimeError("the server has not started")
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def is_refusing(self) -> bool:
+        """Whether flows have been refused lately."""
+        return self._application.refusing_until > anyio.current_time()
+
     async def start(self, listening: socket.socket) -> None:
         """Accept connections on a bound socket."""
         context = self.config.create_ssl_context()
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -143,6 +143,10 @@
             self._drain.next_wake(),
         )
 
+    def knows(self, submission_id: str) -> bool:
+        """Tell whether this host owns a submission of that id; it is never refused for its flow."""
+        return submission_id in self._owner.by_id
+
     def dump(self) -> dict[str, object]:
         """The table of submissions, unfinished ones one by one."""
         live = itertools.islice(self._owner.live_by_id.values(), MAX_DUMPED)
--- a/tests/daemonkit.py
+++ b/tests/daemonkit.py
@@ -22,10 +22,12 @@
     HostEntry,
     IdsCalled,
     KindEntry,
+    Reason,
     ReplyIds,
     SiteConfig,
     TeamEntry,
 )
+from eelgrassyard.policy._fairqueue import QueueRefusal
 
 SALT = "01" * 16
 KEY_BY_CALLER = {"clerk": "key-of-clerk", "till": "key-of-till", "operator": "key-of-operator"}
@@ -87,6 +89,27 @@
         return ""
 
 
+@dataclass
+class NoSubmissions:
+    known: set[str] = field(default_factory=set)
+
+    def knows(self, submission_id: str) -> bool:
+        return submission_id in self.known
+
+
+@dataclass
+class FixedAdmission:
+    """Refuses flows with ``refusal``, and those whose wait is longer than their deadline."""
+
+    refusal: QueueRefusal | None = None
+    wait_s: float = 0.0
+
+    def check_flow(self, now, flow, tasks, deadline_s) -> QueueRefusal | None:
+        if self.wait_s > deadline_s:
+            return QueueRefusal(reason=Reason.DEADLINE, message="late", retry_after_s=1.0)
+        return self.refusal
+
+
 @dataclass
 class ScriptedCore:
     """Answers events by a script and remembers them.
@@ -102,6 +125,8 @@
     def __post_init__(self) -> None:
         self.configsync = FixedConfig(self.config)
         self.membership = NoMembership()
+        self.submissions = NoSubmissions()
+        self.admission = FixedAdmission()
         self._changed = anyio.Event()
 
     def tick(self, now: float, inbox: Sequence[Event]) -> list[Action]:
@@ -150,6 +175,10 @@
         group.cancel_scope.cancel()
 
 
+async def connect(host: Host) -> anyio.abc.SocketStream:
+    return await anyio.connect_tcp("127.0.0.1", host.http_port)
+
+
 def headers_of(caller: str) -> dict[str, str]:
     return {"authorization": f"Bearer {KEY_BY_CALLER[caller]}"}
 
--- a/tests/test_daemon_connections.py
+++ b/tests/test_daemon_connections.py
@@ -10,6 +10,7 @@
     ScriptedCore,
     body_of,
     client_of,
+    connect,
     headers_of,
     put_request,
     receive_all,
@@ -34,10 +35,6 @@
 QUICK = {"limits": {"request_s": 0.2, "keep_alive_s": 0.2, "connections": 8}}
 
 
-async def connect(host):
-    return await anyio.connect_tcp("127.0.0.1", host.http_port)
-
-
 def test_request_head_that_never_ends_is_cut_off():
     """Guards against clients that hold connections by sending a header a byte at a time."""
 
--- a/tests/test_daemon_http.py
+++ b/tests/test_daemon_http.py
@@ -7,7 +7,17 @@
 import anyio
 import pytest
 
-from daemonkit import ScriptedCore, body_of, client_of, make_config, running_host
+from daemonkit import (
+    ScriptedCore,
+    body_of,
+    client_of,
+    connect,
+    make_config,
+    put_request,
+    running_host,
+)
+from eelgrassyard.daemon._answers import Answer
+from eelgrassyard.daemon._gate import Gate
 from eelgrassyard.policy import (
     CallAbandoned,
     CancelCalled,
@@ -20,6 +30,7 @@
     SubmitCalled,
     Urgency,
 )
+from eelgrassyard.policy._fairqueue import QueueRefusal
 
 CALLS = (SubmitCalled, QueryCalled, CancelCalled)
 
@@ -361,32 +372,108 @@
     anyio.run(run)
 
 
+FULL = QueueRefusal(reason=Reason.FLOW_LIMIT, message="full", retry_after_s=4.0)
+
+
 def test_early_refusal_comes_before_the_body():
     """Guards against reading the whole body of a flow that is refused anyway."""
 
     async def run():
         core = replying(None)
-        core.refuse_early = lambda now, caller, kind, submission_id: ReplyRefusal(
-            call=0, reason=Reason.FLOW_LIMIT, message=f"{caller} {kind}", retry_after_s=4.0
-        )
-        async with running_host(core) as host, client_of(host) as client:
-            answer = await client.put("/v1/submissions/id-1", content=body_of("rule"))
-            assert answer.status_code == 429
-            assert answer.headers["retry-after"] == "4"
-            assert answer.json()["error"]["message"] == "clerk rule"
-            stream = await anyio.connect_tcp("127.0.0.1", host.http_port)
-            start = (
-                b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n"
-                b"authorization: Bearer key-of-clerk\r\n\r\n" + b'{"kind": "rule", "tasks": ['
-            )
-            async with stream:
-                await stream.send(start)
-                assert (await stream.receive()).startswith(b"HTTP/1.1 429")
+        core.admission.refusal = FULL
+        async with running_host(core) as host, await connect(host) as stream:
+            request = put_request(b'{"kind": "rule", "tasks": [', length=1_000_000)
+            await stream.send(request)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 429")
             assert not core.of_type(SubmitCalled)
 
     anyio.run(run)
 
 
+def test_refusals_are_the_same_with_and_without_the_http_library():
+    """Guards against a refused client that gets two sorts of answer, or loses its connection."""
+
+    async def run():
+        core = replying(None)
+        core.admission.refusal = FULL
+        async with running_host(core) as host, await connect(host) as stream:
+            answers = []
+            for _ in range(3):
+                await stream.send(put_request(body_of()))
+                head, _, body = (await stream.receive()).partition(b"\r\n\r\n")
+                lines = {line for line in head.split(b"\r\n")[1:] if not line.startswith(b"date")}
+                answers.append((head.split()[1], lines, body))
+            assert answers[0] == answers[1] == answers[2]
+            assert answers[0][0] == b"429"
+            assert b"retry-after: 4" in answers[0][1]
+            assert host.metrics.total_by_name["http.refused_early"] == 3
+            assert host.metrics.total_by_name["http.status.429"] == 3
+            core.admission.refusal = None
+            await stream.send(put_request(body_of()))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 202")
+            core.admission.refusal = FULL
+            core.submissions.known.add("id-1")
+            await stream.send(put_request(body_of()))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 202")
+
+    anyio.run(run)
+
+
+def test_early_refusals_respect_key_and_deadline():
+    """Guards against a refusal for strangers, and for a deadline that the body makes longer."""
+
+    async def run():
+        core = replying(None)
+        core.admission.wait_s = 60.0
+        async with running_host(core) as host, await connect(host) as stream:
+
+            async def status_of(body: bytes, key: bytes = b"key-of-clerk") -> bytes:
+                await stream.send(put_request(body).replace(b"key-of-clerk", key))
+                return (await stream.receive()).split()[1]
+
+            for _ in range(2):
+                assert await status_of(body_of()) == b"503"
+                assert await status_of(body_of(deadline_s=70)) == b"202"
+                assert await status_of(body_of(), b"wrong-key-xx") == b"401"
+                assert await status_of(b'{"tasks": [], "kind": "rule"}') == b"400"
+
+    anyio.run(run)
+
+
+ODD_HEADS = [
+    b"PUT /v1/submissions/id-1 HTTP/1.0\r\nhost: x\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\n",
+    b"PUT /v1/submissions/a%20b HTTP/1.1\r\nhost: x\r\n",
+    b"PUT /v1/submissions/id-1?wait=x HTTP/1.1\r\nhost: x\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\nhost: y\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\nfolded: a\r\n b\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\nno colon\r\n",
+    b"PUT /v1/submissions/id-1 HTTP/1.1\r\nhost : x\r\n",
+    b"POST /v1/submissions/id-1 HTTP/1.1\r\nhost: x\r\n",
+]
+
+
+def test_only_plain_whole_requests_are_judged_without_the_http_library():
+    """Guards against a second reading of HTTP that differs from the library's."""
+    clerk = make_config().callers_by_name["clerk"]
+    refused = Answer(status=429, body=b"{}")
+    gate = Gate(
+        max_head_bytes=16_384, caller_of=lambda value: clerk, refuse=lambda *arguments: refused
+    )
+    plain = put_request(body_of())
+    assert gate.judge(plain).startswith(b"HTTP/1.1 429 Too Many Requests\r\n")
+    for cut in range(len(plain)):
+        assert gate.judge(plain[:cut]) is None
+    assert gate.judge(plain + b"P") is None
+    body = body_of()
+    for head in ODD_HEADS:
+        end = b"authorization: Bearer key-of-clerk\r\ncontent-length: %d\r\n\r\n" % len(body)
+        assert gate.judge(head + end + body) is None, head
+
+
 def test_large_results_arrive_whole():
     """Guards against answers cut by buffering of the parts of an answer."""
 
