--- a/src/eelgrassyard/daemon/_server.py
+++ b/src/eelgrassyard/daemon/_server.py
@@ -6,10 +6,10 @@
 import socket
 import ssl
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
+import h11
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.task_group import TaskGroup
 from hypercorn.asyncio.tcp_server import MAX_RECV, TCPServer
@@ -20,15 +20,18 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import parse_socket_addr
 
+from ._gate import Gate
+from ._http import HttpInterface
 from ._metrics import Metrics
 from ._settings import HttpSettings, LimitSettings
 
 BACKLOG = 512
+LINGER_S = 2.0
+"""Time for a client that is refused while sending to read the answer."""
+
 SEND_BUFFER_BYTES = 65_536
 """Bytes that may wait for a client before sending pauses and its time limit runs."""
 
-Application = Callable[..., Awaitable[None]]
-
 
 class CallerConnection(TCPServer):
     """One connection of a caller.
@@ -58,6 +61,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle = True
         self._has_partial_request = False
+        self._is_lingering = False
         self._unsent: list[bytes] = []
 
     async def run(self) -> None:
@@ -100,7 +104,7 @@
             await self._write(event.data)
         elif isinstance(event, Closed):
             self._flush()
-            await self._close()
+            await self._end()
         elif isinstance(event, Updated):
             self._flush()
             self._set_idle(event.idle)
@@ -123,6 +127,24 @@
         except (ConnectionError, RuntimeError):
             await self.protocol.handle(Closed())
 
+    async def _end(self) -> None:
+        """Close; if the client is still sending, first let it read the answer.
+
+        Closing with unread data would reset the connection and take the answer from the client.
+        """
+        transport = self.writer.transport
+        if self._is_lingering or transport.is_closing():
+            return
+        if self._has_whole_request() or not transport.can_write_eof():
+            await self._close()
+            return
+        self._is_lingering = True
+        self.writer.write_eof()
+        self._restart_timer(LINGER_S)
+
+    def _has_whole_request(self) -> bool:
+        return self.protocol.connection.their_state is h11.DONE  # type: ignore[attr-defined]
+
     def _flush(self) -> None:
         if self._unsent:
             data = b"".join(self._unsent)
@@ -136,7 +158,11 @@
                 data = await self.reader.read(MAX_RECV)
             except (OSError, ssl.SSLError):
                 break
+            if self._is_lingering:
+                continue
             if self._is_idle and not self._has_partial_request and data:
+                if self._refuse_at_once(data):
+                    continue
                 self._has_partial_request = True
                 self._restart_timer(self._server.limits.request_s)
             try:
@@ -144,7 +170,23 @@
             except (H2CProtocolRequiredError, H2ProtocolAssumedError):
                 self._server.metrics.count("http.not_http11")
                 break
-        await self.protocol.handle(Closed())
+        if not self._is_lingering:
+            await self.protocol.handle(Closed())
+
+    def _refuse_at_once(self, data: bytes) -> bool:
+        """Answer a request of a refused flow without the HTTP library."""
+        if not self._server.is_refusing() or self.protocol.connection.trailing_data[0]:  # type: ignore[attr-defined]
+            return False
+        refusal = self._server.gate.judge(data)
+        if refusal is None:
+            return False
+        self._flush()
+        self.writer.write(refusal)
+        if self.writer.transport.get_write_buffer_size() > SEND_BUFFER_BYTES:
+            self._server.metrics.count("http.slow_receiver")
+            self.abort()
+        self._restart_timer(self._server.limits.keep_alive_s)
+        return True
 
     def _set_idle(self, idle: bool) -> None:
         self._is_idle = idle
@@ -182,12 +224,18 @@
     def __init__(
         self,
         *,
-        application: Any,
+        application: HttpInterface,
         settings: HttpSettings,
         limits: LimitSettings,
         metrics: Metrics,
     ) -> None:
-        self.wrapper = ASGIWrapper(application)
+        self.wrapper = ASGIWrapper(application)  # type: ignore[arg-type]
+        self.gate = Gate(
+            max_head_bytes=limits.header_bytes,
+            caller_of=application.caller_of,
+            refuse=application.refuse_whole,
+        )
+        self._application = application
         self.config = make_config(settings, limits)
         self.context = WorkerContext(None)
         self.lifespan_state: dict[str, Any] = {}
@@ -211,6 +259,10 @@
             raise RuntimeError("the server has not started")
         return int(self._listener.sockets[0].getsockname()[1])
 
+    def is_refusing(self) -> bool:
+        """Whether flows have been refused lately."""
+        return self._application.refusing_until > anyio.current_time()
+
     async def start(self, listening: socket.socket) -> None:
         """Accept connections on a bound socket."""
         context = self.config.create_ssl_context()
