Start tasks on runners; add a site of real processes for measurements

Cause: starts on runners carry no lease, and the check for a pause took that as a lease of 0 s, so nothing was ever started on a runner. Change: the check uses the configured lease time.

--- /dev/null
+++ b/bench/daemon_site.py
@@ -0,0 +1,274 @@
+"""A small site of real processes on loopback: stand-ins and daemons."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import httpx
+
+from eelgrassyard.config import hash_key, new_key, new_salt, render_document
+from eelgrassyard.policy import (
+    CallerEntry,
+    HostEntry,
+    KindEntry,
+    Limits,
+    SiteConfig,
+    TeamEntry,
+    UpstreamEntry,
+    UpstreamRole,
+)
+
+START_S = 20.0
+STOP_S = 15.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+CALLERS = ("clerk", "till", "operator")
+STORE_KEY = "site"
+
+
+@dataclass(kw_only=True)
+class HostProcess:
+    """A daemon."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    http_port: int
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.http_port}"
+
+    def cpu_s(self) -> float:
+        """Processor time used so far."""
+        fields = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / CLOCK_TICKS
+
+    def memory_mb(self) -> float:
+        """Resident memory in MiB."""
+        for line in pathlib.Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+        raise RuntimeError("no VmRSS")
+
+
+@dataclass(kw_only=True)
+class Site:
+    """The processes of a site and what is needed to call them."""
+
+    hosts: list[HostProcess]
+    config: SiteConfig
+    store_url: str
+    runner_urls: list[str]
+    worker_urls: list[str]
+    key_by_caller: dict[str, str] = field(default_factory=dict)
+
+
+def free_ports(count: int) -> list[int]:
+    """Ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(("127.0.0.1", 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
+
+
+@contextlib.contextmanager
+def running_site(
+    *,
+    hosts: int = 1,
+    runners: int = 2,
+    workers: int = 1,
+    slots: int = 8,
+    limits: Limits | None = None,
+) -> Iterator[Site]:
+    """Start a site, wait until its hosts are ready, and stop it at the end."""
+    ports = iter(free_ports(2 + runners + workers + 2 * hosts))
+    store_port, list_port = next(ports), next(ports)
+    runner_ports = [next(ports) for _ in range(runners)]
+    worker_ports = [next(ports) for _ in range(workers)]
+    host_ports = [(next(ports), next(ports)) for _ in range(hosts)]
+    keys = {name: new_key() for name in CALLERS}
+    config = make_config(keys, host_ports, runner_ports, worker_ports, slots, limits or Limits())
+    with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
+        directory = pathlib.Path(folder)
+        spec = stand_in_spec(config, store_port, list_port)
+        (directory / "stand-ins.json").write_text(json.dumps(spec))
+        stack.enter_context(
+            started("eelgrassyard.standins", f"--spec={directory / 'stand-ins.json'}")
+        )
+        store_url = f"http://127.0.0.1:{store_port}"
+        wait_until_answering(store_url + "/counts")
+        document = render_document(config, author="bench").decode()
+        body = {"value": document, "expect": 0}
+        httpx.put(f"{store_url}/kv/{STORE_KEY}", json=body, trust_env=False).raise_for_status()
+        id_key = secrets.token_hex(32)
+        processes = []
+        for (name, entry), (http_port, _) in zip(
+            config.hosts_by_name.items(), host_ports, strict=True
+        ):
+            settings = {
+                "name": name,
+                "failure_domain": entry.failure_domain,
+                "id_key": id_key,
+                "http": {"address": "127.0.0.1", "port": http_port},
+                "peer": {"address": "127.0.0.1", "port": entry.port},
+                "store": {"url": store_url, "key": STORE_KEY},
+                "host_list": {"url": f"http://127.0.0.1:{list_port}"},
+                "log_level": "error",
+            }
+            path = directory / f"{name}.jsonc"
+            path.write_text(json.dumps(settings))
+            process = stack.enter_context(started("eelgrassyard.daemon", f"--settings={path}"))
+            processes.append(HostProcess(name=name, process=process, http_port=http_port))
+        for host in processes:
+            wait_until_answering(host.url + "/readyz")
+        yield Site(
+            hosts=processes,
+            config=config,
+            store_url=store_url,
+            runner_urls=[f"http://127.0.0.1:{port}" for port in runner_ports],
+            worker_urls=[f"http://127.0.0.1:{port}" for port in worker_ports],
+            key_by_caller=keys,
+        )
+
+
+def make_config(
+    keys: dict[str, str],
+    host_ports: list[tuple[int, int]],
+    runner_ports: list[int],
+    worker_ports: list[int],
+    slots: int,
+    limits: Limits,
+) -> SiteConfig:
+    """A site of one failure domain with a kind for requests and one for jobs."""
+    callers = {}
+    for name, key in keys.items():
+        salt = new_salt()
+        callers[name] = CallerEntry(
+            name=name,
+            team="team",
+            key_salt=salt,
+            key_hash=hash_key(key, salt),
+            operator=name == "operator",
+        )
+    upstreams = {}
+    for number, port in enumerate(runner_ports):
+        name = f"runner-{number:02}"
+        upstreams[name] = UpstreamEntry(
+            name=name,
+            role=UpstreamRole.RUNNER,
+            url=f"http://127.0.0.1:{port}",
+            failure_domain="patan",
+            service="ruling",
+            slots=slots,
+        )
+    for number, port in enumerate(worker_ports):
+        name = f"worker-{number:02}"
+        upstreams[name] = UpstreamEntry(
+            name=name,
+            role=UpstreamRole.WORKER,
+            url=f"http://127.0.0.1:{port}",
+            failure_domain="patan",
+            cores=64.0,
+            memory_mb=131_072,
+        )
+    return SiteConfig(
+        site="bench",
+        failure_domains=("patan",),
+        hosts_by_name={
+            f"patan-{number}": HostEntry(
+                name=f"patan-{number}", address="127.0.0.1", port=port, failure_domain="patan"
+            )
+            for number, (_, port) in enumerate(host_ports, 1)
+        },
+        upstreams_by_name=upstreams,
+        kinds_by_name={
+            "rule": KindEntry(name="rule", service="ruling", typical_s=0.05, idempotent=True),
+            "bind": KindEntry(name="bind", typical_s=0.05),
+        },
+        callers_by_name=callers,
+        teams_by_name={"team": TeamEntry(name="team")},
+        limits=limits,
+    )
+
+
+def stand_in_spec(config: SiteConfig, store_port: int, list_port: int) -> list[dict[str, object]]:
+    """What the stand-ins serve."""
+    spec: list[dict[str, object]] = [{"role": "keyvalue", "port": store_port}]
+    listed: list[dict[str, object]] = [
+        {
+            "name": host.name,
+            "role": "entry",
+            "address": host.address,
+            "port": host.port,
+            "failure_domain": host.failure_domain,
+            "state": "live",
+        }
+        for host in config.hosts_by_name.values()
+    ]
+    for entry in config.upstreams_by_name.values():
+        port = int(entry.url.rpartition(":")[2])
+        if entry.role is UpstreamRole.RUNNER:
+            spec.append({"role": "runner", "port": port, "name": entry.name, "slots": entry.slots})
+        else:
+            spec.append({"role": "worker", "port": port, "name": entry.name})
+        listed.append(
+            {
+                "name": entry.name,
+                "role": entry.role.value,
+                "address": "127.0.0.1",
+                "port": port,
+                "failure_domain": entry.failure_domain,
+                "service": entry.service,
+                "slots": entry.slots,
+                "cores": entry.cores,
+                "memory_mb": entry.memory_mb,
+                "state": "live",
+            }
+        )
+    spec.append({"role": "hostlist", "port": list_port, "hosts": listed})
+    return spec
+
+
+@contextlib.contextmanager
+def started(module: str, *arguments: str) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a module in a process of its own and end it with SIGTERM."""
+    process = subprocess.Popen([sys.executable, "-m", module, *arguments])
+    try:
+        yield process
+    finally:
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def wait_until_answering(url: str) -> None:
+    """Wait for status 200.
+
+    :raises TimeoutError: if there is none in time.
+    """
+    deadline = time.monotonic() + START_S
+    while time.monotonic() < deadline:
+        with contextlib.suppress(httpx.HTTPError):
+            if httpx.get(url, trust_env=False).status_code == 200:
+                return
+        time.sleep(0.05)
+    raise TimeoutError(f"{url} does not answer with 200")
--- a/src/eelgrassyard/daemon/_host.py
+++ b/src/eelgrassyard/daemon/_host.py
@@ -21,6 +21,7 @@
     Drained,
     HostIdentity,
     HostListRead,
+    Limits,
     LoadConfig,
     PeerFailed,
     PeerMessage,
@@ -199,6 +200,7 @@
             self._upstreams = UpstreamClient(
                 group=group,
                 address_of=self._upstream_address,
+                lease_s=self._lease_s,
                 put=self._loop.put,
                 clock=self._clock,
                 limits=self._settings.limits,
@@ -342,6 +344,10 @@
             "counters": dict(sorted(self.metrics.total_by_name.items())),
         }
 
+    def _lease_s(self) -> float:
+        config = self.config
+        return config.limits.lease_s if config is not None else Limits().lease_s
+
     def _upstream_address(self, name: str) -> UpstreamAddress | None:
         entry = self._upstream_by_name.get(name)
         url = self._addresses.upstream_url(name)
--- a/src/eelgrassyard/daemon/_upstream_client.py
+++ b/src/eelgrassyard/daemon/_upstream_client.py
@@ -67,6 +67,7 @@
     """Carries out the actions of the core that concern upstreams.
 
     :param address_of: address of an upstream by name, or None if it is not known.
+    :param lease_s: the configured lease time.
     :param put: takes events for the core.
     """
 
@@ -75,6 +76,7 @@
         *,
         group: anyio.abc.TaskGroup,
         address_of: Callable[[str], UpstreamAddress | None],
+        lease_s: Callable[[], float],
         put: Callable[[Event], None],
         clock: Clock,
         limits: LimitSettings,
@@ -82,6 +84,7 @@
     ) -> None:
         self._group = group
         self._address_of = address_of
+        self._lease_s = lease_s
         self._put = put
         self._clock = clock
         self._limits = limits
@@ -213,8 +216,8 @@
     ) -> StartFinished:
         action = running.action
         # The process may have been paused between the decision and now; by then the witness may
-        # have reported the submission as not run.
-        if self._clock.now() - decided_at > action.lease_s:
+        # have reported the submission as not run. Starts on runners carry no lease of their own.
+        if self._clock.now() - decided_at > self._lease_s():
             return _finished(action, StartResult.NOT_STARTED, b"decided too long ago")
         path, headers, content = _request_of(action, address.role)
         try:
--- a/tests/test_daemon_upstreams.py
+++ b/tests/test_daemon_upstreams.py
@@ -65,6 +65,7 @@
         self.client = UpstreamClient(
             group=group,
             address_of=lambda name: UpstreamAddress(url=url, role=role) if name == "u1" else None,
+            lease_s=lambda: 10.0,
             put=self.send_events.send_nowait,
             clock=self.clock,
             limits=LimitSettings(answer_bytes=10_000),
@@ -218,13 +219,16 @@
 
 
 def test_start_decided_before_a_pause_is_not_sent():
-    """Guards against starting a task whose submission was reported as not run meanwhile."""
+    """Guards against starting a task whose submission was reported as not run meanwhile, and
+    against never starting on runners, whose starts carry no lease of their own."""
 
     async def run():
         async with rig(answering(OK)) as it:
-            finished = await it.run(make_start(lease_s=10.0), decided_ago_s=10.5)
+            finished = await it.run(make_start(lease_s=0.0), decided_ago_s=10.5)
             assert finished.result is StartResult.NOT_STARTED
             assert not finished.refused_by_connect
+            finished = await it.run(make_start(start=2, lease_s=0.0), decided_ago_s=5.0)
+            assert finished.result is StartResult.OK
 
     anyio.run(run)
 
