--- a/src/eelgrassyard/config/_limits.py
+++ b/src/eelgrassyard/config/_limits.py
@@ -17,7 +17,6 @@
 LONGEST_LIFETIME_S = 86_400.0
 
 LEAST_QUEUED_PER_FLOW = 500
-MOST_QUEUED_PER_FLOW = 20_000
 MOST_QUEUED_TOTAL = 100_000
 """Queued tasks are held in memory; 100,000 of them are some tens of megabytes."""
 
@@ -80,7 +79,7 @@
         per_flow,
         per_flow_path,
         f"tasks that the pool finishes in {priority.queue_wait_ratio:.0%} of the time for an "
-        f"answer, between {LEAST_QUEUED_PER_FLOW} and {MOST_QUEUED_PER_FLOW}",
+        f"answer, {LEAST_QUEUED_PER_FLOW} to {priority.most_queued_per_flow}",
     )
     put(
         "queued_tasks_total",
@@ -156,7 +155,7 @@
         if queued > most:
             most, path = queued, ("kinds", index, "answer_within_s")  # type: ignore[assignment]
     least = max(LEAST_QUEUED_PER_FLOW, 2 * _tasks_per_job(answers)[0])
-    return int(min(max(most, least), MOST_QUEUED_PER_FLOW)), path
+    return int(min(max(most, least), priority.most_queued_per_flow)), path
 
 
 def _queued_total(answers: Answers, per_flow: int) -> int:
--- a/src/eelgrassyard/config/_priorities.py
+++ b/src/eelgrassyard/config/_priorities.py
@@ -16,6 +16,8 @@
     :param guarantees_all: the whole pool is divided into guarantees, nothing is left to urgency.
     :param background_share: part of a pool that the least urgent work keeps.
     :param queue_wait_ratio: part of the time for an answer that may be spent in a queue.
+    :param most_queued_per_flow: tasks of one caller and kind that wait at most, whatever the pool
+        can do; a queued task is held in memory.
     :param lightest_weight: lowest weight of a caller, as a multiple of the mean.
     :param heaviest_weight: highest weight of a caller, as a multiple of the mean.
     :param retry_budget_ratio: retries allowed as a part of the starts.
@@ -25,6 +27,7 @@
     guarantees_all: bool
     background_share: float
     queue_wait_ratio: float
+    most_queued_per_flow: int
     lightest_weight: float
     heaviest_weight: float
     retry_budget_ratio: float
@@ -40,6 +43,7 @@
         guarantees_all=False,
         background_share=0.05,
         queue_wait_ratio=0.5,
+        most_queued_per_flow=20_000,
         lightest_weight=0.1,
         heaviest_weight=10.0,
         retry_budget_ratio=0.1,
@@ -53,6 +57,7 @@
         guarantees_all=True,
         background_share=0.15,
         queue_wait_ratio=0.25,
+        most_queued_per_flow=10_000,
         lightest_weight=0.5,
         heaviest_weight=4.0,
         retry_budget_ratio=0.05,
--- /dev/null
+++ b/tests/test_generate.py
@@ -0,0 +1,245 @@
+"""Generation: what matters most, shares, weights, differences and demo sites."""
+
+import dataclasses
+import json
+import re
+
+import pytest
+from hypothesis import given, settings
+
+from eelgrassyard.config import (
+    DOCUMENT_BYTES,
+    SITES,
+    Questionnaire,
+    config_values,
+    demo_questionnaire,
+    diff_configs,
+    generate,
+    load_questionnaire,
+    parse_questionnaire,
+    render_document,
+    verify_key,
+)
+from eelgrassyard.config._answers import Answers
+from eelgrassyard.config._positions import find_positions
+from eelgrassyard.policy import Scope, Urgency
+from questionnaires import parsed, small, valid_questionnaires
+
+
+def config_of(**answers):
+    return generate(parsed(small(**answers))).config
+
+
+@settings(derandomize=True, deadline=None, max_examples=20, database=None)
+@given(values=valid_questionnaires())
+def test_shares_and_weights_stay_within_their_bounds(values):
+    """Guards against guarantees above the whole pool and callers that weigh nothing."""
+    config = generate(parsed(values)).config
+    for service in {kind.service for kind in config.kinds_by_name.values()}:
+        kinds = [kind for kind in config.kinds_by_name.values() if kind.service == service]
+        urgent = [kind.share for kind in kinds if kind.urgency is not Urgency.BACKGROUND]
+        assert sum(kind.share for kind in kinds) <= 1 + 1e-9
+        assert sum(urgent) + config.limits.background_share <= 1 + 1e-9
+    assert all(caller.weight > 0 for caller in config.callers_by_name.values())
+
+
+@pytest.mark.parametrize("site", ["bagmati", "savannah"])
+def test_what_matters_most_changes_the_configuration(site):
+    """Guards against an answer that has no effect."""
+    text = (SITES / f"{site}.jsonc").read_text()
+    text = text.replace('"least_urgent_keeps_percent": 10,', "")
+    quick, fair = (
+        generate(parse_questionnaire(_answer_matters(text, answer), file=site).unwrap()).config
+        for answer in ("response_time", "other_work_in_flood")
+    )
+    shares = [
+        (quick.kinds_by_name[name].share, kind.share) for name, kind in fair.kinds_by_name.items()
+    ]
+    assert sum(new for _, new in shares) > sum(old for old, _ in shares)
+    assert fair.limits.background_share > quick.limits.background_share
+    assert fair.limits.queued_tasks_per_flow < quick.limits.queued_tasks_per_flow
+    assert fair.limits.retry_budget_ratio < quick.limits.retry_budget_ratio
+    assert quick.limits.lease_s < fair.limits.lease_s
+    assert quick.limits.ask_timeout_s < fair.limits.ask_timeout_s
+
+
+def _answer_matters(text: str, answer: str) -> bytes:
+    changed, count = re.subn('"matters_most": "[a-z_]+"', f'"matters_most": "{answer}"', text)
+    assert count == 1
+    return changed.encode()
+
+
+@pytest.mark.parametrize("site", ["bagmati", "savannah"])
+def test_each_kind_is_guaranteed_its_expected_load(site):
+    """Guards against a quiet kind that a flood can push below what it usually needs.
+
+    The least urgent kinds keep background_share in common, not their expected load.
+    """
+    questionnaire = load_questionnaire(SITES / f"{site}.jsonc").unwrap()
+    config = generate(questionnaire).config
+    slots = sum(upstream.slots for upstream in config.upstreams_by_name.values())
+    cores = sum(upstream.cores for upstream in config.upstreams_by_name.values())
+    for kind in questionnaire.answers.kinds:
+        per_s = sum(
+            caller.sends[kind.name].per_s
+            for caller in questionnaire.answers.callers
+            if kind.name in caller.sends
+        )
+        busy = per_s * kind.tasks_usual * kind.typical_s
+        load = busy / slots if kind.runs_as == "request" else busy * kind.cores / cores
+        if kind.late_answer != "can_wait":
+            assert config.kinds_by_name[kind.name].share >= load
+
+
+def test_answers_become_values():
+    """Guards against an answer that is read into the wrong value."""
+    values = small(least_urgent_keeps_percent=12)
+    values["kinds"][0]["keeps_percent"] = 40
+    values["hosts"][0]["size"] = "large"
+    values["services"][0]["runners"][0]["slots"] = 4
+    config = generate(parsed(values)).config
+    assert config.kinds_by_name["rule"].share == 0.4
+    assert config.kinds_by_name["rule"].idempotent is True
+    assert config.kinds_by_name["bind"].idempotent is False
+    assert config.kinds_by_name["rule"].urgency is Urgency.URGENT
+    assert config.kinds_by_name["bind"].urgency is Urgency.BACKGROUND
+    assert config.kinds_by_name["rule"].deadline_s == 10
+    assert config.limits.background_share == 0.12
+    assert config.hosts_by_name["patan-1"].weight == 2.0
+    assert config.upstreams_by_name["r1"].slots == 4
+    assert config.upstreams_by_name["w1"].memory_mb == 65536
+    assert config.teams_by_name["land"].starts_per_s == 50
+    assert config.teams_by_name["shop"].starts_per_s == 0
+    assert config.callers_by_name["till"].kinds == {"rule", "bind"}
+    assert config.callers_by_name["ops"].operator is True
+    assert config.callers_by_name["clerk"].weight < config.callers_by_name["till"].weight
+
+
+def test_slow_links_stretch_timings():
+    """Guards against probes and asks that time out within a few round trips."""
+    near = config_of().limits
+    far = config_of(latency_ms={"between_failure_domains": 50, "to_clients": 3}).limits
+    assert far.ping_interval_s > near.ping_interval_s
+    assert far.ask_timeout_s == pytest.approx(2.0)
+
+
+def test_the_origin_is_the_answer_and_its_line():
+    """Guards against origins that point at another answer."""
+    values = small()
+    questionnaire = parsed(values)
+    origins = generate(questionnaire).origins_by_key
+    lines = questionnaire.positions.line_by_path
+    origin = origins["kinds.bind.deadline_s"]
+    assert origin.answer == "$.kinds[1].answer_within_s"
+    assert origin.line == lines["kinds", 1, "answer_within_s"]
+    assert origins["upstreams.r1.slots"].answer == "$.services[0].slots"
+    assert origins["upstreams.w1.cores"].line == lines["racks", 0, "cores"]
+    assert "not answered" in origins["upstreams.r1.rack"].rule
+    assert origins["limits.lease_s"].answer == "$.matters_most"
+
+
+@settings(derandomize=True, deadline=None, max_examples=12, database=None)
+@given(before=valid_questionnaires(), after=valid_questionnaires())
+def test_the_difference_covers_every_changed_value(before, after):
+    """Guards against a change that the operator is not told of."""
+    old, new = generate(parsed(before)).config, generate(parsed(after)).config
+    changes = diff_configs(old, new)
+    assert diff_configs(old, old) == []
+    old_values, new_values = config_values(old), config_values(new)
+    changed = {key for key, value in new_values.items() if old_values.get(key, value) != value}
+    named = {change.key for change in changes}
+    assert changed <= named
+    for key in old_values.keys() ^ new_values.keys():
+        assert key.rpartition(".")[0] in named
+    for change in changes:
+        assert change.effect
+        assert not any(sign in change.effect for sign in "{}")
+
+
+def test_effects_are_in_plain_words():
+    """Guards against effects that only repeat the key."""
+    old = config_of()
+    kind = dataclasses.replace(old.kinds_by_name["rule"], share=0.5, idempotent=False)
+    new = dataclasses.replace(old, kinds_by_name=dict(old.kinds_by_name) | {"rule": kind})
+    effects = {change.key: change.effect for change in diff_configs(old, new)}
+    assert "rule keeps 50% of its pool in a flood" in effects["kinds.rule.share"]
+    assert effects["kinds.rule.idempotent"] == (
+        "a lost request of rule is never sent again and fails"
+    )
+
+
+@pytest.mark.parametrize("site", ["bagmati", "savannah"])
+@pytest.mark.parametrize(("hosts", "upstreams"), [(1, 1), (3, 4), (9, 24)])
+def test_demo_questionnaires(site, hosts, upstreams):
+    """Guards against sizes for which the shipped answers contradict each other."""
+    keys = {"tills": "till-key", "accountants": "counter-key"}
+    questionnaire = demo_questionnaire(
+        site,
+        hosts=[(1000 + number, 2000 + number) for number in range(hosts)],
+        runners=range(3000, 3000 + upstreams),
+        workers=range(4000, 4000 + upstreams),
+        keys=keys,
+    )
+    config = generate(questionnaire).config
+    assert len(config.hosts_by_name) == hosts
+    assert len(config.upstreams_by_name) == 2 * upstreams
+    for name in keys.keys() & config.callers_by_name.keys():
+        caller = config.callers_by_name[name]
+        assert verify_key(keys[name], caller.key_salt, caller.key_hash)
+
+
+def test_a_demo_without_workers_has_no_jobs():
+    """Guards against kinds that nothing can run."""
+    questionnaire = demo_questionnaire("savannah", hosts=[(1, 2)], runners=[3], workers=[])
+    kinds = generate(questionnaire).config.kinds_by_name
+    assert kinds
+    assert all(kind.service for kind in kinds.values())
+
+
+def test_the_largest_site_fits_into_the_store():
+    """Guards against a document above the store's 1 MB at the size to design for."""
+    values = small(
+        failure_domains=[{"name": f"zone{n}", "region": "r"} for n in range(11)],
+    )
+    template = values["hosts"][0]
+    values["hosts"] = [
+        template
+        | {"name": f"zone{n % 11}-host-{n}", "failure_domain": f"zone{n % 11}"}
+        | {"peer_port": 1000 + n, "callers_port": 2000 + n}
+        for n in range(99)
+    ]
+    rack = values["racks"][0]
+    values["racks"] = [
+        rack
+        | {"name": f"zone{n % 11}-rack-{n}", "failure_domain": f"zone{n % 11}"}
+        | {
+            "workers": [
+                {"name": f"zone{n % 11}-rack-{n}-worker-{w}", "address": f"10.{n}.0.{w}", "port": 1}
+                for w in range(8)
+            ]
+        }
+        for n in range(175)
+    ]
+    values["services"][0]["runners"][0]["failure_domain"] = "zone0"
+    values["teams"] = [{"name": f"team{n}", "most_starts_per_s": 2000} for n in range(68)]
+    values["callers"] = [
+        {"name": f"caller{n}", "team": f"team{n}", "sends": {"rule": {"per_s": 0.1}}}
+        for n in range(68)
+    ]
+    generated = generate(_without_text(values))
+    document = render_document(
+        generated.config, author="test", origins_by_key=generated.origins_by_key
+    )
+    assert generated.config.scope is Scope.FAILURE_DOMAIN
+    assert len(generated.config.upstreams_by_name) == 1401
+    assert len(document) < DOCUMENT_BYTES
+
+
+def _without_text(values):
+    """A questionnaire from values: json5 takes seconds for a text of this size."""
+    text = json.dumps(values, indent=1)
+    return Questionnaire(
+        file="site.jsonc",
+        answers=Answers.model_validate_json(text),
+        positions=find_positions(text),
+    )
