Read outcomes and refusals as the daemon writes them

The daemon names outcomes by "state" and refusals by the code of an error alone. A refused call now ends a submission only if no earlier call with the id may have been taken; it is not run then, since no host took it.

--- a/src/eelgrassyard/cli/_answer.py
+++ b/src/eelgrassyard/cli/_answer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -24,6 +23,8 @@
     NOT_SUBMITTED = "not_submitted"
     REFUSED = "refused"
     """The call is wrong and would be refused again."""
+    NOT_TAKEN = "not_taken"
+    """The host refused the call without taking the submission; an earlier call may have."""
     LOST = "lost"
     """No answer, or one that says nothing about the submission; the call may be repeated."""
     UNREACHED = "unreached"
@@ -34,6 +35,12 @@
 """States that no later call changes."""
 
 _OUTCOMES = {state.value: state for state in (*FINAL, State.UNKNOWN, State.NOT_SUBMITTED)}
+ENDING_REFUSALS = frozenset(
+    {"flow_limit", "quota", "deadline", "impossible", "no_upstream", "draining"}
+)
+"""Refusals that no other host would decide differently for the same id."""
+
+_REFUSED_FOR_NOW = frozenset({408, 422, 429, 503})
 _WRONG_CALL = frozenset({400, 401, 403, 405, 409, 411, 413, 414, 415, 431})
 
 
@@ -73,7 +80,8 @@
     """Interpret a response; one without a recognizable outcome counts as lost.
 
     A load balancer between client and host answers 502 to 504 on its own, so a status alone never
-    stands for an outcome other than running.
+    stands for an outcome other than running. Outcomes are named by ``state``, refusals by the code
+    of the error alone.
     """
     content = _content(response)
     error = content.get("error")
@@ -85,8 +93,8 @@
         state=state,
         status=response.status_code,
         results=tuple(results) if state is State.COMPLETE and isinstance(results, list) else (),
-        reason=str(content.get("reason") or details.get("code") or ""),
-        message=str(content.get("message") or details.get("message") or ""),
+        reason=str(details.get("code") or ""),
+        message=str(details.get("message") or ""),
         retry_after_s=read_retry_after(response),
         host=host,
     )
@@ -114,16 +122,10 @@
         return State.RUNNING
     if status in _WRONG_CALL:
         return State.REFUSED
-    named = [content.get("outcome"), content.get("state"), details.get("code")]
-    for name in named:
-        if isinstance(name, str) and name in _OUTCOMES:
-            state = _OUTCOMES[name]
-            if state is State.COMPLETE and not isinstance(content.get("results"), list):
-                return State.LOST
-            return state
-    return State.LOST
-
-
-def describe_results(answer: Answer) -> str:
-    """The results as one line of JSON text."""
-    return json.dumps(list(answer.results), ensure_ascii=False)
+    code = details.get("code")
+    state = _OUTCOMES.get(str(content.get("state") or code))
+    if state is State.COMPLETE and not isinstance(content.get("results"), list):
+        return State.LOST
+    if state is None and code and status in _REFUSED_FOR_NOW:
+        return State.NOT_TAKEN
+    return state or State.LOST
--- a/src/eelgrassyard/cli/_client.py
+++ b/src/eelgrassyard/cli/_client.py
@@ -8,12 +8,13 @@
 
 import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import replace
 from typing import Any
 
 import anyio
 import httpx
 
-from ._answer import FINAL, Answer, State, read_answer, read_retry_after
+from ._answer import ENDING_REFUSALS, FINAL, Answer, State, read_answer, read_retry_after
 from ._errors import CommandError, ExitCode
 
 DEFAULT_WAIT_S = 30.0
@@ -24,6 +25,8 @@
 LONGEST_PAUSE_S = 5.0
 MOST_IDS = 1000
 
+DRAINING = "draining"
+
 Sleep = Callable[[float], Awaitable[None]]
 Progress = Callable[[Answer], None]
 
@@ -102,6 +105,7 @@
         wait_s: float = DEFAULT_WAIT_S,
         give_up_s: float = DEFAULT_GIVE_UP_S,
         run_again: bool = False,
+        keep_id: bool = False,
         on_progress: Progress = ignore_progress,
     ) -> Answer:
         """Submit and wait for the outcome.
@@ -110,6 +114,8 @@
         :param give_up_s: seconds after which no further call is made; the state is then the last
             one known, ``unknown`` if the work may have run.
         :param run_again: after *not run* with a retry hint, take a new id and submit again.
+        :param keep_id: never take a new id; otherwise one is taken if the owner of the id drains
+            and has not taken the submission.
         """
         deadline = self._clock() + give_up_s
         calls = 0
@@ -121,9 +127,10 @@
             answer = await self._run_one(body, current, wait_s, deadline, on_progress)
             calls += answer.calls
             hint_s = answer.retry_after_s
-            again = run_again and answer.state is State.NOT_RUN and hint_s is not None
+            again = (run_again and hint_s is not None) or answer.reason == DRAINING
+            again = again and answer.state is State.NOT_RUN and not keep_id
             if not again or self._clock() + (hint_s or 0.0) >= deadline:
-                return _with_calls(answer, calls)
+                return replace(answer, calls=calls)
             on_progress(answer)
             await self._sleep(hint_s or FIRST_PAUSE_S)
             submission_id = None
@@ -174,12 +181,14 @@
             else:
                 answer = await self._call("PUT", host, submission_id, left_s, body)
             calls += 1
-            may_have_arrived |= answer.state is not State.UNREACHED
+            may_have_arrived |= answer.state not in (State.UNREACHED, State.NOT_TAKEN)
+            if _ends_unsent(answer, may_have_arrived):
+                return replace(answer, state=State.NOT_RUN, calls=calls)
             if answer.state in FINAL or answer.state is State.REFUSED:
-                return _with_calls(answer, calls)
+                return replace(answer, calls=calls)
             if self._clock() >= deadline:
-                return _with_calls(_give_up(answer, may_have_arrived), calls)
-            on_progress(_with_calls(answer, calls))
+                return replace(_give_up(answer, may_have_arrived), calls=calls)
+            on_progress(replace(answer, calls=calls))
             accepted = answer.state is State.RUNNING
             if accepted:
                 repeats = 0
@@ -235,7 +244,7 @@
                 method,
                 f"{host}/v1/submissions/{submission_id}",
                 params={"wait": f"{wait_s:.3f}"},
-                json=body,
+                json=None if body is None else _kind_first(body),
                 timeout=wait_s + CALL_MARGIN_S,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
@@ -257,31 +266,26 @@
         await self._sleep(max(0.0, min(pause, deadline - self._clock())))
 
 
+def _kind_first(body: Mapping[str, Any]) -> dict[str, Any]:
+    """The body with the kind at its start, so that a host can refuse before it reads the rest."""
+    return {"kind": body["kind"], **body} if "kind" in body else dict(body)
+
+
+def _ends_unsent(answer: Answer, may_have_arrived: bool) -> bool:
+    """Tell whether no call for the id was taken, and no other host would take one.
+
+    The client then knows that nothing ran, as long as it does not use the id again.
+    """
+    refused = answer.state is State.NOT_TAKEN and answer.reason in ENDING_REFUSALS
+    return refused and not may_have_arrived
+
+
 def _give_up(answer: Answer, may_have_arrived: bool) -> Answer:
     """State to report when time is over before the outcome is known."""
     if answer.state is State.RUNNING:
         return answer
-    state = State.UNKNOWN if may_have_arrived else State.UNREACHED
-    return Answer(
-        submission_id=answer.submission_id,
-        state=state,
-        status=answer.status,
-        reason=answer.reason,
-        message=answer.message,
-        retry_after_s=answer.retry_after_s,
-        host=answer.host,
-    )
-
-
-def _with_calls(answer: Answer, calls: int) -> Answer:
-    return Answer(
-        submission_id=answer.submission_id,
-        state=answer.state,
-        status=answer.status,
-        results=answer.results,
-        reason=answer.reason,
-        message=answer.message,
-        retry_after_s=answer.retry_after_s,
-        host=answer.host,
-        calls=calls,
-    )
+    if may_have_arrived:
+        return replace(answer, state=State.UNKNOWN)
+    if answer.state is State.NOT_TAKEN:
+        return replace(answer, state=State.NOT_RUN)
+    return replace(answer, state=State.UNREACHED)
--- a/src/eelgrassyard/cli/_client_commands.py
+++ b/src/eelgrassyard/cli/_client_commands.py
@@ -25,6 +25,7 @@
     State.REFUSED: ExitCode.USAGE,
     State.NOT_RUN: ExitCode.NOT_RUN,
     State.UNKNOWN: ExitCode.UNKNOWN,
+    State.NOT_TAKEN: ExitCode.UNREACHABLE,
     State.LOST: ExitCode.UNKNOWN,
     State.UNREACHED: ExitCode.UNREACHABLE,
 }
@@ -143,6 +144,7 @@
                     wait_s=values.wait_s,
                     give_up_s=values.give_up_s,
                     run_again=values.run_again,
+                    keep_id=bool(values.id),
                     on_progress=progress.repeat,
                 )
             progress.end(answer)
--- a/src/eelgrassyard/cli/_store.py
+++ b/src/eelgrassyard/cli/_store.py
@@ -120,7 +120,7 @@
             message = f"not called: the limit of {self._most_calls} calls is reached"
             return Err(self._error(method, message))
         self.calls_by_name[method] += 1
-        path = f"/kv/{quote(key, safe='')}"
+        path = f"/kv/{quote(key)}"
         try:
             return Ok(await self._client.request(method, path, json=body))
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -8,7 +8,7 @@
 
 from eelgrassyard.cli import Answer, Client, CommandError, ExitCode, State
 from eelgrassyard.cli._client_commands import read_submissions, worst_code
-from tool_fakes import FakeClock, FakeSite, outcome
+from tool_fakes import FakeClock, FakeSite, outcome, refusal
 
 BODY = {"kind": "rule", "tasks": [{"payload": {"n": 1}}]}
 HOSTS = ["http://10.0.0.1:1", "http://10.0.0.2:1", "http://10.0.0.3:1"]
@@ -70,9 +70,10 @@
     httpx.RemoteProtocolError("closed"),
     httpx.ConnectError("refused"),
     httpx.Response(502, text="bad gateway"),
-    httpx.Response(503, json={"error": {"code": "draining", "message": "m"}}),
+    refusal("not_ready", 503),
+    refusal("owner_unreachable", 504),
     httpx.Response(200, text="<html>"),
-    httpx.Response(200, json={"outcome": "complete"}),
+    httpx.Response(200, json={"state": "complete"}),
     outcome("unknown", 504, reason="owner_lost"),
 ]
 
@@ -116,6 +117,47 @@
     assert run(site, run_again=True).state is State.NOT_RUN
 
 
+@pytest.mark.parametrize(("code", "status"), [("flow_limit", 429), ("impossible", 422)])
+def test_a_submission_that_no_host_took_is_not_run(code, status):
+    """Guards against repeated calls of a flood, and against "unknown" for work never taken."""
+    site = make_site(refusal(code, status, retry_after_s=3))
+    answer = run(site)
+    assert (answer.state, answer.reason, answer.calls) == (State.NOT_RUN, code, 1)
+    assert answer.retry_after_s == 3
+
+
+def test_a_refusal_after_a_lost_answer_does_not_end_the_submission():
+    """Guards against "not run" for work that an earlier call may have started."""
+    site = make_site(httpx.ReadTimeout("t"), refusal("flow_limit", 429), complete())
+    assert run(site).state is State.COMPLETE
+    site = make_site(httpx.ReadTimeout("t"), *[refusal("flow_limit", 429)] * 100)
+    assert run(site, give_up_s=10).state is State.UNKNOWN
+
+
+def test_an_id_of_a_draining_owner_is_replaced():
+    """Guards against waiting for a host that takes no more work."""
+    site = make_site(refusal("draining", 503), complete())
+    answer = run(site)
+    assert (answer.state, answer.submission_id) == (State.COMPLETE, "id1")
+    site = make_site(refusal("draining", 503))
+    assert run(site, submission_id="mine", keep_id=True).state is State.NOT_RUN
+    site = make_site(httpx.ReadTimeout("t"), refusal("draining", 503), complete())
+    assert run(site).submission_id == "id0"
+
+
+def test_the_kind_comes_first_in_the_body():
+    """Guards against bodies that a host must read whole before it can refuse them."""
+    site = make_site(complete())
+
+    async def submit():
+        client = Client(hosts=HOSTS, key="secret", transport=site.transport(), clock=site.clock)
+        await client.put_once("id0", {"tasks": [], "kind": "rule"}, wait_s=0)
+        await client.close()
+
+    anyio.run(submit)
+    assert site.bodies[0].startswith(b'{"kind":"rule"')
+
+
 @pytest.mark.parametrize("status", [400, 401, 403, 409, 413, 431])
 def test_a_refused_call_is_not_repeated(status):
     """Guards against a flood of calls that can only be refused again."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,7 @@
 """The load generator: schedule, ideal, summary, and an open-loop run against fake hosts."""
 
 import itertools
+import json
 import math
 import statistics
 
@@ -21,6 +22,7 @@
     summarize,
 )
 from eelgrassyard.cli._load_command import LoadOptions, LoadRun, _digest, find_broken_promise
+from tool_fakes import outcome
 
 
 def schedule(seed: int, **changes) -> list[Arrival]:
@@ -133,8 +135,6 @@
 
 
 def answer_ids(request: httpx.Request) -> httpx.Response:
-    import json
-
     count = json.loads(request.content)["count"]
     return httpx.Response(201, json={"ids": [f"id{n}" for n in range(count)]})
 
@@ -148,8 +148,8 @@
         if request.url.path == "/v1/ids":
             return answer_ids(request)
         if next(calls) % 4 == 0:
-            return httpx.Response(429, json={"outcome": "not_run", "reason": "flow_limit"})
-        return httpx.Response(200, json={"outcome": "complete", "results": [1, 2]})
+            return outcome("not_run", 429, reason="flow_limit", retry_after_s=1)
+        return outcome("complete", 200, results=[1, 2])
 
     result = run_load(respond, arrivals)
     assert result.outcomes == {("complete", ""): 15, ("not_run", "flow_limit"): 5}
@@ -162,7 +162,7 @@
     def respond(request: httpx.Request) -> httpx.Response:
         if request.url.path == "/v1/ids":
             return answer_ids(request)
-        return httpx.Response(200, json={"outcome": "complete", "results": [1]})
+        return outcome("complete", 200, results=[1])
 
     result = run_load(respond, [Arrival(at_s=0, work_s=0.01)])
     assert result.broken == ["id0: 1 results for 2 tasks"]
--- a/tests/tool_fakes.py
+++ b/tests/tool_fakes.py
@@ -131,9 +131,19 @@
         return httpx.Response(201, json={"ids": ids, "expires_s": 600})
 
 
-def outcome(kind: str, status: int, **fields: object) -> httpx.Response:
-    """Answer with an outcome."""
-    headers = {}
-    if "retry_after_s" in fields:
-        headers["Retry-After"] = str(fields.pop("retry_after_s"))
-    return httpx.Response(status, json={"outcome": kind} | fields, headers=headers)
+def outcome(
+    kind: str, status: int, *, reason: str = "", retry_after_s: int | None = None, **fields: object
+) -> httpx.Response:
+    """Answer with an outcome, as the daemon writes it."""
+    headers = {} if retry_after_s is None else {"Retry-After": str(retry_after_s)}
+    body: dict[str, object] = {"id": "x", "state": kind, **fields}
+    if kind != "complete":
+        body["error"] = {"code": reason or kind, "message": "", "step": "submission", "peer": ""}
+    return httpx.Response(status, json=body, headers=headers)
+
+
+def refusal(code: str, status: int, retry_after_s: int | None = None) -> httpx.Response:
+    """Refusal of a call, which says nothing about the outcome."""
+    headers = {} if retry_after_s is None else {"Retry-After": str(retry_after_s)}
+    error = {"code": code, "message": "m", "step": "core", "peer": ""}
+    return httpx.Response(status, json={"error": error}, headers=headers)
