Look at parked tasks only when a slot was freed; keep the free flags of upstreams

Cause: each tick looked at up to four parked tasks and updated every kind's index. Change: parked tasks are looked at after a release; the index changes when an upstream gets room or loses it.

--- a/src/eelgrassyard/policy/_classes.py
+++ b/src/eelgrassyard/policy/_classes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import bisect
+import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         self._class_by_number: dict[int, SpeedClass] = {}
-        self._order: list[int] = []
+        self._ordered: list[SpeedClass] = []
         self._member_by_name: dict[str, _Member] = {}
 
     def put(self, name: str, number: int, rate: float, *, free: bool) -> None:
@@ -95,10 +95,9 @@
         :param work_s: mean run time of the task at speed 1.0.
         :param ahead: tasks that already wait for a faster slot.
         """
-        wait_cost = float("inf")
+        wait_cost = math.inf
         rate = 0.0
-        for number in self._order:
-            entry = self._class_by_number[number]
+        for entry in self._ordered:
             run_s = work_s / entry.speed
             if entry.free:
                 if run_s > wait_cost:
@@ -108,14 +107,16 @@
                     return name
             rate += entry.rate
             if rate > 0.0:
-                wait_cost = min(wait_cost, WAIT_WEIGHT * (ahead + 1) / rate + run_s)
+                cost = WAIT_WEIGHT * (ahead + 1) / rate + run_s
+                if cost < wait_cost:
+                    wait_cost = cost
         return None
 
     def _enter(self, number: int) -> SpeedClass:
         entry = self._class_by_number.get(number)
         if entry is None:
             entry = self._class_by_number[number] = SpeedClass(class_speed(number))
-            bisect.insort(self._order, number)
+            self._sort()
         entry.members += 1
         return entry
 
@@ -126,7 +127,10 @@
         entry.rate -= member.rate
         if entry.members == 0:
             del self._class_by_number[member.number]
-            self._order.remove(member.number)
+            self._sort()
+
+    def _sort(self) -> None:
+        self._ordered = [self._class_by_number[number] for number in sorted(self._class_by_number)]
 
 
 def _first(names: dict[str, None], avoid: Collection[str]) -> str | None:
--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -59,6 +59,7 @@
         self.parked = ParkedTasks()
         self.grants = GrantTable()
         self.quota_at = math.inf
+        self._room_freed = False
         self._pool = pool
         self._table = table
         self._placement = placement
@@ -77,6 +78,11 @@
         """Whether any task has no place yet."""
         return len(self.parked) > 0 or len(self.queue) > 0
 
+    @property
+    def has_news(self) -> bool:
+        """Whether grants wait to be sent."""
+        return bool(self._outgoing)
+
     def clear_asks(self) -> None:
         """Forget all tasks that have no place."""
         self.parked.clear()
@@ -119,7 +125,9 @@
 
     def dispatch(self, now: float) -> None:
         """Grant what the free slots, quotas and waits for faster slots allow."""
-        self.try_parked(now, PARKED_TRIES)
+        if self._room_freed:
+            self._room_freed = False
+            self.try_parked(now, PARKED_TRIES)
         skip: set[FlowKey] = set()
         while True:
             entry = self.queue.select(now, skip=skip)
@@ -289,6 +297,7 @@
             if release.leaving:
                 self._table.note_leaving(now, release.upstream)
             return False
+        self._room_freed = True
         self._table.note_result(now, grant, release)
         self._give_room_back(grant)
         ran = release.result not in (StartResult.UNUSED, StartResult.NOT_STARTED)
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -149,7 +149,8 @@
         if self._dirty and self._is_ready(now):
             self._dirty = False
             self.granting.dispatch(now)
-        self.granting.send_grants(now, out)
+        if self.granting.has_news:
+            self.granting.send_grants(now, out)
         if self.table.changes:
             self._report_changes(out)
 
--- a/src/eelgrassyard/policy/_speedindex.py
+++ b/src/eelgrassyard/policy/_speedindex.py
@@ -75,7 +75,10 @@
 
     def update_room(self, upstream: Upstream) -> None:
         """Note that an upstream has got room or has none left."""
-        free = self._note_room(upstream)
+        free = upstream.has_room
+        if free == upstream.room:
+            return
+        self._note_room(upstream)
         for index in self._index_by_kind.values():
             index.set_free(upstream.name, free)
 
@@ -138,10 +141,9 @@
             number, rate = LAST_RESORT, 0.0
         index.put(upstream.name, number, rate, free=upstream.has_room)
 
-    def _note_room(self, upstream: Upstream) -> bool:
-        free = upstream.has_room
-        if free:
+    def _note_room(self, upstream: Upstream) -> None:
+        upstream.room = upstream.has_room
+        if upstream.room:
             self.names_with_room.add(upstream.name)
         else:
             self.names_with_room.discard(upstream.name)
-        return free
--- a/src/eelgrassyard/policy/_speeds.py
+++ b/src/eelgrassyard/policy/_speeds.py
@@ -23,6 +23,8 @@
 PRIOR_RUNS = 2.0
 """Weight of a speed from a digest, or of the average if there is none, in runs."""
 
+MIN_WORK_S = 1e-4
+
 KIND_PRIOR_RUNS = 8.0
 """Weight of an upstream's overall speed in its speed for one kind, in runs."""
 
@@ -98,7 +100,8 @@
     def declare(self, kind: str, typical_s: float) -> None:
         """Start from the declared run time if nothing has been learned."""
         if kind not in self._average_by_kind:
-            self._average_by_kind[kind] = _Average(total=typical_s * 4.0, weight=4.0)
+            total = max(typical_s, MIN_WORK_S) * PRIOR_RUNS
+            self._average_by_kind[kind] = _Average(total=total, weight=PRIOR_RUNS)
 
     def work(self, kind: str) -> float:
         """Mean work of a kind in seconds."""
@@ -106,7 +109,7 @@
         if average is None:
             self.declare(kind, 0.3)
             return 0.3
-        return max(1e-4, average.total / average.weight)
+        return average.total / average.weight
 
     def add(self, kind: str, work_s: float) -> None:
         """Learn from one successful run."""
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -23,6 +23,7 @@
     :param blocked_until: no new work until then, after a refused start.
     :param held_run_s: average time that a slot is in use.
     :param last_resort: it fails, but the ejection floor keeps it in use.
+    :param room: whether the index lists it as having room.
     :param probe: grant of the start that tries it out.
     """
 
@@ -39,6 +40,7 @@
     leaving_since: float = -math.inf
     blocked_until: float = -math.inf
     held_run_s: float = 0.0
+    room: bool = False
     probe: int | None = None
     health: Health = field(default_factory=Health)
     speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
