Measure routing against the best of several central queues

Cause: a queue in which each task takes the slot where it ends first is beaten in the mean by least local in-flight at load 0.95, so it is no ideal. Change: the ideal is the best of five weights of waiting, for mean and 99th percentile each.

--- a/bench/bench_decision_cost.py
+++ b/bench/bench_decision_cost.py
@@ -125,9 +125,11 @@
         for action in out:
             if isinstance(action, Send) and isinstance(action.message, SlotGrant):
                 for place in action.message.placements:
-                    kind = self.scheduler.pools_by_name[POOL].granting.grants.by_number[
-                        place.grant
-                    ].kind
+                    kind = (
+                        self.scheduler.pools_by_name[POOL]
+                        .granting.grants.by_number[place.grant]
+                        .kind
+                    )
                     self.running.append((action.to, kind, place.grant, place.upstream))
 
 
--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -1,7 +1,10 @@
 """Response time against the ideal, and messages per task, beside simple per-host policies.
 
-The ideal is one central queue with no latency that knows every run time and speed: tasks go in
-order of arrival to the slot on which they end first, waiting for a busy slot where that is sooner.
+The ideal is one central queue with no latency that knows every run time and speed. Tasks go in
+order of arrival to the slot with the least weighted wait plus run time, waiting for a busy slot
+where that is less. A wait delays the tasks behind it too, so the best weight is above 1; mean and
+99th percentile are each taken at the best of several weights, which no single policy reaches.
+``first end`` is the same queue at weight 1: each task takes the slot on which it ends first.
 
 The baselines decide at each host, without messages between hosts, and send the task straight to a
 runner, which queues what exceeds its slots first in, first out. ``random by speed`` knows the true
@@ -31,6 +34,7 @@
 RUNNERS = 24
 HOSTS = 9
 LOADS = (0.5, 0.8, 0.95)
+WAIT_WEIGHTS = (1.0, 2.0, 5.0, 10.0, 100.0)
 WARM_UP_S = 20.0
 SECONDS = 80.0
 SEED = 20
@@ -50,19 +54,24 @@
     return [task for task in tasks if task.at >= EPOCH + WARM_UP_S]
 
 
-def run_ideal(
-    tasks: Sequence[Task], entries: Sequence[UpstreamEntry], speeds: dict[str, float]
+def run_central(
+    tasks: Sequence[Task],
+    entries: Sequence[UpstreamEntry],
+    speeds: dict[str, float],
+    weight: float,
 ) -> list[float]:
-    """Response times of the ideal."""
+    """Response times of a central queue that knows everything, at one weight of waiting."""
     free_at = {e.name: [EPOCH] * e.slots for e in entries}
     ordered = sorted(entries, key=lambda e: -speeds[e.name])
     times = []
     for task in tasks:
-        best, best_end = "", float("inf")
+        best, best_end, best_cost = "", 0.0, float("inf")
         for entry in ordered:
-            end = max(task.at, free_at[entry.name][0]) + task.work_s / speeds[entry.name]
-            if end < best_end:
-                best, best_end = entry.name, end
+            run_s = task.work_s / speeds[entry.name]
+            wait_s = max(0.0, free_at[entry.name][0] - task.at)
+            if weight * wait_s + run_s < best_cost:
+                best_cost = weight * wait_s + run_s
+                best, best_end = entry.name, task.at + wait_s + run_s
         heapq.heapreplace(free_at[best], best_end)
         if task.at >= EPOCH + WARM_UP_S:
             times.append(best_end - task.at)
@@ -160,8 +169,9 @@
     capacity = sum(e.slots * speeds[e.name] for e in entries)
     rate = load * capacity / mean_work_s()
     tasks = make_tasks(seed=SEED, rate_per_s=rate, seconds=SECONDS, hosts=HOSTS)
-    ideal = measure(run_ideal(tasks, entries, speeds))
-    rows: dict[str, dict[str, float]] = {}
+    central = [measure(run_central(tasks, entries, speeds, weight)) for weight in WAIT_WEIGHTS]
+    ideal = {key: min(row[key] for row in central) for key in ("mean", "p99")}
+    rows: dict[str, dict[str, float]] = {"first end": ratios(central[0], ideal)}
     for name, choose in baselines(entries, speeds).items():
         rows[name] = ratios(measure(run_baseline(tasks, entries, speeds, choose)), ideal)
     times, site = run_scheduler(tasks, entries, speeds)
--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -23,7 +23,7 @@
 LIFETIME_MARGIN_S = 5.0
 """A grant without a release is taken back this long after its owner must have given it up."""
 
-PARKED_TRIES = 4
+PARKED_TRIES = 2
 """Parked tasks looked at when a slot becomes free; all of them are looked at by the timer."""
 
 QUOTA_MIN_WAIT_S = 0.001
