--- a/bench/pool_site.py
+++ b/bench/pool_site.py
@@ -238,6 +238,8 @@
 class Runner:
     """An upstream that enforces its slots.
 
+    :param down: it refuses every start.
+    :param starts: time of each start, whether it was a probe, and whether it went wrong.
     :param behave: seconds and result of a start, or None for the run time by speed.
     """
 
@@ -245,7 +247,8 @@
     speed: float
     used: int = 0
     leaving: bool = False
-    starts_at: list[float] = field(default_factory=list)
+    down: bool = False
+    starts: list[tuple[float, bool, bool]] = field(default_factory=list)
     behave: Callable[[float, Task], tuple[float, StartResult] | None] = lambda now, task: None
 
 
@@ -396,13 +399,12 @@
     def _arrive(
         self, host: str, task: Task, placement: Placement, runner: Runner, delay: float
     ) -> None:
-        if runner.leaving or runner.used >= runner.entry.slots:
+        if runner.leaving or runner.down or runner.used >= runner.entry.slots:
             self.wasted["SlotGrant not started"] += 1
             result = (0.0, StartResult.NOT_STARTED)
             self._answer(host, task, placement, runner, result, delay)
             return
         task.starts += 1
-        runner.starts_at.append(self.now)
         runner.used += 1
         seconds, result = runner.behave(self.now, task) or (
             task.work_s / runner.speed,
@@ -410,6 +412,9 @@
         )
         if seconds > self.task_timeout_s:
             seconds, result = self.task_timeout_s, StartResult.LOST
+        grant = self.scheduler.pools_by_name[POOL].granting.grants.by_number.get(placement.grant)
+        probe = grant is not None and grant.probe
+        runner.starts.append((self.now, probe, result is not StartResult.OK))
 
         def end() -> None:
             runner.used -= 1
