--- a/src/eelgrassyard/policy/_admission.py
+++ b/src/eelgrassyard/policy/_admission.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from ._config import Urgency
 from ._fairqueue import FlowKey, QueueRefusal
 from ._outcomes import Reason, SubmissionBody
 from ._system import ConfigView
@@ -12,10 +13,10 @@
 MIN_RETRY_S = 0.1
 
 REFUSAL_HOLD_S = 0.25
-"""Longest time for which a scheduler's refusal is repeated locally.
+"""Time for which a scheduler's refusal is repeated locally, if its queue is short."""
 
-A full flow has seconds of work in its queue, so the scheduler does not run out of it meanwhile.
-"""
+REFUSAL_HOLD_PART = 0.25
+"""The same as a part of the flow's expected wait; its queue does not run empty meanwhile."""
 
 MAX_FLOWS = 20_000
 """Flows kept before those without news are dropped."""
@@ -31,13 +32,14 @@
 class FlowNews:
     """What the scheduler last said of a flow.
 
-    :ivar start_at: time at which a task submitted at ``noted_at`` was expected to start.
+    :ivar start_at: time at which a task submitted at ``noted_at`` was expected to start, by
+        urgency.
     :ivar closed_until: time up to which the scheduler's refusal is repeated.
     :ivar retry_at: time at which the scheduler expected room.
     """
 
     noted_at: float
-    start_at: float = 0.0
+    start_at: list[float] = field(default_factory=lambda: [0.0] * len(Urgency))
     closed_until: float = 0.0
     retry_at: float = 0.0
     reason: Reason = Reason.FLOW_LIMIT
@@ -74,17 +76,20 @@
     def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
         """Tell why a submission is refused here, or None if it may go on."""
         flow = (caller, body.kind)
-        return self.check_flow(now, flow, len(body.tasks), body.deadline_s)
+        return self.check_flow(now, flow, len(body.tasks), body.deadline_s, body.urgency)
 
     def check_flow(
-        self, now: float, flow: FlowKey, tasks: int, deadline_s: float
+        self, now: float, flow: FlowKey, tasks: int, deadline_s: float, urgency: Urgency
     ) -> QueueRefusal | None:
         """The same from the headers, before the body is read.
 
         :param tasks: number of tasks; 1 if it is not known yet.
         """
         news = self._news_by_flow.get(flow)
-        wait_s = max(0.0, news.start_at - now) if news is not None else 0.0
+        wait_s = 0.0
+        if news is not None:
+            # Less urgent work of a flow waits at least as long as more urgent work.
+            wait_s = max(0.0, max(news.start_at[: urgency + 1]) - now)
         site = self._config.current
         waiting = self._waiting_by_flow.get(flow, 0)
         if site is not None and waiting + tasks > site.limits.queued_tasks_per_flow:
@@ -98,25 +103,31 @@
             return _refusal(news.reason, message, news.retry_at - now)
         return None
 
-    def note_wait(self, now: float, flow: FlowKey, wait_s: float) -> None:
+    def note_wait(
+        self, now: float, flow: FlowKey, wait_s: float, urgency: Urgency = Urgency.NORMAL
+    ) -> None:
         """Take the expected wait of a flow from a grant or refusal.
 
         The wait is taken to shrink as time passes, so a flow that is refused here is tried again
         at the scheduler once the queue that was there must have been served.
+
+        :param urgency: urgency of the submission that was granted or refused.
         """
-        self._news(now, flow).start_at = now + wait_s
+        self._news(now, flow).start_at[urgency] = now + wait_s
 
     def note_refusal(
         self, now: float, flow: FlowKey, reason: Reason, retry_after_s: float | None
     ) -> None:
-        """Repeat a scheduler's refusal of a flow here for a short time."""
+        """Repeat a scheduler's refusal of a flow here for a while; follows :meth:`note_wait`."""
         if reason not in (Reason.FLOW_LIMIT, Reason.QUOTA):
             return
         news = self._news(now, flow)
         retry_s = max(MIN_RETRY_S, retry_after_s or 0.0)
+        wait_s = max(news.start_at) - now
+        hold_s = max(REFUSAL_HOLD_S, wait_s * REFUSAL_HOLD_PART)
         news.reason = reason
         news.retry_at = now + retry_s
-        news.closed_until = now + min(retry_s, REFUSAL_HOLD_S)
+        news.closed_until = now + min(retry_s, hold_s)
 
     def add_waiting(self, flow: FlowKey, tasks: int) -> None:
         """Count tasks that wait for a place, or stop to if ``tasks`` is negative."""
@@ -138,7 +149,7 @@
         """Waiting tasks and start times by flow."""
         return {
             "waiting": {"/".join(flow): tasks for flow, tasks in self._waiting_by_flow.items()},
-            "start_at": {"/".join(f): news.start_at for f, news in self._news_by_flow.items()},
+            "start_at": {"/".join(f): max(news.start_at) for f, news in self._news_by_flow.items()},
         }
 
     def _news(self, now: float, flow: FlowKey) -> FlowNews:
--- a/src/eelgrassyard/policy/_core.py
+++ b/src/eelgrassyard/policy/_core.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from ._actions import Action, Send
+from ._admission import Admission
 from ._configsync import ConfigSync
 from ._events import Event, PeerReceived
 from ._identity import HostIdentity
@@ -45,8 +46,12 @@
             witness=self.witness,
             seed=seed,
         )
+        self.admission = Admission(config=self.configsync)
         self.submissions = Submissions(
-            identity=identity, config=self.configsync, membership=self.membership
+            identity=identity,
+            config=self.configsync,
+            membership=self.membership,
+            admission=self.admission,
         )
         self._systems_by_name: dict[str, System] = {
             "membership": self.membership,
--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -182,8 +182,12 @@
         return max(found.weight, MIN_WEIGHT) if found else 1.0
 
     def _set_shares(self) -> None:
-        wanted_by_name = {n: max(0.0, self._kind_entry(n).share) for n in self._kind_by_name}
-        self._order.set_shares(wanted_by_name, self._limits.background_share)
+        entries = [self._kind_entry(name) for name in self._kind_by_name]
+        self._order.set_shares(
+            {entry.name: max(0.0, entry.share) for entry in entries},
+            self._limits.background_share,
+            {entry.name for entry in entries if entry.urgency is Urgency.BACKGROUND},
+        )
         for kind in self._kind_by_name.values():
             self._waits.active.update(kind)
 
--- a/src/eelgrassyard/policy/_kindorder.py
+++ b/src/eelgrassyard/policy/_kindorder.py
@@ -43,11 +43,21 @@
         kind.guarantee_tag = self.served_s
         self._kind_by_name[kind.name] = kind
 
-    def set_shares(self, wanted_by_name: dict[str, float], background_share: float) -> None:
-        """Set guaranteed shares; they are scaled down where they leave no room for background."""
+    def set_shares(
+        self,
+        wanted_by_name: dict[str, float],
+        background_share: float,
+        background_kinds: Collection[str],
+    ) -> None:
+        """Set guaranteed shares; they are scaled down where they leave no room for background.
+
+        What the background kinds are guaranteed counts towards the minimum of background work.
+        """
         self.background_share = min(max(background_share, 0.0), 0.5)
+        guaranteed = sum(share for n, share in wanted_by_name.items() if n in background_kinds)
+        limit = 1.0 - max(0.0, self.background_share - guaranteed)
         total = sum(wanted_by_name.values())
-        scale = min(1.0, (1.0 - self.background_share) / total) if total > 0.0 else 1.0
+        scale = min(1.0, limit / total) if total > 0.0 else 1.0
         for name, kind in self._kind_by_name.items():
             kind.share = max(wanted_by_name[name] * scale, MIN_SHARE)
             self.rank(kind)
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -292,7 +292,7 @@
                     reason=reason,
                     message=message,
                     retry_after_s=retry_after_s,
-                    flow_wait_s=self.queue.expected_wait(now, entry.flow),
+                    flow_wait_s=self.queue.expected_wait(now, entry.flow, entry.ask.urgency),
                 ),
             )
         )
@@ -455,7 +455,9 @@
                         attempt=attempt,
                         placements=tuple(placements),
                         recorded=self._context.witness.is_recorded(submission_id),
-                        flow_wait_s=self.queue.expected_wait(now, (grant.caller, grant.kind)),
+                        flow_wait_s=self.queue.expected_wait(
+                            now, (grant.caller, grant.kind), grant.urgency
+                        ),
                     ),
                 )
             )
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from ._actions import Action, ReplyIds
-from ._config import Limits
+from ._config import Limits, Urgency
 from ._drain import Drain, DrainState
 from ._endings import RETRY_AFTER_S, expired
 from ._events import (
@@ -22,7 +22,7 @@
     StartFinished,
     SubmitCalled,
 )
-from ._fairqueue import QueueRefusal
+from ._fairqueue import FlowKey, QueueRefusal
 from ._forwarding import ForwardedCall, Forwarding
 from ._identity import HostIdentity
 from ._ids import MAX_IDS_PER_CALL, SubmissionId, issue_id, verify_id
@@ -67,6 +67,16 @@
     def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
         """Why a new submission is refused, or None."""
 
+    def note_wait(
+        self, now: float, flow: FlowKey, wait_s: float, urgency: Urgency = Urgency.NORMAL
+    ) -> None:
+        """Take the expected wait that a scheduler named for a flow and urgency."""
+
+    def note_refusal(
+        self, now: float, flow: FlowKey, reason: Reason, retry_after_s: float | None
+    ) -> None:
+        """Take a scheduler's refusal of a submission of a flow."""
+
 
 class Submissions:
     """Issues ids and answers calls; the submissions themselves are kept by their owner.
@@ -334,12 +344,24 @@
                 self._owner.take_ack(now, event, message, out)
                 self._drain.take_ack(now, event, message, out)
             case SlotGrant() as message:
+                self._note_waits(now, message)
                 self._owner.take_grant(now, event, message, out)
             case SlotRefusal() as message:
+                self._note_waits(now, message)
                 self._owner.take_refusal(now, event, message, out)
             case TaskControl() as message:
                 self._owner.take_control(message, out)
 
+    def _note_waits(self, now: float, message: SlotGrant | SlotRefusal) -> None:
+        submission = self._owner.live_by_id.get(message.submission_id)
+        if self._admission is None or submission is None or submission.body is None:
+            return
+        body = submission.body
+        flow = (submission.caller, body.kind)
+        self._admission.note_wait(now, flow, message.flow_wait_s, body.urgency)
+        if isinstance(message, SlotRefusal):
+            self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
+
     def _take_forwarded(
         self, now: float, event: PeerReceived, message: ForwardCall, out: list[Action]
     ) -> None:
