--- a/src/eelgrassyard/policy/_detector.py
+++ b/src/eelgrassyard/policy/_detector.py
@@ -101,6 +101,8 @@
         """
         probe = self._probes.answered(sequence)
         member = self._table.by_name.get(probe.target) if probe is not None else None
+        if member is not None:
+            self._table.note_answers(member, True)
         if member is None or member.failure_domain == self._own.failure_domain:
             return member, False
         return member, self._reach.note_reply(now, member.failure_domain)
@@ -147,6 +149,8 @@
         any_cut_off = False
         for probe in self._probes.due(now):
             member = self._table.by_name.get(probe.target)
+            if member is not None:
+                self._table.note_answers(member, False)
             if member is None or probe.purpose == Purpose.ABSENT:
                 self._probes.close(probe)
             elif probe.purpose == Purpose.DOMAIN:
