Add a state machine over several cores for the at-most-once rules

Change: tests drive four cores over a network that loses, delays, duplicates, reorders and cuts, with kills, restarts, pauses, drains and false suspicions; small fakes stand for membership and scheduler.

--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,449 @@
+"""At most one start and one outcome, over several cores and a network that does its worst."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+
+import pytest
+from bench.virtual import VirtualSite
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from eelgrassyard.policy import (
+    CallAbandoned,
+    CancelCalled,
+    DrainCalled,
+    Drained,
+    HostEntry,
+    IdsCalled,
+    KindEntry,
+    Limits,
+    OutcomeKind,
+    QueryCalled,
+    Reason,
+    ReplyIds,
+    ReplyRefusal,
+    ReplyState,
+    SiteConfig,
+    StartResult,
+    SubmissionBody,
+    SubmitCalled,
+    TaskSpec,
+    UpstreamEntry,
+    UpstreamRole,
+)
+from fake_site import FakeMembership, bind, install_fakes
+
+DOMAINS = ("patan", "thamel", "bhaktapur")
+HOSTS = ("patan-1", "patan-2", "thamel-1", "bhaktapur-1")
+CALLERS = ("till", "curator")
+KINDS = {
+    "check": KindEntry(name="check", service="checker", idempotent=True, longest_s=1.0),
+    "stamp": KindEntry(name="stamp", service="stamper", longest_s=1.0),
+    "rule": KindEntry(name="rule", longest_s=1.0),
+}
+DEADLINE_S = 8.0
+LEASE_S = 4.0
+DEFINITE = {OutcomeKind.COMPLETE, OutcomeKind.FAILED, OutcomeKind.NOT_RUN}
+
+
+def make_config() -> SiteConfig:
+    upstreams = [
+        UpstreamEntry(
+            name=f"{service or 'worker'}-{domain}",
+            role=UpstreamRole.RUNNER if service else UpstreamRole.WORKER,
+            url="",
+            failure_domain=domain,
+            service=service,
+            slots=2 if service else 0,
+            cores=0.0 if service else 3.0,
+        )
+        for service in ("checker", "stamper", "")
+        for domain in DOMAINS
+    ]
+    return SiteConfig(
+        site="bagmati",
+        failure_domains=DOMAINS,
+        hosts_by_name={
+            name: HostEntry(
+                name=name, address="127.0.0.1", port=1, failure_domain=name.partition("-")[0]
+            )
+            for name in HOSTS
+        },
+        upstreams_by_name={entry.name: entry for entry in upstreams},
+        kinds_by_name=KINDS,
+        limits=Limits(lease_s=LEASE_S),
+    )
+
+
+class Observer:
+    """Callers of a virtual site, and a watch over the promises made to them."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.site = VirtualSite(config=make_config(), seed=seed, run_time=self._run)
+        bind(self.site)
+        self.violations: list[str] = []
+        self.starts = self.site.starts_by_task
+        self.owner_of: dict[str, str] = {}
+        self.body_by_id: dict[str, SubmissionBody] = {}
+        self.told_by_id: defaultdict[str, list[OutcomeKind]] = defaultdict(list)
+        self.accepted: set[str] = set()
+        self.failure_share = 0.1
+        self.drained: set[str] = set()
+        self.site.start_all()
+
+    def _run(self, action, entry) -> tuple[float, StartResult]:
+        text, index = action.submission_id, action.index
+        body = self.body_by_id[text]
+        repeatable = body.idempotent and body.kind == "check"
+        if self.starts[text, index] > 1 and not repeatable:
+            self.violations.append(f"task {index} of {text} started twice")
+        if OutcomeKind.NOT_RUN in self.told_by_id[text]:
+            self.violations.append(f"task {index} of {text} started after not_run")
+        seconds = self.random.choice((0.05, 0.2, 1.0, 3.0))
+        if self.random.random() < self.failure_share:
+            return seconds, self.random.choice((StartResult.FAILED, StartResult.LOST))
+        return seconds, StartResult.OK
+
+    # Calls
+
+    def issue(self, host: str, caller: str, kind: str, *, named: bool) -> None:
+        def keep(reply) -> None:
+            if isinstance(reply, ReplyIds):
+                for text in reply.ids:
+                    self.owner_of[text] = caller
+                    self.body_by_id[text] = self._body(kind)
+
+        self.site.call(
+            host,
+            lambda n: IdsCalled(call=n, caller=caller, count=1, kind=kind if named else ""),
+            keep,
+        )
+        self.run(0.0)
+
+    def _body(self, kind: str) -> SubmissionBody:
+        count = self.random.randrange(1, 5) if kind == "rule" else 1
+        return SubmissionBody(
+            kind=kind,
+            tasks=tuple(TaskSpec(payload=b"%d" % index) for index in range(count)),
+            deadline_s=DEADLINE_S,
+            idempotent=kind == "check",
+        )
+
+    def submit(self, host: str, text: str, wait_s: float, caller: str | None = None) -> int:
+        caller = caller or self.owner_of[text]
+        return self.site.call(
+            host,
+            lambda n: SubmitCalled(
+                call=n,
+                caller=caller,
+                submission_id=text,
+                body=self.body_by_id[text],
+                wait_s=wait_s,
+            ),
+            lambda reply: self._note(text, caller, reply, submitted=True),
+        )
+
+    def query(self, host: str, text: str, wait_s: float, caller: str | None = None) -> int:
+        caller = caller or self.owner_of[text]
+        return self.site.call(
+            host,
+            lambda n: QueryCalled(call=n, caller=caller, submission_id=text, wait_s=wait_s),
+            lambda reply: self._note(text, caller, reply),
+        )
+
+    def cancel(self, host: str, text: str) -> int:
+        caller = self.owner_of[text]
+        return self.site.call(
+            host,
+            lambda n: CancelCalled(call=n, caller=caller, submission_id=text),
+            lambda reply: self._note(text, caller, reply, submitted=True),
+        )
+
+    def _note(self, text: str, caller: str, reply, *, submitted: bool = False) -> None:
+        if caller != self.owner_of[text]:
+            if not isinstance(reply, ReplyRefusal) or reply.reason is not Reason.FOREIGN_ID:
+                self.violations.append(f"{caller} got an answer for {text}")
+            return
+        if not isinstance(reply, ReplyState):
+            return
+        if reply.submission_id != text:
+            self.violations.append(f"answer for {reply.submission_id} to a call on {text}")
+            return
+        outcome = reply.outcome
+        if outcome is None:
+            self.accepted.add(text)
+            return
+        self.told_by_id[text].append(outcome.kind)
+        if outcome.kind in DEFINITE and submitted:
+            self.accepted.add(text)
+        self._check_outcome(text, outcome)
+
+    def _check_outcome(self, text: str, outcome) -> None:
+        count = len(self.body_by_id[text].tasks)
+        started = [index for index in range(count) if self.starts[text, index]]
+        whole = tuple(b'"%s/%d"' % (text.encode(), index) for index in range(count))
+        if outcome.results != (whole if outcome.kind is OutcomeKind.COMPLETE else ()):
+            self.violations.append(f"partial or foreign results for {text}")
+        if outcome.kind is OutcomeKind.NOT_RUN and started:
+            self.violations.append(f"not_run told for {text}, whose tasks {started} had started")
+        if len(DEFINITE.intersection(self.told_by_id[text])) > 1:
+            self.violations.append(f"outcomes {self.told_by_id[text]} told for {text}")
+
+    # Time and faults
+
+    def run(self, seconds: float) -> None:
+        self.site.run_until(self.site.now + seconds)
+        for _, host, action in self.site.other_actions:
+            if isinstance(action, Drained) and self.site.host_by_name[host].core is not None:
+                self.drained.add(host)
+                self.site.kill(host)
+        self.site.other_actions.clear()
+
+    def up(self) -> list[str]:
+        return [name for name, host in self.site.host_by_name.items() if host.core is not None]
+
+    def recover(self, host: str | None = None) -> None:
+        """Undo the faults of the network and the upstreams, and start a host that is down."""
+        site = self.site
+        site.loss = site.duplicates = site.jitter_s = 0.0
+        site.heal()
+        FakeMembership.suspected.clear()
+        self.failure_share = 0.1
+        for upstream in site.upstream_by_name.values():
+            upstream.up, upstream.leaving = True, False
+        self.run(0.0001)
+        for name in [host] if host else HOSTS:
+            if site.host_by_name[name].core is None:
+                site.start(name)
+
+    def check_end(self) -> None:
+        """Every id that is submitted (again) has one outcome, the same at every host."""
+        self.recover()
+        self.run(60.0)
+        final: defaultdict[str, list[tuple[OutcomeKind, ...]]] = defaultdict(list)
+        for host in self.up():
+            before = {text: len(self.told_by_id[text]) for text in self.body_by_id}
+            for text in self.body_by_id:
+                self.submit(host, text, 2.0 * DEADLINE_S)
+            self.run(2.0 * DEADLINE_S + 4.0)
+            for text, count in before.items():
+                final[text].append(tuple(self.told_by_id[text][count:]))
+        for text, kinds in final.items():
+            if len(set(kinds)) != 1 or len(kinds[0]) != 1:
+                self.violations.append(f"at the end {text} has the outcomes {kinds}")
+        assert not self.violations
+
+
+@pytest.fixture(autouse=True)
+def fakes(monkeypatch):
+    install_fakes(monkeypatch)
+
+
+hosts = st.sampled_from(HOSTS)
+waits = st.sampled_from((0.0, 0.3, 5.0))
+
+
+levels = st.integers(0, 2)
+
+
+def _kill(o: Observer, host: str, other: str, level: int) -> None:
+    o.site.kill(host)
+    if level:
+        o.run(0.0001)
+        o.site.start(host)
+
+
+def _pause(o: Observer, host: str, other: str, level: int) -> None:
+    if o.site.host_by_name[host].core is not None:
+        o.site.freeze(host, (0.002, 1.0, LEASE_S + 1.0)[level])
+
+
+def _cut(o: Observer, host: str, other: str, level: int) -> None:
+    first, second = host.partition("-")[0], other.partition("-")[0]
+    if first != second:
+        o.site.cut(first, second)
+
+
+def _suspect(o: Observer, host: str, other: str, level: int) -> None:
+    if host != other:
+        FakeMembership.suspected.add((host, other))
+
+
+def _degrade_network(o: Observer, host: str, other: str, level: int) -> None:
+    o.site.loss = (0.0, 0.1, 0.4)[level]
+    o.site.duplicates = 0.3
+    o.site.jitter_s = (0.5, 0.01, 0.05)[level]
+
+
+def _drain(o: Observer, host: str, other: str, level: int) -> None:
+    o.site.deliver(host, DrainCalled())
+
+
+def _harm_upstream(o: Observer, host: str, other: str, level: int) -> None:
+    upstreams = list(o.site.upstream_by_name.values())
+    upstream = upstreams[(HOSTS.index(host) * len(HOSTS) + HOSTS.index(other)) % len(upstreams)]
+    upstream.up, upstream.leaving = level != 0, level == 1
+    o.failure_share = (0.0, 0.1, 0.5)[level]
+
+
+FAULTS = {
+    "kill": _kill,
+    "pause": _pause,
+    "cut": _cut,
+    "suspect": _suspect,
+    "network": _degrade_network,
+    "drain": _drain,
+    "upstream": _harm_upstream,
+}
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    """Callers, faults and time in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.patch = pytest.MonkeyPatch()
+        install_fakes(self.patch)
+        self.calls: list[tuple[str, int]] = []
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed: int) -> None:
+        self.o = Observer(seed)
+
+    def _ids(self) -> list[str]:
+        return list(self.o.body_by_id)
+
+    def _pick(self, number: int) -> str:
+        ids = self._ids()
+        return ids[-1 - number % min(len(ids), 4)]
+
+    @rule(
+        host=hosts,
+        caller=st.sampled_from(CALLERS),
+        kind=st.sampled_from(sorted(KINDS)),
+        named=st.booleans(),
+        at=st.none() | hosts,
+        wait=waits,
+    )
+    def submit_new(self, host, caller, kind, named, at, wait):
+        before = len(self._ids())
+        self.o.issue(host, caller, kind, named=named)
+        if len(self._ids()) > before:
+            self.calls.append((at or host, self.o.submit(at or host, self._ids()[-1], wait)))
+
+    @precondition(lambda self: self.o.body_by_id)
+    @rule(host=hosts, number=st.integers(0, 3), wait=waits)
+    def resubmit(self, host, number, wait):
+        self.calls.append((host, self.o.submit(host, self._pick(number), wait)))
+
+    @precondition(lambda self: self.o.body_by_id)
+    @rule(host=hosts, number=st.integers(0, 3), wait=waits)
+    def query(self, host, number, wait):
+        self.calls.append((host, self.o.query(host, self._pick(number), wait)))
+
+    @precondition(lambda self: self.o.body_by_id)
+    @rule(host=hosts, number=st.integers(0, 3))
+    def cancel(self, host, number):
+        self.o.cancel(host, self._pick(number))
+
+    @precondition(lambda self: self.o.body_by_id)
+    @rule(host=hosts, number=st.integers(0, 3), caller=st.sampled_from(CALLERS))
+    def call_as_another(self, host, number, caller):
+        self.o.query(host, self._pick(number), 1.0, caller)
+
+    @precondition(lambda self: self.calls)
+    @rule()
+    def disconnect(self):
+        host, call = self.calls.pop()
+        self.o.site.deliver(host, CallAbandoned(call=call))
+
+    @rule(seconds=st.sampled_from((0.0002, 0.001, 0.002, 0.01, 0.1, 0.5, 1.1, 3.0)))
+    def run_for(self, seconds):
+        self.o.run(seconds)
+
+    @rule(
+        owner=hosts,
+        asker=hosts,
+        kind=st.sampled_from(sorted(KINDS)),
+        named=st.booleans(),
+        jitter=st.sampled_from((0.0, 0.01, 0.5)),
+        moments=st.lists(st.sampled_from((0.0, 0.0004, 0.003, 0.02)), min_size=3, max_size=3),
+        pause=st.sampled_from((0.0, 0.5, LEASE_S + 1.0)),
+        call=st.sampled_from(("submit", "query", "cancel")),
+    )
+    def call_while_the_owner_is_suspected(
+        self, owner, asker, kind, named, jitter, moments, pause, call
+    ):
+        """A live or paused owner is taken for dead while its submission is under way."""
+        before = len(self._ids())
+        self.o.issue(owner, CALLERS[0], kind, named=named)
+        if owner == asker or len(self._ids()) == before:
+            return
+        text = self._ids()[-1]
+        self.o.site.jitter_s = jitter
+        self.o.submit(owner, text, 5.0)
+        self.o.run(moments[0])
+        if pause:
+            self.o.site.freeze(owner, pause)
+        self.o.run(moments[1])
+        FakeMembership.suspected.add((asker, owner))
+        calls = {"submit": self.o.submit, "query": self.o.query}
+        if call in calls:
+            calls[call](asker, text, 5.0)
+        else:
+            self.o.cancel(asker, text)
+        self.o.run(moments[2])
+        if jitter == 0.5:
+            self.o.run(1.0)
+
+    @rule(fault=st.sampled_from(sorted(FAULTS)), host=hosts, other=hosts, level=levels)
+    def suffer(self, fault, host, other, level):
+        FAULTS[fault](self.o, host, other, level)
+
+    @rule(host=hosts)
+    def recover(self, host):
+        """Start a host that is down; undo what was done to the network and the upstreams."""
+        self.o.recover(host)
+
+    @invariant()
+    def no_promise_is_broken(self):
+        if hasattr(self, "o"):
+            assert not self.o.violations
+
+    def teardown(self):
+        try:
+            if hasattr(self, "o"):
+                self.o.check_end()
+        finally:
+            self.patch.undo()
+
+
+AtMostOnce.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=int(__import__('os').environ.get('EX','100')), stateful_step_count=40
+)
+TestAtMostOnce = AtMostOnce.TestCase
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_without_faults_every_submission_is_complete(seed):
+    """Guards against a machine above that passes because nothing ever runs."""
+    observer = Observer(seed)
+    observer.failure_share = 0.0
+    for number in range(30):
+        host = HOSTS[number % len(HOSTS)]
+        observer.issue(host, CALLERS[number % 2], sorted(KINDS)[number % 3], named=number % 2 == 0)
+        observer.submit(HOSTS[number * 7 % len(HOSTS)], list(observer.body_by_id)[-1], 5.0)
+        observer.run(0.2)
+    observer.check_end()
+    assert len(observer.accepted) == 30
+    assert {kind for told in observer.told_by_id.values() for kind in told} == {"complete"}
