--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -55,6 +55,7 @@
     WitnessRecord,
     WitnessVerdict,
 )
+from eelgrassyard.policy._admission import Admission
 from eelgrassyard.policy._fairqueue import QueueRefusal
 from eelgrassyard.policy._ids import parse_id
 from eelgrassyard.policy._submissions import Submissions
@@ -62,7 +63,7 @@
 THIRD = ("thamel-2", 44)
 ACCEPTED = WitnessAck(submission_id=id_text(1), accepted=True)
 REFUSED = WitnessAck(submission_id=id_text(1), accepted=False)
-POOLS = {"check": "checker", "stamp": "stamper", "rule": "workers"}
+POOLS = {"check": "service:checker", "stamp": "service:stamper", "rule": "workers"}
 
 
 class Site(Bench):
@@ -76,7 +77,7 @@
                 identity=identity_of(own),
                 config=self.config,
                 membership=self.membership,
-                admission=admission,
+                admission=admission or Admission(config=self.config),
             )
         )
 
@@ -240,7 +241,7 @@
         assert not of_type(site.submit(text), WitnessRecord)
         message = SlotGrant(
             submission_id=text,
-            pool="checker",
+            pool="service:checker",
             attempt=0,
             placements=(Placement(grant=1, index=0, upstream="up-1"),),
             recorded=recorded,
@@ -264,7 +265,7 @@
     assert not of_type(site.submit(text), WitnessRecord)
     message = SlotGrant(
         submission_id=text,
-        pool="checker",
+        pool="service:checker",
         attempt=0,
         placements=(Placement(grant=1, index=0, upstream="up-1"),),
     )
@@ -369,7 +370,7 @@
     assert outcome_in(site.run(5.0)).kind is OutcomeKind.UNKNOWN
     message = SlotGrant(
         submission_id=text,
-        pool="checker",
+        pool="service:checker",
         attempt=0,
         placements=(Placement(grant=1, index=0, upstream="up-1"),),
     )
@@ -534,7 +535,7 @@
         for attempt in range(3):
             message = SlotGrant(
                 submission_id=text,
-                pool="checker",
+                pool="service:checker",
                 attempt=attempt,
                 placements=(Placement(grant=starts + retries, index=0, upstream="up-1"),),
             )
@@ -609,7 +610,7 @@
     site.submit()
     refusal = SlotRefusal(
         submission_id=id_text(1),
-        pool="checker",
+        pool="service:checker",
         attempt=0,
         reason=Reason.QUOTA,
         retry_after_s=4.0,
@@ -853,7 +854,7 @@
         site.receive(WITNESS, WitnessAck(submission_id=id_text(sequence), accepted=True))
         message = SlotGrant(
             submission_id=id_text(sequence),
-            pool="checker",
+            pool="service:checker",
             attempt=0,
             placements=(Placement(grant=sequence, index=0, upstream="up-1"),),
         )
