--- a/src/eelgrassyard/daemon/_upstream_client.py
+++ b/src/eelgrassyard/daemon/_upstream_client.py
@@ -27,7 +27,14 @@
     UsageReported,
 )
 from ._clock import Clock
-from ._connections import AnswerTooLargeError, HttpConnections, HttpReply, LostError, NeverSentError
+from ._connections import (
+    AnswerTooLargeError,
+    HttpConnections,
+    HttpReply,
+    LostError,
+    NeverSentError,
+    client_tls,
+)
 from ._metrics import Metrics
 from ._settings import LimitSettings
 
@@ -60,6 +67,7 @@
     """Carries out the actions of the core that concern upstreams.
 
     :param address_of: address of an upstream by name, or None if it is not known.
+    :param lease_s: the configured lease time.
     :param put: takes events for the core.
     """
 
@@ -68,6 +76,7 @@
         *,
         group: anyio.abc.TaskGroup,
         address_of: Callable[[str], UpstreamAddress | None],
+        lease_s: Callable[[], float],
         put: Callable[[Event], None],
         clock: Clock,
         limits: LimitSettings,
@@ -75,11 +84,12 @@
     ) -> None:
         self._group = group
         self._address_of = address_of
+        self._lease_s = lease_s
         self._put = put
         self._clock = clock
         self._limits = limits
         self._metrics = metrics
-        self._tls = ssl.create_default_context()
+        self._tls_by_scheme: dict[str, ssl.SSLContext] = {}
         self._connections_by_url: dict[str, HttpConnections] = {}
         self._start_by_number: dict[int, RunningStart] = {}
 
@@ -162,9 +172,12 @@
     def _connections(self, url: str) -> HttpConnections:
         connections = self._connections_by_url.get(url)
         if connections is None:
+            scheme = url.partition(":")[0]
+            if scheme not in self._tls_by_scheme:
+                self._tls_by_scheme[scheme] = client_tls(url)
             connections = self._connections_by_url[url] = HttpConnections(
                 url=url,
-                tls=self._tls,
+                tls=self._tls_by_scheme[scheme],
                 connect_s=self._limits.connect_s,
                 idle_s=self._limits.idle_s,
                 max_idle=self._limits.idle_connections,
@@ -203,8 +216,8 @@
     ) -> StartFinished:
         action = running.action
         # The process may have been paused between the decision and now; by then the witness may
-        # have reported the submission as not run.
-        if self._clock.now() - decided_at > action.lease_s:
+        # have reported the submission as not run. Starts on runners carry no lease of their own.
+        if self._clock.now() - decided_at > self._lease_s():
             return _finished(action, StartResult.NOT_STARTED, b"decided too long ago")
         path, headers, content = _request_of(action, address.role)
         try:
