--- a/src/eelgrassyard/config/_document.py
+++ b/src/eelgrassyard/config/_document.py
@@ -29,7 +29,7 @@
 
 CHANGE_ID_BYTES = 16
 
-CONFIG_KEY = "eelgrassyard-config"
+CONFIG_KEY = "eelgrassyard/config"
 """Key of the document in the platform's key-value service."""
 
 
--- a/tests/tool_fakes.py
+++ b/tests/tool_fakes.py
@@ -39,7 +39,7 @@
 
     def _respond(self, request: httpx.Request) -> httpx.Response:
         self.calls += 1
-        assert request.url.path == "/kv/eelgrassyard-config"
+        assert request.url.path == "/kv/eelgrassyard/config"
         if request.method == "GET":
             return self._get()
         return self._put(request)
