--- a/src/eelgrassyard/cli/_questionnaire_commands.py
+++ b/src/eelgrassyard/cli/_questionnaire_commands.py
@@ -217,9 +217,9 @@
         counts=(2, 2),
         text="""
             Compares two revisions. Each is a generated document, a questionnaire (.jsonc, .json5),
-            or @store for the revision in the store. A line starts with + for a new entry, - for one that is gone, ~ for a changed
-            value, and says what the change means; the next line names the answer that the new
-            value came from.""",
+            or @store for the revision in the store. A line starts with + for a new entry, - for one
+            that is gone, ~ for a changed value, and says what the change means; the next line names
+            the answer that the new value came from.""",
         define=_define_read,
         run=_diff,
     ),
