Probe in a common order and keep news within the byte budget

With independent orders the first ping at a dead host came up to 2 s late, a lone host's death took 6.9 s to be known, and 64 hosts that start together sent 5.8 KB/s. The order of probes is now the same on all hosts and counted by the clock, a failure domain that stops answering is hinted at to other hosts, and a starting host doesn't repeat what it hears. Hosts that are leaving are told so, and refute it if it is wrong.

--- a/src/eelgrassyard/policy/_detector.py
+++ b/src/eelgrassyard/policy/_detector.py
@@ -16,6 +16,7 @@
     Probe,
     ProbeTable,
     Purpose,
+    Ring,
     RoundRobin,
     sample,
 )
@@ -34,7 +35,10 @@
 """Members probed at once while some do not answer."""
 
 RECHECK_S = 0.5
-"""A hint about a failure domain that answered this recently is ignored."""
+"""Shortest time between two checks of a failure domain that other hosts' hints ask for."""
+
+
+DOMAIN_PURPOSES = (Purpose.DOMAIN, Purpose.DOMAIN_CHECK)
 
 
 class Detector:
@@ -61,8 +65,9 @@
         self._messenger = messenger
         self._random = rng
         self._probes = ProbeTable(rng=rng)
-        self._local_order = RoundRobin(rng=rng)
-        self._domain_order = RoundRobin(rng=rng)
+        self._hosts_ring = Ring(own=own.name, others=())
+        self._domains_ring = Ring(own=own.failure_domain, others=())
+        self._ring_version = -1
         self._absent_order = RoundRobin(rng=rng)
         self._local_at = self._remote_at = self._absent_at = -math.inf
         self._joined = False
@@ -73,7 +78,7 @@
     def confirm(self, now: float, member: Member, out: list[Action]) -> None:
         """Probe a host at once, because others doubt it or a connection to it failed."""
         if member.failure_domain != self._own.failure_domain:
-            self._start(now, member, Purpose.DOMAIN, out)
+            self._start(now, member, Purpose.DOMAIN_CHECK, out)
         elif member.is_usable:
             self._start(now, member, Purpose.MEMBER, out)
         else:
@@ -89,10 +94,10 @@
 
     def check_domain(self, now: float, domain: str, out: list[Action]) -> None:
         """Probe a failure domain because another host found that it does or doesn't answer."""
-        last = max(self._checked_at.get(domain, -math.inf), self._reach.last_reply(domain))
+        last = self._checked_at.get(domain, -math.inf)
         if domain != self._own.failure_domain and now - last >= RECHECK_S:
             self._checked_at[domain] = now
-            self._probe_domain(now, domain, 1, out)
+            self._probe_domain(now, domain, 1, Purpose.DOMAIN_CHECK, out)
 
     def answered(self, now: float, sequence: int) -> tuple[Member | None, bool]:
         """Take a reply to a probe.
@@ -126,50 +131,50 @@
             self._joined = True
             self._join(now, limits, out)
         if now >= self._local_at:
-            self._local_at = now + limits.ping_interval_s
-            self._probe_local(now, out)
+            self._local_at = self._local_ring().next_turn(now, limits.ping_interval_s)
+            self._probe_local(now, limits.ping_interval_s, out)
         if now >= self._remote_at:
-            self._remote_at = now + limits.remote_ping_interval_s
-            self._probe_domain(now, self._domain_order.pick(self._remote_domains()), 1, out)
+            self._remote_at = self._domain_ring().next_turn(now, limits.remote_ping_interval_s)
+            domain = self._domain_ring().target(now, limits.remote_ping_interval_s)
+            if domain is not None:
+                self._probe_domain(now, domain, 1, Purpose.DOMAIN, out)
         if now >= self._absent_at:
             self._absent_at = now + RETURN_INTERVAL_S
             self._probe_absent(now, out)
         for domain in self._reach.take_retries(now):
-            self._probe_domain(now, domain, RETRY_HOSTS, out)
+            self._probe_domain(now, domain, RETRY_HOSTS, Purpose.DOMAIN_CHECK, out)
 
-    def end_due(self, now: float, limits: Limits, out: list[Action]) -> tuple[list[Member], bool]:
+    def end_due(self, now: float, limits: Limits, out: list[Action]) -> list[Member]:
         """Take the probes that went unanswered.
 
-        :returns: members of the own failure domain that are suspect now, and whether another
-            failure domain was cut off.
+        :returns: members of the own failure domain that are suspect now.
         """
         suspects: list[Member] = []
-        any_cut_off = False
         for probe in self._probes.due(now):
             member = self._table.by_name.get(probe.target)
             if member is None or probe.purpose == Purpose.ABSENT:
                 self._probes.close(probe)
-            elif probe.purpose == Purpose.DOMAIN:
-                any_cut_off |= self._domain_failed(now, probe, member, limits, out)
+            elif probe.purpose in DOMAIN_PURPOSES:
+                self._domain_failed(now, probe, member, limits, out)
             elif not self._ask_helpers(now, probe, member, out):
                 self._probes.close(probe)
                 suspects.append(member)
-        return suspects, any_cut_off
+        return suspects
 
-    def next_timer(self) -> float:
+    def next_timer(self, now: float) -> float:
         """Time of the next timer."""
         return min(
             self._local_at,
             self._remote_at,
             self._absent_at,
             self._probes.next_deadline(),
-            self._reach.next_retry(),
+            self._reach.next_timer(now),
         )
 
     # Details
 
     def _start(self, now: float, target: Member, purpose: Purpose, out: list[Action]) -> None:
-        timeout = REMOTE_TIMEOUT_S if purpose == Purpose.DOMAIN else DIRECT_TIMEOUT_S
+        timeout = REMOTE_TIMEOUT_S if purpose in DOMAIN_PURPOSES else DIRECT_TIMEOUT_S
         if target is self._own or target.has_ended:
             return
         probe = self._probes.start(now, target.name, purpose, timeout)
@@ -177,29 +182,54 @@
             self._messenger.ping(target, probe.sequence, out)
 
     def _join(self, now: float, limits: Limits, out: list[Action]) -> None:
-        # The rounds of different hosts must not fall together.
-        self._local_at = now + self._random.random() * limits.ping_interval_s
-        self._remote_at = now + self._random.random() * limits.remote_ping_interval_s
+        self._local_at = self._local_ring().next_turn(now, limits.ping_interval_s)
+        self._remote_at = self._domain_ring().next_turn(now, limits.remote_ping_interval_s)
         self._absent_at = now + self._random.random() * RETURN_INTERVAL_S
         unheard = self._in_domain(self._own.failure_domain)
         for member in sample(self._random, unheard, JOIN_LOCAL):
             self._start(now, member, Purpose.ABSENT, out)
         for domain in self._remote_domains():
-            self._probe_domain(now, domain, 1, out)
+            self._probe_domain(now, domain, 1, Purpose.DOMAIN, out)
 
-    def _probe_local(self, now: float, out: list[Action]) -> None:
-        names = [m.name for m in self._in_domain(self._own.failure_domain) if m.is_usable]
-        name = self._local_order.pick(names)
+    def _probe_local(self, now: float, interval: float, out: list[Action]) -> None:
+        name = self._local_ring().target(now, interval)
         if name is not None:
             self._start(now, self._table.by_name[name], Purpose.MEMBER, out)
 
-    def _probe_domain(self, now: float, domain: str | None, count: int, out: list[Action]) -> None:
-        if domain is None:
+    def _probe_another(self, now: float, out: list[Action]) -> None:
+        members = [m for m in self._in_domain(self._own.failure_domain) if m.is_usable]
+        for member in sample(self._random, members, 1):
+            self._start(now, member, Purpose.MEMBER, out)
+
+    def _local_ring(self) -> Ring:
+        self._refresh_rings()
+        return self._hosts_ring
+
+    def _domain_ring(self) -> Ring:
+        self._refresh_rings()
+        return self._domains_ring
+
+    def _refresh_rings(self) -> None:
+        if self._ring_version == self._table.version:
             return
+        self._ring_version = self._table.version
+        own = self._own
+        usable = [m.name for m in self._in_domain(own.failure_domain) if m.is_usable]
+        self._hosts_ring = Ring(own=own.name, others=usable)
+        # Hosts of one failure domain start at different places.
+        self._domains_ring = Ring(
+            own=own.failure_domain,
+            others=self._remote_domains(),
+            shift=self._hosts_ring.position,
+        )
+
+    def _probe_domain(
+        self, now: float, domain: str, count: int, purpose: Purpose, out: list[Action]
+    ) -> None:
         members = self._in_domain(domain)
         usable = [member for member in members if member.is_usable]
         for member in sample(self._random, usable or members, count):
-            self._start(now, member, Purpose.DOMAIN, out)
+            self._start(now, member, purpose, out)
 
     def _probe_absent(self, now: float, out: list[Action]) -> None:
         absent = [m.name for m in self._table if not m.is_usable and not m.has_ended]
@@ -214,22 +244,22 @@
         probe.deadline = now + INDIRECT_TIMEOUT_S
         if self._probes.count(Purpose.MEMBER) < MAX_BURST:
             # Where one host fails, a whole rack may have failed.
-            self._probe_local(now, out)
+            self._probe_another(now, out)
         return self._messenger.ask_helpers(member, probe.sequence, HELPERS, out)
 
     def _domain_failed(
         self, now: float, probe: Probe, member: Member, limits: Limits, out: list[Action]
-    ) -> bool:
+    ) -> None:
         self._probes.close(probe)
         domain = member.failure_domain
-        if not self._reach.is_failing(domain) and not self._reach.is_cut_off(domain):
-            self._messenger.hint(member, out)
-        return self._reach.note_failure(
+        self._reach.note_failure(
             now,
             domain,
             sent_at=probe.sent_at,
             bound_s=limits.suspicion_periods * limits.ping_interval_s,
         )
+        if self._reach.take_hint(domain, failures=1 if probe.purpose == Purpose.DOMAIN else 2):
+            self._messenger.hint(member, out)
 
     def _in_domain(self, domain: str) -> list[Member]:
         members = self._table.by_domain().get(domain, ())
--- a/src/eelgrassyard/policy/_dissemination.py
+++ b/src/eelgrassyard/policy/_dissemination.py
@@ -9,13 +9,13 @@
 from ._messages import MemberState, MemberUpdate
 from ._reach import DomainReach
 
-NEWS_PER_MESSAGE = 6
-"""Changes carried by one message."""
+NEWS_PER_MESSAGE = 4
+"""Changes carried by one message; a host then sends under 2 KB/s while all others have changed."""
 
 SWEEP_PER_MESSAGE = 2
 """Unchanged entries carried by one message; a host that missed news gets all 128 in about 15 s."""
 
-TRANSMISSION_FACTOR = 3
+TRANSMISSION_FACTOR = 2
 """A change is sent this many times the logarithm of the number of hosts."""
 
 
@@ -79,9 +79,8 @@
         return member is not None and self._reach.is_cut_off(member.failure_domain)
 
     def _add_claim_about(self, receiver: Member, chosen: dict[str, MemberUpdate]) -> None:
-        # A suspect or failed host refutes what it reads about itself.
-        doubted = receiver.state in (MemberState.SUSPECT, MemberState.DEAD)
-        if doubted and receiver.incarnation and not receiver.has_ended:
+        # A host that others wrongly hold for suspect, failed or leaving refutes what it reads.
+        if receiver.state != MemberState.ALIVE and receiver.incarnation and not receiver.has_ended:
             chosen[receiver.name] = receiver.to_update()
 
     def _add(self, name: str, receiver: Member | None, chosen: dict[str, MemberUpdate]) -> bool:
--- a/src/eelgrassyard/policy/_membership.py
+++ b/src/eelgrassyard/policy/_membership.py
@@ -65,6 +65,7 @@
         self._draining = False
         self._superseded = False
         self._expected_wake = 0.0
+        self._settled_at = math.inf
         self._cleanup_at = -math.inf
 
     def use_config(self, config: ConfigView) -> None:
@@ -90,6 +91,8 @@
         """Run timers."""
         if self._superseded:
             return
+        if self._expected_wake == 0.0:
+            self._settled_at = now + YOUNG_S
         self._allow_for_pause(now)
         self._take_config(now)
         self._end_probes(now, out)
@@ -99,7 +102,7 @@
         if now >= self._cleanup_at:
             self._cleanup_at = now + CLEANUP_INTERVAL_S
             self._forget_absent(now)
-        self._expected_wake = self._next_timer()
+        self._expected_wake = self._next_timer(now)
 
     def next_wake(self, now: float) -> float:
         """Time of the next timer."""
@@ -127,8 +130,11 @@
             return
         if isinstance(message, Ping | PingReply):
             for update in message.updates:
-                self._learn(now, update, out)
+                self._learn(now, sender, update, out)
+        asks_reply = isinstance(message, Ping) and message.sequence != NO_REPLY
         self._hear_of_sender(now, sender, event.incarnation, out)
+        if asks_reply:
+            self._introduce(now, sender, out)
         match message:
             case Ping(sequence=sequence):
                 self._answer_ping(now, sender, sequence, out)
@@ -154,16 +160,21 @@
         elif member.state == MemberState.DEAD:
             # A late message is no proof of life; the claim in a ping makes the host refute it.
             self._detector.confirm(now, member, out)
-        if not member.synced and now - member.started_at < YOUNG_S:
-            member.synced = True
-            self._messenger.send_table(member, out)
+
+    def _introduce(self, now: float, sender: str, out: list[Action]) -> None:
+        """Send the whole table to a host that has just started."""
+        member = self._table.by_name.get(sender)
+        if member is None or member.synced or now - member.started_at >= YOUNG_S:
+            return
+        member.synced = True
+        self._messenger.send_table(member, out)
 
     def _answer_ping(self, now: float, sender: str, sequence: int, out: list[Action]) -> None:
         if sequence != NO_REPLY:
             self._messenger.reply(sender, sequence, out)
         member = self._table.by_name.get(sender)
         if member is not None and self.is_cut_off(member.failure_domain):
-            self._detector.check_domain(now, member.failure_domain, out)
+            self._detector.confirm(now, member, out)
 
     def _take_reply(self, now: float, sequence: int, out: list[Action]) -> None:
         relay = self._detector.take_relay(sequence)
@@ -178,14 +189,14 @@
 
     # News of hosts
 
-    def _learn(self, now: float, update: MemberUpdate, out: list[Action]) -> None:
+    def _learn(self, now: float, sender: str, update: MemberUpdate, out: list[Action]) -> None:
         is_remote = update.failure_domain != self._own.failure_domain
         if update.name == self._own.name:
             self._answer_claim(now, update, out)
             return
         is_hint = is_remote and update.state == MemberState.SUSPECT
         if not is_hint:
-            self._merge(now, update, out)
+            self._merge(now, update, out, hearsay=update.name != sender)
         if is_hint or self.is_cut_off(update.failure_domain):
             self._detector.check_domain(now, update.failure_domain, out)
 
@@ -210,14 +221,20 @@
         _report(out, own.name, reason)
         out.append(ReadinessChanged(ready=False, reason=reason))
 
-    def _merge(self, now: float, update: MemberUpdate, out: list[Action]) -> None:
+    def _merge(
+        self, now: float, update: MemberUpdate, out: list[Action], *, hearsay: bool = False
+    ) -> None:
         known = self._table.by_name.get(update.name)
         before = (known.incarnation, known.state) if known is not None else (0, MemberState.DEAD)
         if not self._table.merge(now, update):
             return
         member = self._table.by_name[update.name]
-        self._messenger.spread(now, member)
-        _report_change(before, member, out)
+        changed = before != (member.incarnation, member.state)
+        if now >= self._settled_at or (changed and not hearsay):
+            # What a starting host hears from others has been announced by them.
+            self._messenger.spread(now, member, soon=changed)
+        if changed:
+            _report_change(before, member, out)
         if member.state == MemberState.SUSPECT:
             limits = self._limits()
             self._suspect_by_name[member.name] = member
@@ -275,13 +292,11 @@
             member.suspect_until += late_s
 
     def _end_probes(self, now: float, out: list[Action]) -> None:
-        suspects, any_cut_off = self._detector.end_due(now, self._limits(), out)
-        for member in suspects:
+        for member in self._detector.end_due(now, self._limits(), out):
             if member.is_usable and member.state != MemberState.SUSPECT:
                 self._merge(now, member.to_update(MemberState.SUSPECT), out)
-        if any_cut_off:
-            domains = ", ".join(self.cut_off_domains())
-            _report(out, domains, "failure domain is cut off")
+        for domain in self._reach.take_cut_off(now):
+            _report(out, domain, "failure domain is cut off")
 
     def _end_suspicions(self, now: float, out: list[Action]) -> None:
         for name, member in list(self._suspect_by_name.items()):
@@ -298,10 +313,10 @@
                 self._table.remove(member.name)
         self._reach.keep_only({member.failure_domain for member in self._table})
 
-    def _next_timer(self) -> float:
+    def _next_timer(self, now: float) -> float:
         suspicions = (member.suspect_until for member in self._suspect_by_name.values())
         return min(
-            self._detector.next_timer(),
+            self._detector.next_timer(now),
             self._messenger.push_at,
             min(suspicions, default=math.inf),
         )
@@ -313,8 +328,6 @@
 
 def _report_change(before: tuple[int, MemberState], member: Member, out: list[Action]) -> None:
     incarnation, state = before
-    if before == (member.incarnation, member.state):
-        return
     if member.state == MemberState.SUSPECT:
         out.append(Count(metric="membership.suspicions"))
     elif member.state == MemberState.DEAD:
--- a/src/eelgrassyard/policy/_messenger.py
+++ b/src/eelgrassyard/policy/_messenger.py
@@ -22,9 +22,10 @@
 PUSH_REMOTE = 1
 """Hosts inside and outside the own failure domain that get news at once."""
 
-HINT_LOCAL = 3
-HINT_REMOTE = 2
-"""Hosts that are told of a failure domain which stopped answering; each then probes it itself."""
+HINTS = 5
+HINTS_LOCAL = 3
+"""Hosts that are told of a failure domain which stopped answering, and how many of them are in the
+own failure domain; each then probes it itself."""
 
 CHUNK = 64
 """Entries in one message when the whole table is sent."""
@@ -72,12 +73,14 @@
 
     def ask_helpers(self, target: Member, sequence: int, count: int, out: list[Action]) -> bool:
         """Ask other hosts to ping the target; returns False if there is none to ask."""
-        others = [m for m in self._usable(local=True) if m is not target]
-        others = others or self._usable(local=False)
-        for helper in sample(self._random, others, count):
+        neighbours = [m for m in self._usable(local=True) if m is not target]
+        helpers = sample(self._random, neighbours, count)
+        if len(helpers) < count:
+            helpers += sample(self._random, self._usable(local=False), count - len(helpers))
+        for helper in helpers:
             request = PingRequest(sequence=sequence, target=target.name)
             out.append(Send(to=helper.name, message=request))
-        return bool(others)
+        return bool(helpers)
 
     def send_table(self, target: Member, out: list[Action]) -> None:
         """Send everything known, to a host that has just started or come back into reach."""
@@ -91,14 +94,16 @@
             return
         update = (member.to_update(MemberState.SUSPECT),)
         remote = [m for m in self._usable(local=False) if m.failure_domain != member.failure_domain]
-        receivers = sample(self._random, self._usable(local=True), HINT_LOCAL)
-        for receiver in receivers + sample(self._random, remote, HINT_REMOTE):
+        receivers = sample(self._random, self._usable(local=True), HINTS_LOCAL)
+        receivers += sample(self._random, remote, HINTS - len(receivers))
+        for receiver in receivers:
             self._send_ping(receiver, NO_REPLY, update, out)
 
-    def spread(self, now: float, member: Member) -> None:
-        """Send the entry of a changed host with the next messages, the first of them soon."""
+    def spread(self, now: float, member: Member, *, soon: bool = True) -> None:
+        """Send the entry of a changed host with the next messages, or ahead of them."""
         self._news.announce(member.name)
-        self.push_soon(now)
+        if soon:
+            self.push_soon(now)
 
     def push_soon(self, now: float) -> None:
         """Send news ahead of the regular probes."""
--- a/src/eelgrassyard/policy/_probing.py
+++ b/src/eelgrassyard/policy/_probing.py
@@ -4,11 +4,14 @@
 
 import enum
 import itertools
+import math
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
+from ._rendezvous import rank
+
 Item = TypeVar("Item")
 
 DIRECT_TIMEOUT_S = 0.15
@@ -20,6 +23,9 @@
 HELPERS = 2
 """Hosts that are asked to ping a host which does not answer."""
 
+GOLDEN_RATIO = 0.6180339887
+"""Multiples of it, modulo one, spread evenly however many there are."""
+
 MAX_RELAYS = 256
 """Pings on behalf of other hosts that are remembered; the oldest are dropped first."""
 
@@ -29,6 +35,7 @@
 
     MEMBER = enum.auto()
     DOMAIN = enum.auto()
+    DOMAIN_CHECK = enum.auto()
     ABSENT = enum.auto()
 
 
@@ -124,6 +131,36 @@
         return self._relays.pop(sequence, None)
 
 
+class Ring:
+    """Turns of hosts, or of failure domains, at probing each other.
+
+    The order is shuffled alike on every host and the rounds are counted by the clock, so each one
+    is probed by exactly one other in each round: a death is noticed within two rounds, where
+    independent orders would leave one in seven unprobed for that long. Clocks that differ cost
+    some of this regularity, not correctness.
+
+    :param shift: distance by which the own turn is ahead of others at the same position.
+    """
+
+    def __init__(self, *, own: str, others: Iterable[str], shift: int = 0) -> None:
+        self._order = rank("probe-order", dict.fromkeys([own, *others], 1.0))
+        self._shift = shift
+        self.position = self._order.index(own)
+
+    def target(self, now: float, interval: float) -> str | None:
+        """The one to probe in the current round; None if there is no other."""
+        others = len(self._order) - 1
+        if not others:
+            return None
+        distance = 1 + (math.floor(now / interval) + self._shift) % others
+        return self._order[(self.position + distance) % len(self._order)]
+
+    def next_turn(self, now: float, interval: float) -> float:
+        """Time of the own turn in the next round; the turns of a round are spread over it."""
+        phase = (self.position / len(self._order) + self._shift * GOLDEN_RATIO) % 1.0
+        return (math.floor(now / interval) + 1 + phase) * interval
+
+
 class RoundRobin:
     """A shuffled order that visits every name once a round."""
 
--- a/src/eelgrassyard/policy/_reach.py
+++ b/src/eelgrassyard/policy/_reach.py
@@ -24,14 +24,17 @@
 class Contact:
     """Contact with one failure domain.
 
-    :param failing_since: time of the first probe without a reply since the last reply.
+    :param failed_probes: probes without a reply since the last reply.
+    :param cut_at: time at which the failure domain counts as cut off without a reply until then.
+    :param hinted: other hosts were told that the probes fail.
     """
 
     last_reply: float = -math.inf
-    failing_since: float | None = None
     failed_probes: int = 0
+    cut_at: float = math.inf
     retry_at: float = math.inf
     cut_off: bool = False
+    hinted: bool = False
 
 
 class DomainReach:
@@ -50,20 +53,18 @@
         contact = self._by_domain.get(domain)
         return contact is not None and contact.cut_off
 
-    def is_failing(self, domain: str) -> bool:
-        """Tell whether the last probe to the failure domain went unanswered."""
+    def take_hint(self, domain: str, *, failures: int) -> bool:
+        """Tell, once for each loss of contact, whether that many probes have failed."""
         contact = self._by_domain.get(domain)
-        return contact is not None and contact.failing_since is not None
+        if contact is None or contact.hinted or contact.failed_probes < failures:
+            return False
+        contact.hinted = True
+        return True
 
     def cut_off(self) -> tuple[str, ...]:
         """Names of the failure domains that are cut off."""
         return tuple(name for name, contact in self._by_domain.items() if contact.cut_off)
 
-    def last_reply(self, domain: str) -> float:
-        """Time of the last reply from the failure domain."""
-        contact = self._by_domain.get(domain)
-        return -math.inf if contact is None else contact.last_reply
-
     def note_reply(self, now: float, domain: str) -> bool:
         """Take a reply; returns True if the failure domain was cut off until now."""
         contact = self._by_domain.setdefault(domain, Contact())
@@ -73,25 +74,32 @@
             self.version += 1
         return was_cut_off
 
-    def note_failure(self, now: float, domain: str, *, sent_at: float, bound_s: float) -> bool:
-        """Take a probe without a reply; returns True if the failure domain is cut off by it.
+    def note_failure(self, now: float, domain: str, *, sent_at: float, bound_s: float) -> None:
+        """Take a probe without a reply.
 
         :param bound_s: seconds without a reply after which the failure domain is cut off.
         """
         contact = self._by_domain.setdefault(domain, Contact())
         if sent_at < contact.last_reply or contact.cut_off:
-            return False
-        if contact.failing_since is None:
-            contact.failing_since = sent_at
+            return
+        if not contact.failed_probes:
+            contact.cut_at = sent_at + bound_s
             contact.retry_at = now
         contact.failed_probes += 1
-        failing_s = now - contact.failing_since
-        if failing_s < bound_s or contact.failed_probes < MIN_FAILED_PROBES:
-            return False
-        contact.cut_off = True
-        contact.retry_at = math.inf
-        self.version += 1
-        return True
+
+    def take_cut_off(self, now: float) -> list[str]:
+        """Failure domains that count as cut off from now on."""
+        due = [
+            name
+            for name, contact in self._by_domain.items()
+            if contact.cut_at <= now and contact.failed_probes >= MIN_FAILED_PROBES
+        ]
+        for name in due:
+            contact = self._by_domain[name]
+            contact.cut_off = True
+            contact.cut_at = contact.retry_at = math.inf
+            self.version += 1
+        return due
 
     def take_retries(self, now: float) -> list[str]:
         """Failure domains for which a round of probes is due now."""
@@ -100,17 +108,19 @@
             self._by_domain[name].retry_at = now + RETRY_INTERVAL_S
         return due
 
-    def next_retry(self) -> float:
-        """Time of the next round of probes."""
-        return min((c.retry_at for c in self._by_domain.values()), default=math.inf)
+    def next_timer(self, now: float) -> float:
+        """Time of the next round of probes or of the next possible cut."""
+        times = [contact.retry_at for contact in self._by_domain.values()]
+        times += [c.cut_at for c in self._by_domain.values() if c.cut_at > now]
+        return min(times, default=math.inf)
 
     def forget_failures(self) -> None:
         """Drop failures that a pause of this host may have caused."""
         for contact in self._by_domain.values():
             if not contact.cut_off:
-                contact.failing_since = None
                 contact.failed_probes = 0
-                contact.retry_at = math.inf
+                contact.hinted = False
+                contact.cut_at = contact.retry_at = math.inf
 
     def keep_only(self, domains: Iterable[str]) -> None:
         """Forget failure domains without hosts."""
