--- /dev/null
+++ b/tests/test_configsync.py
@@ -0,0 +1,295 @@
+"""Spread of the configuration over several real cores in virtual time."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
+from bench.spread import SpreadSite, make_config
+
+from eelgrassyard.policy import (
+    Action,
+    ConfigDocument,
+    ConfigLoaded,
+    ConfigPull,
+    Core,
+    Event,
+    HostIdentity,
+    LoadConfig,
+    MemberState,
+    MemberUpdate,
+    PeerReceived,
+    Ping,
+    ReadinessChanged,
+    Send,
+    SiteConfig,
+    WatchStore,
+)
+
+CONFIG = SiteConfig(site="test", failure_domains=("d0",))
+
+
+def start_site(hosts: int = 9, domains: int = 3, **options: float) -> SpreadSite:
+    site = SpreadSite(config=make_config(hosts, domains), seed=1, **options)
+    site.start_all()
+    site.run_for(3.0)
+    return site
+
+
+def revisions(site: SpreadSite) -> set[int]:
+    return {core.configsync.revision for core in site.running().values()}
+
+
+def make_core() -> Core:
+    identity = HostIdentity(
+        name="d0-0",
+        address="10.0.0.1",
+        port=7000,
+        failure_domain="d0",
+        incarnation=1_000_000,
+        id_key=b"k" * 32,
+    )
+    return Core(identity=identity, seed=1)
+
+
+def from_peer(message: Ping | ConfigPull | ConfigDocument, sender: str = "d0-1") -> PeerReceived:
+    return PeerReceived(sender=sender, incarnation=1_000_000, message=message)
+
+
+def shown(revision: int, sender: str = "d0-1") -> PeerReceived:
+    return from_peer(Ping(sequence=0, revision=revision), sender)
+
+
+def document(revision: int, text: bytes, sender: str = "d0-1") -> PeerReceived:
+    message = ConfigDocument(revision=revision, document=zlib.compress(text))
+    return from_peer(message, sender)
+
+
+def loaded(revision: int, text: bytes = b"{}") -> ConfigLoaded:
+    return ConfigLoaded(revision=revision, document=text, config=CONFIG)
+
+
+def pulls(actions: Sequence[Action]) -> list[str]:
+    return [a.to for a in actions if isinstance(a, Send) and isinstance(a.message, ConfigPull)]
+
+
+def loads(actions: Sequence[Action]) -> list[LoadConfig]:
+    return [action for action in actions if isinstance(action, LoadConfig)]
+
+
+def run(core: Core, now: float, until: float, *events: Event) -> list[Action]:
+    """Tick at every wake-up; returns all actions."""
+    actions = core.tick(now, events)
+    while core.next_wake(now) <= until:
+        now = max(now, core.next_wake(now))
+        actions += core.tick(now, [])
+    return actions
+
+
+def test_lower_revision_is_ignored():
+    """Guards against a late store answer that takes the configuration back."""
+    core = make_core()
+    core.tick(1.0, [loaded(7), loaded(5), loaded(7, b"other")])
+    assert core.configsync.revision == 7
+    assert not loads(core.tick(1.1, [document(6, b"old")]))
+
+
+def test_revision_reaches_every_host():
+    """Guards against hosts that wait for a watch of their own."""
+    site = start_site()
+    revision = site.write_config()
+    site.run_for(1.0)
+    assert revisions(site) == {revision}
+
+
+def test_two_hosts_of_each_domain_watch_the_store():
+    """Guards against every host loading the store, and against none watching it."""
+    site = start_site(hosts=12)
+    site.run_for(10.0)
+    by_domain = {d: [n for n in site._watching if n.startswith(d)] for d in ("d0", "d1", "d2")}
+    assert {len(names) for names in by_domain.values()} == {2}
+    for names in by_domain.values():
+        site.kill(names[0])
+    site.run_for(10.0)
+    for domain in by_domain:
+        assert len([name for name in site._watching if name.startswith(domain)]) == 2
+
+
+def test_watch_goes_on_for_a_while_after_others_take_over():
+    """Guards against a gap between two watchers."""
+    core = make_core()
+    assert WatchStore(on=True) in core.tick(1.0, [loaded(1)])
+    peers = [
+        MemberUpdate(
+            name=f"d0-{number}",
+            address=f"10.0.0.{number + 1}",
+            port=7000,
+            failure_domain="d0",
+            incarnation=1_000_000,
+            counter=0,
+            state=MemberState.ALIVE,
+        )
+        for number in range(1, 9)
+    ]
+    joined = from_peer(Ping(sequence=0, revision=1, updates=tuple(peers)))
+    assert WatchStore(on=False) not in core.tick(2.0, [joined])
+    # The peers are alive as long as they say so.
+    refuted = tuple(replace(peer, counter=5) for peer in peers)
+    joined = from_peer(Ping(sequence=0, revision=1, updates=refuted))
+    assert WatchStore(on=False) not in core.tick(6.9, [joined])
+    assert WatchStore(on=False) in core.tick(7.1, [])
+
+
+def test_lost_pull_is_repeated_at_another_peer():
+    """Guards against a host that waits for one dead peer."""
+    core = make_core()
+    first = pulls(core.tick(1.0, [shown(5, "d0-1"), shown(5, "d0-2")]))
+    assert len(first) == 1
+    second = pulls(run(core, 1.1, 3.1))
+    assert second == [name for name in ("d0-1", "d0-2") if name != first[0]]
+
+
+def test_pulls_to_silent_peers_are_bounded():
+    """Guards against a flood of pulls while no peer answers."""
+    core = make_core()
+    actions = run(core, 1.0, 61.0, *[shown(5, f"d0-{n}") for n in range(1, 9)])
+    assert 20 <= len(pulls(actions)) <= 31
+
+
+def test_invalid_document_of_one_peer_does_not_block():
+    """Guards against a peer with a document that this host cannot read."""
+    core = make_core()
+    core.tick(1.0, [shown(9, "d0-1")])
+    actions = core.tick(1.1, [document(9, b"broken", "d0-1"), shown(8, "d0-2")])
+    assert [load.document for load in loads(actions)] == [b"broken"]
+    assert pulls(run(core, 1.2, 5.0)) == ["d0-2"]
+    assert loads(core.tick(5.0, [document(8, b"good", "d0-2")]))
+    core.tick(5.1, [loaded(8, b"good")])
+    assert core.configsync.revision == 8
+
+
+@pytest.mark.parametrize(
+    "packed",
+    [b"no zlib", zlib.compress(b"x" * 100)[:-4], zlib.compress(b" " * ((1 << 20) + 1))],
+    ids=["malformed", "truncated", "too large"],
+)
+def test_unreadable_document_is_not_loaded(packed: bytes):
+    """Guards against a small message that unpacks to more than a host can hold."""
+    core = make_core()
+    core.tick(1.0, [shown(9, "d0-1"), shown(9, "d0-2")])
+    message = ConfigDocument(revision=9, document=packed)
+    actions = core.tick(1.1, [from_peer(message, "d0-1"), from_peer(message, "d0-2")])
+    assert not loads(actions)
+
+
+def test_document_of_a_megabyte_is_passed_on():
+    """Guards against a limit below that of the store."""
+    core = make_core()
+    text = bytes(range(256)) * 4096
+    core.tick(1.0, [loaded(3, text)])
+    actions = core.tick(1.1, [from_peer(ConfigPull(after_revision=2))])
+    sent = [a.message for a in actions if isinstance(a, Send)]
+    documents = [message for message in sent if isinstance(message, ConfigDocument)]
+    assert [message.revision for message in documents] == [3]
+    other = make_core()
+    assert [load.document for load in loads(other.tick(1.0, [from_peer(documents[0])]))] == [text]
+
+
+def test_large_documents_are_served_at_a_bounded_rate():
+    """Guards against a host whose queue fills with copies of one document."""
+    core = make_core()
+    noise = b"".join(zlib.crc32(b"%d" % n).to_bytes(4, "big") for n in range(250_000))
+    core.tick(1.0, [loaded(3, noise)])
+    asked = [from_peer(ConfigPull(after_revision=2), f"d0-{n}") for n in range(1, 40)]
+    sent = [a.message for a in core.tick(1.1, asked) if isinstance(a, Send)]
+    assert 1 <= sum(isinstance(message, ConfigDocument) for message in sent) <= 10
+
+
+def test_pull_for_a_newer_revision_is_not_answered():
+    """Guards against a document that the receiver must ignore."""
+    core = make_core()
+    core.tick(1.0, [loaded(3)])
+    actions = core.tick(1.1, [from_peer(ConfigPull(after_revision=3))])
+    assert not any(isinstance(getattr(a, "message", None), ConfigDocument) for a in actions)
+
+
+def test_host_without_configuration_is_not_ready():
+    """Guards against a host that serves callers without knowing them."""
+    actions = run(make_core(), 1.0, 30.0)
+    assert WatchStore(on=True) in actions
+    assert not any(isinstance(action, ReadinessChanged) for action in actions)
+
+
+def test_configuration_from_the_store_makes_ready_at_once():
+    """Guards against a needless wait of every start."""
+    core = make_core()
+    actions = core.tick(1.0, [loaded(3)])
+    assert [a.ready for a in actions if isinstance(a, ReadinessChanged)] == [True]
+
+
+def test_peer_is_enough_during_a_store_outage():
+    """Guards against starts that fail while the store is out."""
+    site = start_site()
+    site.store_up = False
+    site.kill("d1-1")
+    site.start("d1-1")
+    site.run_for(2.0)
+    assert site.ready_by_host["d1-1"]
+    assert revisions(site) == {1}
+
+
+def test_whole_domain_restarts_during_a_store_outage():
+    """Guards against a failure domain that finds a configuration in itself only."""
+    site = start_site()
+    site.write_config()
+    site.run_for(2.0)
+    site.store_up = False
+    for number in range(3):
+        site.kill(f"d1-{number}")
+    for number in range(3):
+        site.start(f"d1-{number}")
+    site.run_for(6.0)
+    assert all(site.ready_by_host.values())
+    assert revisions(site) == {2}
+
+
+def test_starting_host_waits_for_the_newest_configuration_of_its_neighbours():
+    """Guards against a restarted host that serves an older configuration than before."""
+    core = make_core()
+    core.tick(1.0, [shown(5, "d0-1")])
+    actions = core.tick(1.1, [document(5, b"five")])
+    actions += core.tick(1.2, [loaded(5, b"five"), shown(6, "d0-2")])
+    actions += run(core, 1.3, 3.0)
+    assert not any(isinstance(action, ReadinessChanged) for action in actions)
+    assert loads(core.tick(3.0, [document(6, b"six", "d0-2")]))
+    actions = core.tick(3.1, [loaded(6, b"six")])
+    assert [a.ready for a in actions if isinstance(a, ReadinessChanged)] == [True]
+
+
+def test_cut_off_domain_gets_the_revision_after_healing():
+    """Guards against a side that keeps the old configuration after the cut."""
+    site = start_site()
+    site.cut("d0", "d1")
+    site.cut("d0", "d2")
+    for name in list(site._watching):
+        if name.startswith("d0"):
+            # The cut side does not reach the platform either.
+            site._watching.pop(name)
+    site.run_for(5.0)
+    revision = site.write_config()
+    site.run_for(5.0)
+    assert revisions(site) == {1, revision}
+    site.heal()
+    site.run_for(5.0)
+    assert revisions(site) == {revision}
+
+
+def test_spread_with_loss_and_duplicates():
+    """Guards against a revision that a lost message keeps from some host."""
+    site = start_site(hosts=16, domains=4, loss=0.2, duplicates=0.2, jitter_s=0.05)
+    for _ in range(5):
+        revision = site.write_config()
+        site.run_for(19.0)
+        assert revisions(site) == {revision}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,72 +2,364 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import Counter
+from dataclasses import replace
 
-from bench.virtual import EPOCH, VirtualSite
+import pytest
+from bench.spread import EPOCH, SpreadSite, make_config
 
-from eelgrassyard.policy import HostEntry, SiteConfig, StartResult
+from eelgrassyard.policy import (
+    Action,
+    Core,
+    DrainCalled,
+    Goodbye,
+    HostEntry,
+    HostIdentity,
+    HostListRead,
+    ListedHost,
+    MemberState,
+    MemberUpdate,
+    PeerReceived,
+    Ping,
+    ReadinessChanged,
+    Send,
+)
+from eelgrassyard.policy._rendezvous import choose
 
+OLD, NEW = 1_000_000, 2_000_000
 
-def make_site(hosts: int = 9, domains: int = 3, *, seed: int = 1, loss: float = 0.0) -> VirtualSite:
-    names = [f"d{number}" for number in range(domains)]
-    entries = [
-        HostEntry(
-            name=f"d{i % domains}-{i // domains}",
-            address=f"10.0.{i % domains}.{i // domains + 1}",
-            port=7000,
-            failure_domain=names[i % domains],
-        )
-        for i in range(hosts)
-    ]
-    config = SiteConfig(
-        site="test",
-        failure_domains=tuple(names),
-        hosts_by_name={entry.name: entry for entry in entries},
-    )
-    return VirtualSite(
-        config=config, seed=seed, run_time=lambda start, upstream: (0.1, StartResult.OK), loss=loss
+
+def start_site(hosts: int = 9, domains: int = 3, **options: float) -> SpreadSite:
+    site = SpreadSite(config=make_config(hosts, domains), seed=1, hosts_named=False, **options)
+    site.start_all()
+    site.run_for(3.0)
+    return site
+
+
+def views(site: SpreadSite) -> set[tuple[str, ...]]:
+    return {tuple(core.membership.alive_hosts()) for core in site.running().values()}
+
+
+def make_core(name: str = "d0-0", incarnation: int = OLD) -> Core:
+    identity = HostIdentity(
+        name=name,
+        address="10.0.0.1",
+        port=7000,
+        failure_domain="d0",
+        incarnation=incarnation,
+        id_key=b"k" * 32,
     )
+    return Core(identity=identity, seed=1)
 
 
-def views(site: VirtualSite) -> dict[str, Sequence[str]]:
-    return {
-        name: host.core.membership.alive_hosts()
-        for name, host in site.host_by_name.items()
-        if host.core is not None
-    }
+def update(name: str = "d0-1", **fields: object) -> MemberUpdate:
+    defaults = MemberUpdate(
+        name=name,
+        address="10.0.0.2",
+        port=7000,
+        failure_domain="d0",
+        incarnation=OLD,
+        counter=0,
+        state=MemberState.ALIVE,
+    )
+    return replace(defaults, **fields)  # type: ignore[arg-type]
 
 
-def schedulers(site: VirtualSite, pool: str = "runners") -> set[str]:
-    return {
-        host.core.membership.scheduler_for(pool)
-        for host in site.host_by_name.values()
-        if host.core is not None
-    }
+def ping(*updates: MemberUpdate, sender: str = "d0-1", incarnation: int = OLD) -> PeerReceived:
+    message = Ping(sequence=1, revision=0, updates=updates)
+    return PeerReceived(sender=sender, incarnation=incarnation, message=message)
 
 
 def test_hosts_that_start_together_find_each_other():
     """Guards against hosts that stay alone and schedule the same pool twice."""
-    site = make_site()
-    site.start_all()
-    site.run_until(EPOCH + 1.0)
-    assert set(views(site).values()) == {tuple(sorted(site.host_by_name))}
-    assert len(schedulers(site)) == 1
+    site = start_site()
+    assert views(site) == {tuple(sorted(site.host_by_name))}
+    assert len({core.membership.scheduler_for("p") for core in site.running().values()}) == 1
 
 
 def test_death_is_known_everywhere_and_restart_is_a_new_incarnation():
     """Guards against a dead host that keeps its pools, or a restart taken for the old process."""
-    site = make_site()
-    site.start_all()
-    site.run_until(EPOCH + 2.0)
-    old = site.host_by_name["d1-1"].core.identity.incarnation
+    site = start_site()
+    old = site.running()["d1-1"].identity.incarnation
+    site.kill("d1-1")
+    site.run_for(4.0)
+    assert all("d1-1" not in view for view in views(site))
+    site.start("d1-1")
+    site.run_for(1.0)
+    for core in site.running().values():
+        assert core.membership.is_alive("d1-1")
+        assert core.membership.is_dead("d1-1", old)
+        assert not core.membership.is_alive("d1-1", old)
+
+
+def test_restart_before_its_death_is_noticed_ends_the_old_incarnation():
+    """Guards against submissions of the old process that wait for a suspicion to run out."""
+    site = start_site()
+    old = site.running()["d1-1"].identity.incarnation
     site.kill("d1-1")
-    site.run_until(EPOCH + 6.0)
-    assert all("d1-1" not in view for view in views(site).values())
     site.start("d1-1")
-    site.run_until(EPOCH + 7.0)
-    for host in site.host_by_name.values():
-        membership = host.core.membership
-        assert membership.is_alive("d1-1")
-        assert membership.is_dead("d1-1", old)
-        assert not membership.is_alive("d1-1", old)
+    site.run_for(0.2)
+    assert all(core.membership.is_dead("d1-1", old) for core in site.running().values())
+
+
+def test_new_name_at_an_old_endpoint_ends_the_old_host():
+    """Guards against a replaced host that stays a scheduler until its suspicion runs out."""
+    core = make_core()
+    core.tick(1.0, [ping(update())])
+    assert core.membership.is_alive("d0-1")
+    successor = update("d0-9", incarnation=NEW)
+    core.tick(1.1, [ping(successor, sender="d0-9", incarnation=NEW)])
+    assert core.membership.is_dead("d0-1", OLD)
+    assert core.membership.alive_hosts() == ("d0-0", "d0-9")
+    core.tick(1.2, [ping(update(counter=7))])
+    assert not core.membership.is_alive("d0-1")
+
+
+def test_stale_list_neither_resurrects_nor_kills():
+    """Guards against the lagging host list overriding direct evidence."""
+    site = start_site()
+    site.kill("d1-1")
+    site.run_for(4.0)
+    everyone = [ListedHost(host=h.entry, leaving=False) for h in site.host_by_name.values()]
+    wrong = HostListRead(
+        hosts=tuple(listed for listed in everyone if listed.host.name != "d0-1"), upstreams=()
+    )
+    for name in site.running():
+        site.deliver(name, wrong)
+        assert not site.running()[name].membership.is_alive("d1-1")
+    site.run_for(10.0)
+    assert views(site) == {tuple(sorted(site.running()))}
+
+
+def test_host_wrongly_listed_as_leaving_refutes_it():
+    """Guards against one host's stale list that takes a serving host out of service for good."""
+    site = start_site()
+    everyone = [ListedHost(host=h.entry, leaving=False) for h in site.host_by_name.values()]
+    wrong = [replace(listed, leaving=listed.host.name == "d0-1") for listed in everyone]
+    site.deliver("d2-1", HostListRead(hosts=tuple(everyone), upstreams=()))
+    site.deliver("d2-1", HostListRead(hosts=tuple(wrong), upstreams=()))
+    site.run_for(3.0)
+    assert not any(core.membership.is_leaving("d0-1") for core in site.running().values())
+
+
+def test_host_listed_as_leaving_everywhere_is_leaving():
+    """Guards against new pools on a host that the platform is about to stop."""
+    site = start_site()
+    site.listed = lambda: [
+        ListedHost(host=h.entry, leaving=name == "d0-1") for name, h in site.host_by_name.items()
+    ]
+    for name in site.running():
+        site.deliver(name, site.host_list())
+    site.run_for(1.0)
+    for core in site.running().values():
+        assert core.membership.is_leaving("d0-1")
+        assert core.membership.is_alive("d0-1")
+        pools = [f"pool-{number}" for number in range(50)]
+        assert "d0-1" not in {core.membership.scheduler_for(pool) for pool in pools}
+
+
+def test_listed_host_outside_the_configuration_is_a_member():
+    """Guards against replaced hosts that stay outside until the configuration changes."""
+    site = start_site()
+    entry = HostEntry(name="d0-new", address="10.9.0.1", port=7000, failure_domain="d0")
+    site.add_host(entry)
+    site.start("d0-new")
+    site.run_for(1.0)
+    assert views(site) == {tuple(sorted(site.host_by_name))}
+    assert site.running()["d2-1"].membership.endpoint_of("d0-new") == ("10.9.0.1", 7000)
+
+
+def test_late_message_of_a_failed_host_does_not_revive_it():
+    """Guards against a delayed ping of a dead host that makes it alive again."""
+    core = make_core()
+    core.tick(1.0, [ping(update())])
+    core.tick(1.1, [ping(update(state=MemberState.DEAD), update("d0-2"), sender="d0-2")])
+    assert not core.membership.is_alive("d0-1")
+    actions = core.tick(2.0, [ping(update())])
+    assert not core.membership.is_alive("d0-1")
+    claims = [a.message for a in actions if isinstance(a, Send) and a.to == "d0-1"]
+    told = [u for m in claims for u in m.updates if u.name == "d0-1"]
+    assert told and all(u.state == MemberState.DEAD for u in told)
+    core.tick(2.1, [ping(update(counter=1))])
+    assert core.membership.is_alive("d0-1")
+
+
+def test_paused_host_returns_and_blames_nobody():
+    """Guards against a host that takes its own pause for the death of all others."""
+    site = start_site()
+    incarnation = site.running()["d1-1"].identity.incarnation
+    site.freeze("d1-1", 10.0)
+    site.run_for(5.0)
+    assert not site.running()["d0-1"].membership.is_alive("d1-1")
+    assert not site.running()["d0-1"].membership.is_dead("d1-1", incarnation)
+    site.run_for(5.001)
+    assert len(site.running()["d1-1"].membership.alive_hosts()) == 9
+    site.run_for(3.0)
+    assert views(site) == {tuple(sorted(site.host_by_name))}
+
+
+def test_failed_connection_to_a_live_host_does_not_kill_it():
+    """Guards against one reset connection that moves pools."""
+    site = start_site()
+    for _ in range(20):
+        for name in site.running():
+            if name != "d0-1":
+                site.fail_connection(name, "d0-1")
+        site.run_for(0.3)
+        assert all("d0-1" in view for view in views(site))
+
+
+def test_goodbye_is_final_and_known_everywhere():
+    """Guards against a planned stop that waits for a suspicion, or that a late message undoes."""
+    site = start_site()
+    core = site.running()["d0-1"]
+    incarnation = core.identity.incarnation
+    goodbye = Goodbye(incarnation=incarnation)
+    event = PeerReceived(sender="d0-1", incarnation=incarnation, message=goodbye)
+    site.kill("d0-1")
+    site.deliver("d1-1", event)
+    site.run_for(0.5)
+    late = update("d0-1", incarnation=incarnation, counter=99, failure_domain="d0")
+    for name, other in site.running().items():
+        assert other.membership.is_dead("d0-1", incarnation)
+        site.deliver(name, ping(late, incarnation=incarnation, sender="d0-1"))
+        assert not other.membership.is_alive("d0-1")
+
+
+def test_cut_off_domain_is_noticed_and_comes_back():
+    """Guards against a side that waits for the other, or that stays apart after the cut."""
+    site = start_site()
+    site.cut("d0", "d1")
+    site.cut("d0", "d2")
+    site.run_for(5.0)
+    for name, core in site.running().items():
+        inside = name.startswith("d0")
+        assert set(core.membership.cut_off_domains()) == ({"d1", "d2"} if inside else {"d0"})
+        assert len(core.membership.alive_hosts()) == (3 if inside else 6)
+        assert core.membership.scheduler_for("p") in core.membership.alive_hosts()
+        other = site.running()["d1-0" if inside else "d0-0"].identity
+        assert not core.membership.is_dead(other.name, other.incarnation)
+    site.heal()
+    site.run_for(5.0)
+    assert views(site) == {tuple(sorted(site.host_by_name))}
+
+
+def test_rack_of_one_domain_dies_at_once():
+    """Guards against finding the dead hosts of a rack one probe interval after the other."""
+    site = start_site(hosts=24, domains=2)
+    dead = [f"d0-{number}" for number in range(8)]
+    for name in dead:
+        site.kill(name)
+    site.run_for(6.0)
+    assert views(site) == {tuple(sorted(site.running()))}
+
+
+def test_loss_of_one_message_in_ten_kills_nobody():
+    """Guards against deaths declared from lost messages."""
+    site = start_site(loss=0.1, jitter_s=0.02, duplicates=0.1)
+    for _ in range(40):
+        site.run_for(1.0)
+        assert views(site) == {tuple(sorted(site.host_by_name))}
+
+
+def test_superseded_host_stops_serving():
+    """Guards against two processes of one name that both serve callers."""
+    core = make_core()
+    core.tick(1.0, [])
+    own = update("d0-0", incarnation=NEW, address="10.0.0.9")
+    actions = core.tick(1.1, [ping(own)])
+    assert any(isinstance(a, ReadinessChanged) and not a.ready for a in actions)
+    assert core.membership.is_dead("d0-0", OLD)
+
+
+def test_drained_host_has_ended_everywhere():
+    """Guards against a planned stop that looks like a failure."""
+    site = start_site()
+    incarnation = site.running()["d0-1"].identity.incarnation
+    site.deliver("d0-1", DrainCalled())
+    site.run_for(0.5)
+    for name, core in site.running().items():
+        if name != "d0-1":
+            assert core.membership.is_dead("d0-1", incarnation)
+
+
+def test_draining_host_says_that_it_is_leaving():
+    """Guards against new pools and witnesses on a host that still finishes its work."""
+    core, peer = make_core(), make_core("d0-1")
+    peer.tick(1.0, [ping(update("d0-0", address="10.0.0.1"), sender="d0-0")])
+    core.tick(1.0, [ping(update())])
+    out: list[Action] = []
+    core.membership.handle(1.1, DrainCalled(), out)
+    core.membership.advance(1.2, out)
+    assert core.membership.is_leaving("d0-0")
+    messages = [a.message for a in out if isinstance(a, Send) and a.to == "d0-1"]
+    assert messages
+    events = [PeerReceived(sender="d0-0", incarnation=OLD, message=m) for m in messages]
+    peer.tick(1.3, events)
+    assert peer.membership.is_leaving("d0-0")
+    assert peer.membership.is_alive("d0-0")
+    assert peer.membership.witness_for(1) is None
+
+
+def test_witness_is_another_host_of_the_own_domain_if_there_is_one():
+    """Guards against a witness that dies together with the owner, or is needlessly far away."""
+    site = start_site(hosts=7, domains=3)
+    for name, core in site.running().items():
+        witnesses = {core.membership.witness_for(n) for n in range(0, 4096, 64)}
+        assert name not in witnesses
+        assert all(witness.startswith(name[:2]) for witness in witnesses)
+    site.kill("d1-1")
+    site.run_for(4.0)
+    assert site.running()["d1-0"].membership.witness_for(1)[:2] in ("d0", "d2")
+
+
+def test_host_alone_has_no_witness_and_schedules_everything():
+    """Guards against ids that name an unreachable witness."""
+    core = make_core()
+    core.tick(1.0, [])
+    assert core.membership.witness_for(1) is None
+    assert core.membership.scheduler_for("p") == "d0-0"
+
+
+def test_scheduler_of_a_domain_is_one_of_its_hosts():
+    """Guards against a domain-scoped pool that is scheduled from afar."""
+    site = start_site()
+    for core in site.running().values():
+        for number in range(20):
+            assert core.membership.scheduler_for(f"p{number}", "d1").startswith("d1")
+
+
+@pytest.mark.parametrize("gone", [0, 3, 7])
+def test_rendezvous_follows_weights_and_moves_little(gone: int):
+    """Guards against pools that move although their host stays."""
+    weights = {f"host-{number}": 1.0 + (number == 0) for number in range(8)}
+    before = {pool: choose(f"pool-{pool}", weights.items()) for pool in range(9_000)}
+    counts = Counter(before.values())
+    assert 1.7 < counts["host-0"] / counts["host-1"] < 2.3
+    del weights[f"host-{gone}"]
+    for pool, host in before.items():
+        if host != f"host-{gone}":
+            assert choose(f"pool-{pool}", weights.items()) == host
+
+
+def test_traffic_of_a_host_does_not_grow_with_the_fleet():
+    """Guards against messages that list all hosts, or probes of all hosts."""
+    sent_by_size = {}
+    for hosts in (16, 64):
+        site = start_site(hosts=hosts, domains=4)
+        site.run_until(EPOCH + 30.0)
+        updates: Counter[str] = Counter()
+        carry_out = site._carry_out
+
+        def count(host, action, carry_out=carry_out, updates=updates):
+            if isinstance(action, Send):
+                updates["messages"] += 1
+                updates["entries"] += len(getattr(action.message, "updates", ()))
+            carry_out(host, action)
+
+        site._carry_out = count  # type: ignore[method-assign]
+        site.run_for(10.0)
+        sent_by_size[hosts] = {key: value / hosts for key, value in updates.items()}
+    small, large = sent_by_size[16], sent_by_size[64]
+    assert large["messages"] <= 1.1 * small["messages"]
+    assert large["entries"] <= 1.1 * small["entries"]
