--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -42,9 +42,9 @@
     return {core.configsync.revision for core in site.running().values()}
 
 
-def make_core() -> Core:
+def make_core(name: str = "d0-0") -> Core:
     identity = HostIdentity(
-        name="d0-0",
+        name=name,
         address="10.0.0.1",
         port=7000,
         failure_domain="d0",
@@ -119,7 +119,7 @@
 
 def test_watch_goes_on_for_a_while_after_others_take_over():
     """Guards against a gap between two watchers."""
-    core = make_core()
+    core = make_core("d0-6")
     assert WatchStore(on=True) in core.tick(1.0, [loaded(1)])
     peers = [
         MemberUpdate(
@@ -131,7 +131,7 @@
             counter=0,
             state=MemberState.ALIVE,
         )
-        for number in range(1, 25)
+        for number in range(7, 15)
     ]
     joined = from_peer(Ping(sequence=0, revision=1, updates=tuple(peers)))
     assert WatchStore(on=False) not in core.tick(2.0, [joined])
