--- a/src/eelgrassyard/policy/_recording.py
+++ b/src/eelgrassyard/policy/_recording.py
@@ -108,6 +108,8 @@
                 continue
             if submission.record_tries != tries:
                 continue
+            assert submission.fields.witness is not None
+            self._membership.doubt(submission.fields.witness)
             if tries >= MAX_TRIES or not self.is_possible(submission):
                 message = "the witness did not acknowledge the record"
                 self._on_lost(now, submission, Reason.WITNESS_LOST, message, out)
--- a/src/eelgrassyard/policy/_slots.py
+++ b/src/eelgrassyard/policy/_slots.py
@@ -30,6 +30,9 @@
 CHECK_INTERVAL_S = 0.25
 """How long a change of scheduler may go unnoticed."""
 
+SILENCE_S = 0.2
+"""Time without a message from a scheduler that is asked for places, after which it is probed."""
+
 MAX_ASK_INTERVAL_S = 8.0
 """Repeats of an unanswered ask back off to this, as a long queue is no fault."""
 
@@ -48,12 +51,16 @@
 
 @dataclass(slots=True)
 class PoolLink:
-    """The scheduler of one pool as this host knows it, and what it holds there."""
+    """The scheduler of one pool as this host knows it, and what it holds there.
+
+    :param silent_since: time of the first ask since the last message from the scheduler.
+    """
 
     pool: str
     scheduler: str = ""
     incarnation: int = 0
     checked_at: float = -math.inf
+    silent_since: float = math.inf
     waiting_by_id: dict[str, Submission] = field(default_factory=dict)
     place_by_grant: dict[GrantKey, Place] = field(default_factory=dict)
 
@@ -146,6 +153,7 @@
             link.incarnation = incarnation
         if incarnation > link.incarnation:
             self._change(now, link, host, incarnation, out)
+        link.silent_since = math.inf
         return link.incarnation == incarnation
 
     def release(
@@ -178,12 +186,15 @@
         for link in self._link_by_pool.values():
             if link.is_active and now - link.checked_at >= CHECK_INTERVAL_S:
                 self._check(now, link, out)
+            if link.waiting_by_id and now - link.silent_since >= SILENCE_S:
+                self._membership.doubt(link.scheduler)
+                link.silent_since = now
         self._flush(out)
 
     def next_wake(self) -> float:
         """Time of the next check of a scheduler."""
         due = (
-            link.checked_at + CHECK_INTERVAL_S
+            min(link.checked_at + CHECK_INTERVAL_S, link.silent_since + SILENCE_S)
             for link in self._link_by_pool.values()
             if link.is_active
         )
@@ -291,6 +302,7 @@
             avoid=submission.avoid,
         )
         out.append(Send(to=link.scheduler, message=ask))
+        link.silent_since = min(link.silent_since, now)
         self._on_ask(now, submission)
 
     def _flush(self, out: list[Action]) -> None:
