Give up a witness that does not answer probes; advise a quick retry

Cause: a record was repeated four times to a witness that was already known not to answer probes, and the hint was to retry after 1 s although a new id avoids the dead host. Change: the record is given up with the first unanswered probe; the hint is 0.1 s.

--- a/src/eelgrassyard/policy/_endings.py
+++ b/src/eelgrassyard/policy/_endings.py
@@ -7,6 +7,9 @@
 RETRY_AFTER_S = 1.0
 """Advice when nothing better is known: about the time in which peers notice a dead host."""
 
+RETRY_SOON_S = 0.1
+"""Advice when a new id avoids the trouble, because the host at fault is already passed over."""
+
 
 def not_run(reason: Reason, message: str, retry_after_s: float | None = RETRY_AFTER_S) -> Outcome:
     """Nothing ran, and nothing will run under this id."""
--- a/src/eelgrassyard/policy/_recording.py
+++ b/src/eelgrassyard/policy/_recording.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ._actions import Action, Send
+from ._endings import RETRY_SOON_S
 from ._events import PeerReceived
 from ._messages import WitnessAck, WitnessRecord
 from ._outcomes import Reason
@@ -20,7 +21,7 @@
 """Unanswered requests for a record after which the witness counts as lost."""
 
 OnRecorded = Callable[[float, Submission, list[Action]], None]
-OnLost = Callable[[float, Submission, Reason, str, list[Action]], None]
+OnLost = Callable[[float, Submission, Reason, str, list[Action], float], None]
 
 
 class Recording:
@@ -99,7 +100,7 @@
             self._on_recorded(now, submission, out)
         else:
             message = "the witness refused the record"
-            self._on_lost(now, submission, Reason.WITNESS_REFUSED, message, out)
+            self._on_lost(now, submission, Reason.WITNESS_REFUSED, message, out, RETRY_SOON_S)
 
     def advance(self, now: float, out: list[Action]) -> None:
         """Repeat requests; notice that a witness is gone."""
@@ -108,11 +109,16 @@
                 continue
             if submission.record_tries != tries:
                 continue
-            assert submission.fields.witness is not None
-            self._membership.doubt(submission.fields.witness)
-            if tries >= MAX_TRIES or not self.is_possible(submission):
+            witness = submission.fields.witness
+            assert witness is not None
+            self._membership.doubt(witness)
+            if (
+                tries >= MAX_TRIES
+                or not self._membership.is_prompt(witness)
+                or not self.is_possible(submission)
+            ):
                 message = "the witness did not acknowledge the record"
-                self._on_lost(now, submission, Reason.WITNESS_LOST, message, out)
+                self._on_lost(now, submission, Reason.WITNESS_LOST, message, out, RETRY_SOON_S)
             elif tries == 0 and self._is_asked(now, submission, out):
                 self._set_timer(now, submission)
             else:
--- a/src/eelgrassyard/policy/_witness.py
+++ b/src/eelgrassyard/policy/_witness.py
@@ -8,7 +8,7 @@
 
 from ._actions import Action, Count, Send
 from ._config import Limits
-from ._endings import expired, not_run, unknown
+from ._endings import RETRY_SOON_S, expired, not_run, unknown
 from ._events import Event, PeerReceived
 from ._identity import HostIdentity
 from ._ids import SubmissionId, parse_id, verify_id
@@ -128,7 +128,8 @@
             if self._is_full():
                 return unknown(Reason.OWNER_UNREACHABLE, "the witness has no room for a refusal")
             self._marks.set(fields, Mark.REFUSED)
-        return not_run(Reason.OWNER_LOST, "the owner is unreachable and had not started the work")
+        message = "the owner is unreachable and had not started the work"
+        return not_run(Reason.OWNER_LOST, message, RETRY_SOON_S)
 
     def _take_outcome(self, now: float, event: PeerReceived, handoff: WitnessHandoff) -> bool:
         text = handoff.submission_id
--- a/tests/fake_site.py
+++ b/tests/fake_site.py
@@ -101,6 +101,9 @@
     def is_cut_off(self, failure_domain: str) -> bool:
         return False
 
+    def is_prompt(self, host: str) -> bool:
+        return self.is_alive(host)
+
     def doubt(self, host: str) -> None:
         pass
 
