Judge failures against the pool and the callers; learn changed speeds again

Change: failures count against the recent failure ratio of the pool and by caller; successes of starts from before a streak do not end it; a kept upstream pauses after each failure; relapses need up to three probes; a surprising run and idle time make earlier runs count less; idle upstreams are tried with a short idempotent task.

--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -226,7 +226,7 @@
     def _probe_for(self, now: float, ask: SlotAsk) -> str | None:
         if not self._table.probes_due:
             return None
-        return self._table.take_probe(ask.avoid, idempotent=ask.idempotent, now=now)
+        return self._table.take_probe(ask.kind, ask.avoid, idempotent=ask.idempotent, now=now)
 
     def _expected_s(self, name: str, kind: str) -> float:
         return self._table.speeds.expected_s(self._table.by_name[name], kind)
--- a/src/eelgrassyard/policy/_scheduler.py
+++ b/src/eelgrassyard/policy/_scheduler.py
@@ -170,10 +170,11 @@
 
     def _configure(self, now: float, pool: Pool) -> None:
         current = self._config.current
-        kinds = current.kinds_by_name if current is not None else {}
+        kinds = current.kinds_by_name.values() if current is not None else ()
+        own = [kind for kind in kinds if kind.service == pool.scope.service]
         ratio = current.limits.max_ejected_ratio if current is not None else 0.5
         entries = [entry for entry in self._entries() if pool.scope.contains(entry)]
-        pool.table.configure(entries, kinds, ratio)
+        pool.table.configure(entries, own, ratio)
         if pool.placement is not None:
             pool.placement.set_workers(entries)
         if self._list is not None:
--- a/src/eelgrassyard/policy/_speeds.py
+++ b/src/eelgrassyard/policy/_speeds.py
@@ -23,6 +23,13 @@
 PRIOR_RUNS = 2.0
 """Weight of a speed from a digest, or of the average if there is none, in runs."""
 
+AGE_FACTOR = 0.6
+"""Part of the weight that earlier runs keep after some seconds without work or a surprise."""
+
+SURPRISE_RATIO = 4.0
+"""A run this much longer or shorter than expected makes the runs before it count less: the speed
+has probably changed. It happens by chance to about one run in a hundred."""
+
 MIN_WORK_S = 1e-4
 
 KIND_PRIOR_RUNS = 8.0
@@ -45,6 +52,11 @@
     def scale(self, factor: float) -> None:
         self.total *= factor
 
+    def fade(self, factor: float, mean: float) -> None:
+        """Keep a part of the weight, with the mean given."""
+        self.weight *= factor
+        self.total = self.weight * mean
+
 
 @dataclass(slots=True)
 class UpstreamSpeed:
@@ -71,12 +83,22 @@
 
     def add(self, kind: str, slowness: float) -> None:
         """Learn from one successful run."""
+        change = slowness * self.speed(kind)
+        if not 1.0 / SURPRISE_RATIO < change < SURPRISE_RATIO:
+            self.age()
         self.overall.add(slowness, UPSTREAM_WINDOW)
         average = self.slowness_by_kind.get(kind)
         if average is None:
             average = self.slowness_by_kind[kind] = _Average()
         average.add(slowness, UPSTREAM_WINDOW)
 
+    def age(self) -> None:
+        """Give the next runs more weight, as earlier ones may no longer hold."""
+        self.prior = max(MIN_SPEED, 1.0 / self.slowness())
+        self.overall.fade(AGE_FACTOR, 1.0 / self.prior)
+        for average in self.slowness_by_kind.values():
+            average.fade(AGE_FACTOR, average.total / average.weight)
+
     def forget(self) -> None:
         """Give the next runs full weight, after the upstream was out of use."""
         self.prior = max(MIN_SPEED, 1.0 / self.slowness())
@@ -111,6 +133,11 @@
             return 0.3
         return average.total / average.weight
 
+    def is_short(self, kind: str) -> bool:
+        """Tell whether a kind takes no longer than the average of the kinds."""
+        works = [self.work(name) for name in self._average_by_kind]
+        return self.work(kind) <= sum(works) / len(works) if works else True
+
     def add(self, kind: str, work_s: float) -> None:
         """Learn from one successful run."""
         self.work(kind)
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -73,3 +73,23 @@
     upstream: str
     message: str
     metric: str
+
+
+def has_recovered(now: float, upstream: Upstream, grant: Grant, was_probe: bool) -> bool:
+    """Tell whether a successful start is reason to use an upstream again."""
+    match upstream.state:
+        case UpstreamState.LIVE:
+            return False
+        case UpstreamState.LEAVING:
+            return grant.granted_at > upstream.leaving_since
+        case UpstreamState.EJECTED if upstream.stalled and not was_probe:
+            return True
+        case _:
+            return was_probe and upstream.health.pass_probe(now)
+
+
+def oldest_starts(upstream: Upstream) -> tuple[Grant | None, Grant | None]:
+    """The two oldest starts, without those that were in progress when it was taken back."""
+    since = upstream.health.restored_at
+    starts = (grant for grant in upstream.starts.values() if grant.granted_at >= since)
+    return next(starts, None), next(starts, None)
--- a/src/eelgrassyard/policy/_upstreams.py
+++ b/src/eelgrassyard/policy/_upstreams.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable
 
 from ._config import KindEntry, UpstreamEntry
 from ._events import ListedUpstream
 from ._grants import Grant
-from ._health import UpstreamState, has_stalled
+from ._health import (
+    STALL_FACTOR,
+    STALL_MIN_S,
+    PoolFailures,
+    UpstreamState,
+    has_stalled,
+)
 from ._messages import Release, StartResult
 from ._speedindex import SpeedIndex
-from ._upstream import StateChange, Upstream, slots_of
+from ._upstream import StateChange, Upstream, has_recovered, oldest_starts, slots_of
 
 LEAVING_RECHECK_S = 60.0
 """A restart at the same address may never show in the host list. An upstream that the list has
@@ -22,6 +28,10 @@
 
 NORMALIZE_INTERVAL_S = 5.0
 
+IDLE_PROBE_S = 10.0
+"""An upstream that got no work for this long is given one task, because it may have become faster.
+A slow upstream is otherwise never chosen while faster ones have room."""
+
 
 class UpstreamTable:
     """Upstreams of a pool by name, and what they may be given."""
@@ -36,7 +46,7 @@
         self._failing: dict[str, None] = {}
         self._cut_off: frozenset[str] = frozenset()
         self._max_ejected_ratio = 0.5
-        self._failure_ratio = 0.0
+        self._failures = PoolFailures()
         self._normalize_at = -math.inf
 
     # What the table is built from
@@ -44,12 +54,12 @@
     def configure(
         self,
         entries: Iterable[UpstreamEntry],
-        kinds_by_name: Mapping[str, KindEntry],
+        kinds: Iterable[KindEntry],
         max_ejected_ratio: float,
     ) -> None:
         """Take the upstreams of the configuration and of the host list together."""
         self._max_ejected_ratio = max_ejected_ratio
-        self.speeds.declare(kinds_by_name.values())
+        self.speeds.declare(kinds)
         seen = set()
         for entry in entries:
             seen.add(entry.name)
@@ -73,7 +83,7 @@
                 upstream.removed = False
                 self._restore(upstream, -math.inf)
                 upstream.speed.forget()
-        upstream.limit = min(upstream.health.slots_limit(slots), slots)
+        upstream.limit = min(upstream.health.slots_limit(slots, self._failures.ratio), slots)
         self.speeds.update(upstream)
 
     def _remove(self, upstream: Upstream) -> None:
@@ -135,19 +145,28 @@
         leaving = UpstreamState.LEAVING
         return any(u.state is not leaving and not u.cut_off for u in self.by_name.values())
 
-    def take_probe(self, avoid: Collection[str], *, idempotent: bool, now: float) -> str | None:
+    def take_probe(
+        self, kind: str, avoid: Collection[str], *, idempotent: bool, now: float
+    ) -> str | None:
         """Upstream that is to be tried with the next task.
 
         An idempotent task is preferred because it can be sent again; after one more probe
-        interval any task will do.
+        interval any task will do. An idle upstream is tried with a short task only.
         """
         for name in self.probes_due:
             health = self.by_name[name].health
             patient = now < health.probe_at + health.probe_interval_s
-            if name not in avoid and (idempotent or not patient):
+            if name in avoid or (patient and not idempotent):
+                continue
+            if self._may_try(self.by_name[name], kind):
                 return name
         return None
 
+    def _may_try(self, upstream: Upstream, kind: str) -> bool:
+        if upstream.state is not UpstreamState.LIVE:
+            return True
+        return upstream.has_room and self.speeds.work.is_short(kind)
+
     def acquire(self, now: float, grant: Grant) -> None:
         """Note that a grant holds a slot."""
         upstream = self.by_name[grant.upstream]
@@ -202,38 +221,34 @@
     def _note_ok(
         self, now: float, upstream: Upstream, grant: Grant, release: Release, was_probe: bool
     ) -> None:
-        upstream.health.note_ok(now)
+        fresh = upstream.health.note_ok(now, grant.granted_at)
         self.speeds.learn(upstream, grant.kind, release.run_s)
-        if upstream.limit < upstream.slots:
+        if fresh and upstream.limit < upstream.slots:
             upstream.limit = min(upstream.slots, upstream.limit * 2)
             self.speeds.update_room(upstream)
         answered = not release.leaving and not upstream.listed_leaving and not upstream.removed
-        recovered = (
-            was_probe
-            or (upstream.state is UpstreamState.EJECTED and upstream.stalled)
-            or (
-                upstream.state is UpstreamState.LEAVING
-                and grant.granted_at > upstream.leaving_since
-            )
-        )
-        if upstream.state is not UpstreamState.LIVE and answered and recovered:
+        if answered and has_recovered(now, upstream, grant, was_probe):
             self._restore(upstream, now)
             self._report(upstream, "it is back in use", "upstream.restored")
-        if upstream.last_resort and not upstream.health.is_failing(self._failure_ratio):
+        if upstream.last_resort and not upstream.health.is_failing(self._failures.ratio):
             upstream.last_resort = False
             self._failing.pop(upstream.name, None)
         self.speeds.update(upstream, grant.kind)
 
     def _note_failure(self, now: float, upstream: Upstream, grant: Grant, was_probe: bool) -> None:
         health = upstream.health
-        health.note_failure()
+        health.note_failure(grant.caller, grant.granted_at)
         if upstream.state is not UpstreamState.LIVE:
             if was_probe:
                 health.schedule_probe(now, first=False)
             return
-        upstream.limit = min(upstream.limit, health.slots_limit(upstream.slots))
-        if health.is_failing(self._failure_ratio):
+        upstream.limit = min(
+            upstream.limit, health.slots_limit(upstream.slots, self._failures.ratio)
+        )
+        if health.is_failing(self._failures.ratio):
             self._eject(now, upstream, "its starts fail")
+        if upstream.last_resort:
+            self._block(upstream, now + self.speeds.expected_s(upstream, grant.kind))
         self.speeds.update_room(upstream)
 
     def _note_not_started(
@@ -251,7 +266,11 @@
             self._take_out(now, upstream, UpstreamState.UNREACHABLE, "it refuses every start")
             health.schedule_probe(now, first=True)
             return
-        upstream.blocked_until = now + health.backoff_s()
+        self._block(upstream, now + health.backoff_s())
+
+    def _block(self, upstream: Upstream, until: float) -> None:
+        """Give an upstream no new work for a while, so fast failures draw no work."""
+        upstream.blocked_until = until
         self._blocked[upstream.name] = None
         self.speeds.update_room(upstream)
 
@@ -292,7 +311,7 @@
     def _restore(self, upstream: Upstream, now: float) -> None:
         if upstream.state is UpstreamState.EJECTED:
             upstream.speed.forget()
-            upstream.limit = 1
+            upstream.limit = min(upstream.slots, len(upstream.starts) + 1)
         upstream.state = UpstreamState.LIVE
         upstream.stalled = False
         upstream.health.restore(now)
@@ -332,32 +351,30 @@
             del self._blocked[name]
             self.by_name[name].blocked_until = -math.inf
             self.speeds.update_room(self.by_name[name])
-        self._update_failure_ratio()
+        self._failures.update(now, (u.health for u in self.by_name.values()))
         for upstream in [u for u in self.by_name.values() if u.starts]:
             self._check_stall(now, upstream)
         for name in list(self._failing):
-            if self.by_name[name].health.is_failing(self._failure_ratio):
+            if self.by_name[name].health.is_failing(self._failures.ratio):
                 self._eject(now, self.by_name[name], "its starts fail")
         for name in [n for n in self._out_of_use if n in self.by_name]:
             self._check_probe(now, self.by_name[name])
         if now >= self._normalize_at:
             self._normalize_at = now + NORMALIZE_INTERVAL_S
             self.speeds.normalize()
+            for upstream in self.by_name.values():
+                self._check_idle(now, upstream)
 
     @property
     def needs_timer(self) -> bool:
         """Whether something is due even if no start is in progress."""
         return bool(self._out_of_use or self._blocked or self._failing)
 
-    def _update_failure_ratio(self) -> None:
-        ratios = [u.health.failure_ratio for u in self.by_name.values() if u.usable]
-        self._failure_ratio = sum(ratios) / len(ratios) if ratios else 0.0
-
     def _check_stall(self, now: float, upstream: Upstream) -> None:
-        first, second = _first_two(upstream.starts)
+        first, second = oldest_starts(upstream)
         if upstream.probe is not None and upstream.probe in upstream.starts:
             probe = upstream.starts[upstream.probe]
-            if now - probe.granted_at > max(1.0, 2.0 * self.speeds.longest_s(probe.kind)):
+            if now - probe.granted_at > max(STALL_MIN_S, STALL_FACTOR * probe.expected_s):
                 upstream.probe = None
                 upstream.health.schedule_probe(now, first=False)
             return
@@ -378,6 +395,15 @@
         ):
             self._eject(now, upstream, "its starts do not end", stalled=True)
 
+    def _check_idle(self, now: float, upstream: Upstream) -> None:
+        """Let an upstream without work show its present speed from time to time."""
+        idle_s = now - upstream.health.ended_at
+        if not upstream.has_room or upstream.starts or idle_s < NORMALIZE_INTERVAL_S:
+            return
+        upstream.speed.age()
+        if IDLE_PROBE_S <= idle_s < math.inf:
+            self.probes_due[upstream.name] = None
+
     def _check_probe(self, now: float, upstream: Upstream) -> None:
         due = (
             upstream.state in (UpstreamState.EJECTED, UpstreamState.UNREACHABLE)
@@ -405,8 +431,3 @@
             }
             for name, upstream in self.by_name.items()
         }
-
-
-def _first_two(starts: dict[int, Grant]) -> tuple[Grant | None, Grant | None]:
-    iterator = iter(starts.values())
-    return next(iterator, None), next(iterator, None)
