--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -55,6 +55,7 @@
     WitnessRecord,
     WitnessVerdict,
 )
+from eelgrassyard.policy._admission import Admission
 from eelgrassyard.policy._fairqueue import QueueRefusal
 from eelgrassyard.policy._ids import parse_id
 from eelgrassyard.policy._submissions import Submissions
@@ -76,7 +77,7 @@
                 identity=identity_of(own),
                 config=self.config,
                 membership=self.membership,
-                admission=admission,
+                admission=admission or Admission(config=self.config),
             )
         )
 
@@ -221,8 +222,8 @@
     """Guards against a submission that hangs on a lost message or a dead witness."""
     site = Site()
     site.submit()
-    assert of_type(site.run(1.5), WitnessRecord)
-    assert outcome_in(site.run(5.0)).reason is Reason.WITNESS_LOST
+    assert of_type(site.run(0.3), WitnessRecord)
+    assert outcome_in(site.run(1.0)).reason is Reason.WITNESS_LOST
 
 
 def test_a_witness_known_to_be_gone_ends_the_submission_at_once():
