--- a/src/eelgrassyard/cli/_client_commands.py
+++ b/src/eelgrassyard/cli/_client_commands.py
@@ -25,10 +25,14 @@
     State.REFUSED: ExitCode.USAGE,
     State.NOT_RUN: ExitCode.NOT_RUN,
     State.UNKNOWN: ExitCode.UNKNOWN,
+    State.NOT_TAKEN: ExitCode.UNREACHABLE,
     State.LOST: ExitCode.UNKNOWN,
     State.UNREACHED: ExitCode.UNREACHABLE,
 }
 
+SUBMISSIONS_AHEAD = 8
+"""Submissions whose ids are taken at a time, as a multiple of those in progress."""
+
 SEVERITY = (
     ExitCode.DONE,
     ExitCode.NOT_RUN,
@@ -130,7 +134,6 @@
 async def _submit_all(values: Any, submissions: list[dict[str, Any]]) -> int:
     client = Client(hosts=read_hosts(values), key=read_key(values))
     try:
-        ids = [values.id] if values.id else await _take_ids(client, submissions, values.give_up_s)
         codes: list[ExitCode] = []
         progress = _Progress(total=len(submissions), quiet=values.quiet)
         limiter = anyio.CapacityLimiter(values.at_once)
@@ -149,9 +152,14 @@
             codes.append(EXIT_CODE_BY_STATE[answer.state])
             print(json.dumps(answer.to_json(), ensure_ascii=False), flush=True)
 
-        async with anyio.create_task_group() as group:
-            for submission, submission_id in zip(submissions, ids, strict=True):
-                group.start_soon(run, submission, submission_id)
+        # Ids expire, so those of a long file are taken in parts.
+        part = values.at_once * SUBMISSIONS_AHEAD
+        for start in range(0, len(submissions), part):
+            chosen = submissions[start : start + part]
+            ids = [values.id] if values.id else await _take_ids(client, chosen, values.give_up_s)
+            async with anyio.create_task_group() as group:
+                for submission, submission_id in zip(chosen, ids, strict=True):
+                    group.start_soon(run, submission, submission_id)
     finally:
         await client.close()
     return worst_code(codes)
--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -23,7 +23,7 @@
 LIFETIME_MARGIN_S = 5.0
 """A grant without a release is taken back this long after its owner must have given it up."""
 
-PARKED_TRIES = 4
+PARKED_TRIES = 2
 """Parked tasks looked at when a slot becomes free; all of them are looked at by the timer."""
 
 QUOTA_MIN_WAIT_S = 0.001
@@ -59,6 +59,7 @@
         self.parked = ParkedTasks()
         self.grants = GrantTable()
         self.quota_at = math.inf
+        self._room_freed = False
         self._pool = pool
         self._table = table
         self._placement = placement
@@ -77,6 +78,11 @@
         """Whether any task has no place yet."""
         return len(self.parked) > 0 or len(self.queue) > 0
 
+    @property
+    def has_news(self) -> bool:
+        """Whether grants wait to be sent."""
+        return bool(self._outgoing)
+
     def clear_asks(self) -> None:
         """Forget all tasks that have no place."""
         self.parked.clear()
@@ -119,7 +125,9 @@
 
     def dispatch(self, now: float) -> None:
         """Grant what the free slots, quotas and waits for faster slots allow."""
-        self.try_parked(now, PARKED_TRIES)
+        if self._room_freed:
+            self._room_freed = False
+            self.try_parked(now, PARKED_TRIES)
         skip: set[FlowKey] = set()
         while True:
             entry = self.queue.select(now, skip=skip)
@@ -289,6 +297,7 @@
             if release.leaving:
                 self._table.note_leaving(now, release.upstream)
             return False
+        self._room_freed = True
         self._table.note_result(now, grant, release)
         self._give_room_back(grant)
         ran = release.result not in (StartResult.UNUSED, StartResult.NOT_STARTED)
@@ -322,7 +331,9 @@
                 attempt=attempt,
                 placements=placements,
                 recorded=self._context.witness.is_recorded(submission_id),
-                flow_wait_s=self.queue.expected_wait(now, (grants[0].caller, grants[0].kind)),
+                flow_wait_s=self.queue.expected_wait(
+                    now, (grants[0].caller, grants[0].kind), grants[0].urgency
+                ),
             )
             out.append(Send(to=owner, message=message))
         self._outgoing.clear()
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -149,7 +149,8 @@
         if self._dirty and self._is_ready(now):
             self._dirty = False
             self.granting.dispatch(now)
-        self.granting.send_grants(now, out)
+        if self.granting.has_news:
+            self.granting.send_grants(now, out)
         if self.table.changes:
             self._report_changes(out)
 
@@ -224,7 +225,7 @@
             reason=reason,
             message=message,
             retry_after_s=retry_after_s,
-            flow_wait_s=self.granting.queue.expected_wait(now, entry.flow),
+            flow_wait_s=self.granting.queue.expected_wait(now, entry.flow, entry.ask.urgency),
         )
         out.append(Send(to=entry.owner, message=answer))
         out.append(Count(metric=f"scheduler.refused.{reason.value}"))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 
 from bench.virtual import EPOCH, VirtualSite
 
-from eelgrassyard.policy import HostEntry, SiteConfig, StartResult
+from eelgrassyard.policy import HostEntry, PeerFailed, SiteConfig, StartResult
 
 
 def make_site(hosts: int = 9, domains: int = 3, *, seed: int = 1, loss: float = 0.0) -> VirtualSite:
@@ -71,3 +71,18 @@
         assert membership.is_alive("d1-1")
         assert membership.is_dead("d1-1", old)
         assert not membership.is_alive("d1-1", old)
+
+
+def test_a_silent_scheduler_is_passed_over_before_it_counts_as_failed():
+    """Guards against asks that wait for a dead scheduler during the whole suspicion."""
+    site = make_site(hosts=3, domains=1)
+    site.start_all()
+    site.run_until(EPOCH + 5.0)
+    scheduler = site.host_by_name["d0-0"].core.membership.scheduler_for("workers")
+    observer = next(name for name in site.host_by_name if name != scheduler)
+    site.kill(scheduler)
+    site.deliver(observer, PeerFailed(peer=scheduler))
+    site.run_until(site.now + 0.2)
+    view = site.host_by_name[observer].core.membership
+    assert view.is_alive(scheduler)
+    assert view.scheduler_for("workers") != scheduler
