Read hints for early refusals in a module of their own, with the urgency

Cause: the admission takes the urgency now, and a fault in a call was an empty 500 without a log line. Conclusion: early refusals follow the core again.

--- a/src/eelgrassyard/daemon/_host.py
+++ b/src/eelgrassyard/daemon/_host.py
@@ -5,7 +5,6 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from typing import Any
 
 import anyio
 import anyio.abc
@@ -43,6 +42,7 @@
 from ._clock import Clock
 from ._connections import HttpConnections, client_tls
 from ._dump import shorten
+from ._hints import Hints
 from ._http import HttpInterface
 from ._logs import log_change
 from ._loop import CoreLoop
@@ -61,7 +61,7 @@
 MAX_PLATFORM_ANSWER_BYTES = 20_000_000
 SWEEP_S = 1.0
 
-MakeCore = Callable[[HostIdentity, int], Any]
+MakeCore = Callable[[HostIdentity, int], Core]
 
 
 def _make_core(identity: HostIdentity, seed: int) -> Core:
@@ -144,8 +144,7 @@
     @property
     def config(self) -> SiteConfig | None:
         """The configuration in force."""
-        config: SiteConfig | None = self.core.configsync.current
-        return config
+        return self.core.configsync.current
 
     @property
     def readiness(self) -> tuple[bool, str]:
@@ -175,13 +174,14 @@
             log_change("drain", "planned stop begins")
             self._loop.put(DrainCalled())
 
-    def refuse_early(
-        self, caller: str, kind: str, submission_id: str, deadline_s: float
-    ) -> ReplyRefusal | None:
+    def refuse_early(self, caller: str, submission_id: str, hints: Hints) -> ReplyRefusal | None:
         """Refusal of a submission whose flow the core refuses already, or None."""
         if self.core.submissions.knows(submission_id):
             return None
-        refusal = self.core.admission.check_flow(self._clock.now(), (caller, kind), 1, deadline_s)
+        flow = (caller, hints.kind)
+        refusal = self.core.admission.check_flow(
+            self._clock.now(), flow, 1, hints.deadline_s, hints.urgency
+        )
         if refusal is None:
             return None
         return ReplyRefusal(
--- a/src/eelgrassyard/daemon/_http.py
+++ b/src/eelgrassyard/daemon/_http.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-import math
 import re
 from collections import Counter
 from collections.abc import Callable
@@ -36,6 +34,8 @@
 from ._auth import Authenticator
 from ._body import parse_ids, parse_submission, to_submission
 from ._calls import Calls, Reply
+from ._hints import Hints, read_hints
+from ._logs import logger
 from ._metrics import Metrics
 from ._requests import (
     CLOSE,
@@ -54,10 +54,6 @@
 MAX_ID_BYTES = 256
 MAX_IDS_BODY_BYTES = 16_384
 NOT_READY_RETRY_S = 1.0
-PEEK_BYTES = 1_024
-SMALL_BODY_BYTES = 4_096
-"""Whole bodies up to this size are searched for their kind before they are checked."""
-
 REFUSING_S = 1.0
 """Time after an early refusal for which requests are judged before they are parsed."""
 
@@ -65,8 +61,6 @@
 STATE_PREFIX = "/v1/state/"
 
 _ID = re.compile(r"[A-Za-z0-9._~:@=+-]{1,256}")
-_DEADLINE = re.compile(rb'"deadline_s"\s*:\s*([0-9.eE+-]{1,30})')
-_LEADING_KIND = re.compile(rb'\s*\{\s*"kind"\s*:\s*"([^"\\]{1,64})"')
 
 
 class Gateway(Protocol):
@@ -93,9 +87,7 @@
     def drain(self) -> None:
         """Begin a planned stop."""
 
-    def refuse_early(
-        self, caller: str, kind: str, submission_id: str, deadline_s: float
-    ) -> ReplyRefusal | None:
+    def refuse_early(self, caller: str, submission_id: str, hints: Hints) -> ReplyRefusal | None:
         """Refusal of a submission that the core would refuse for its flow, or None."""
 
 
@@ -134,6 +126,13 @@
         except DisconnectedError:
             self._metrics.count("http.disconnected")
             return
+        except Exception:
+            # Without this the HTTP library would answer 500 and say nothing of the cause.
+            self._metrics.count("http.internal_error")
+            logger.exception("a call failed", extra={"step": "http", "peer": ""})
+            answer = http_error(
+                500, "internal_error", "the host failed; repeat the same id later", close=True
+            ).to_answer()
         is_whole = CLOSE in answer.headers or await request.discard_body()
         if self._gateway.is_draining or not is_whole:
             answer = closing(answer)
@@ -340,11 +339,10 @@
     def _early_refusal(
         self, caller: CallerEntry, submission_id: str, start: bytes, *, is_whole: bool
     ) -> HttpError | None:
-        kind = self._require_config().kinds_by_name.get(kind_of(start, is_whole=is_whole))
-        if kind is None:
+        hints = read_hints(self._require_config(), start, is_whole=is_whole)
+        if hints is None:
             return None
-        deadline_s = longest_deadline(start, kind.deadline_s) if is_whole else math.inf
-        refusal = self._gateway.refuse_early(caller.name, kind.name, submission_id, deadline_s)
+        refusal = self._gateway.refuse_early(caller.name, submission_id, hints)
         if refusal is None:
             return None
         self._metrics.count("http.refused_early")
@@ -384,35 +382,6 @@
         return reply
 
 
-def kind_of(start: bytes, *, is_whole: bool) -> str:
-    """The kind in a body that is not checked yet; empty if it does not show at little cost."""
-    match = _LEADING_KIND.match(start, 0, PEEK_BYTES)
-    if match is not None:
-        return match.group(1).decode(errors="replace")
-    if not is_whole or len(start) > SMALL_BODY_BYTES:
-        return ""
-    try:
-        kind = json.loads(start)["kind"]
-    except (ValueError, KeyError, TypeError, RecursionError):
-        return ""
-    return kind if isinstance(kind, str) else ""
-
-
-def longest_deadline(content: bytes, of_kind_s: float) -> float:
-    """The deadline of a body that is not parsed yet, or a longer one.
-
-    A payload may hold a key of the same name, so the longest value counts: refusing too little
-    here is harmless, because the core decides again.
-    """
-    longest_s = of_kind_s
-    for text in _DEADLINE.findall(content):
-        try:
-            longest_s = max(longest_s, float(text))
-        except ValueError:
-            return math.inf
-    return longest_s
-
-
 def _expect_operator(caller: CallerEntry) -> None:
     if not caller.operator:
         raise http_error(403, "operators_only", "this call is for operators", step="authenticate")
--- a/tests/daemonkit.py
+++ b/tests/daemonkit.py
@@ -104,7 +104,7 @@
     refusal: QueueRefusal | None = None
     wait_s: float = 0.0
 
-    def check_flow(self, now, flow, tasks, deadline_s) -> QueueRefusal | None:
+    def check_flow(self, now, flow, tasks, deadline_s, urgency) -> QueueRefusal | None:
         if self.wait_s > deadline_s:
             return QueueRefusal(reason=Reason.DEADLINE, message="late", retry_after_s=1.0)
         return self.refusal
--- a/tests/test_daemon_http.py
+++ b/tests/test_daemon_http.py
@@ -488,3 +488,20 @@
             assert [item["n"] for item in answer.json()["results"]] == list(range(620))
 
     anyio.run(run)
+
+
+def test_fault_in_a_call_is_logged_and_answered(caplog):
+    """Guards against a fault that shows as an empty 500 and nowhere else."""
+
+    async def run():
+        core = replying(None)
+        core.admission.check_flow = lambda *arguments: 1 / 0
+        async with running_host(core) as host, client_of(host) as client:
+            answer = await client.put("/v1/submissions/id-1", content=body_of())
+            assert answer.status_code == 500
+            assert answer.json()["error"]["code"] == "internal_error"
+            assert host.metrics.total_by_name["http.internal_error"] == 1
+            assert (await client.get("/healthz")).status_code == 200
+
+    anyio.run(run)
+    assert "ZeroDivisionError" in caplog.text
