--- a/src/eelgrassyard/policy/_memberlist.py
+++ b/src/eelgrassyard/policy/_memberlist.py
@@ -26,6 +26,7 @@
     :param started_at: time at which the incarnation was first heard of.
     :param synced: the whole table was sent to this incarnation.
     :param named: the host list or the configuration names the host.
+    :param answers: the last probe of this host was answered, as far as this host knows.
     """
 
     name: str
@@ -41,6 +42,7 @@
     started_at: float = 0.0
     synced: bool = False
     named: bool = False
+    answers: bool = True
 
     @property
     def is_usable(self) -> bool:
@@ -127,6 +129,7 @@
             return False
         if member is not None and 0 < member.incarnation < update.incarnation:
             self.note_ended(update.name, member.incarnation)
+            member.answers = True
         if member is None:
             member = Member(
                 name=update.name,
@@ -141,6 +144,12 @@
         self.version += 1
         return True
 
+    def note_answers(self, member: Member, answers: bool) -> None:
+        """Note whether the last probe of a host was answered."""
+        if member.answers != answers:
+            member.answers = answers
+            self.version += 1
+
     def displaced_by(self, member: Member) -> Member | None:
         """The older of two hosts at the endpoint of ``member``; its process must have ended."""
         if not member.address or not member.port or not member.is_usable:
--- a/src/eelgrassyard/policy/_owner.py
+++ b/src/eelgrassyard/policy/_owner.py
@@ -64,7 +64,6 @@
             identity=identity, config=config, membership=membership, on_ask=self._note_ask
         )
         self._recording = Recording(
-            config=config,
             membership=membership,
             slots=self.slots,
             on_recorded=self._start_recorded,
--- a/src/eelgrassyard/policy/_recording.py
+++ b/src/eelgrassyard/policy/_recording.py
@@ -5,20 +5,20 @@
 from collections.abc import Callable
 
 from ._actions import Action, Send
-from ._config import Limits
 from ._events import PeerReceived
 from ._messages import WitnessAck, WitnessRecord
 from ._outcomes import Reason
 from ._records import Submission
 from ._slots import Slots
-from ._system import ConfigView, MembershipView
+from ._system import MembershipView
 from ._timers import TimerQueue
 
+RECORD_TIMEOUT_S = 0.2
+"""Many round trips to a witness; the first start of a submission waits for the record."""
+
 MAX_TRIES = 4
 """Unanswered requests for a record after which the witness counts as lost."""
 
-_DEFAULT_LIMITS = Limits()
-
 OnRecorded = Callable[[float, Submission, list[Action]], None]
 OnLost = Callable[[float, Submission, Reason, str, list[Action]], None]
 
@@ -33,13 +33,11 @@
     def __init__(
         self,
         *,
-        config: ConfigView,
         membership: MembershipView,
         slots: Slots,
         on_recorded: OnRecorded,
         on_lost: OnLost,
     ) -> None:
-        self._config = config
         self._membership = membership
         self._slots = slots
         self._on_recorded = on_recorded
@@ -129,6 +127,4 @@
         return (link.scheduler, link.incarnation) == (fields.witness, fields.witness_incarnation)
 
     def _set_timer(self, now: float, submission: Submission) -> None:
-        config = self._config.current
-        limits = _DEFAULT_LIMITS if config is None else config.limits
-        self._timers.add(now + limits.ask_timeout_s, (submission, submission.record_tries))
+        self._timers.add(now + RECORD_TIMEOUT_S, (submission, submission.record_tries))
