Keep refusals of control characters on one line

json5 quotes the characters that it refuses as they are, so a refusal could be split over two lines. A run of the damaged-text test found it; the examples that hypothesis draws depend on the modules that are loaded, so the case now has a test of its own.

--- a/src/eelgrassyard/config/_questionnaire.py
+++ b/src/eelgrassyard/config/_questionnaire.py
@@ -41,7 +41,7 @@
 
     def __str__(self) -> str:
         shown = f" = {self.value}" if self.value else ""
-        return f"{self.file}:{self.line}: {self.key}{shown}: {self.allowed}"
+        return _one_line(f"{self.file}:{self.line}: {self.key}{shown}: {self.allowed}")
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -137,6 +137,14 @@
     return make_error
 
 
+def _one_line(text: str) -> str:
+    """The text with control characters escaped; json5 quotes them as they are."""
+    return "".join(
+        character if character.isprintable() else character.encode("unicode_escape").decode()
+        for character in text
+    )
+
+
 def _file_error(file: str, line: int, message: str) -> AnswerError:
     return AnswerError(file=file, line=line, key="$", value="", allowed=message)
 
--- a/tests/test_questionnaire.py
+++ b/tests/test_questionnaire.py
@@ -112,6 +112,13 @@
         check_refusals(result.unwrap_err(), damaged)
 
 
+def test_a_refusal_of_control_characters_is_one_line():
+    """Guards against errors that are split over lines by what json5 quotes."""
+    for text in ('{"a": "b\n', '{"a": \n\n"b\x07', "{'a\r\n': 1", '{"a\\nb": 1}'):
+        for error in parse_questionnaire(text.encode(), file="f").unwrap_err():
+            assert str(error).isprintable()
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"[]", b"7", b"[" * 3000, b" " * 1_000_001])
 def test_data_that_is_no_questionnaire_is_refused(data):
     """Guards against a traceback for a file of another kind."""
