--- a/tests/tool_fakes.py
+++ b/tests/tool_fakes.py
@@ -100,6 +100,7 @@
     calls: list[tuple[str, str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
     issued: int = 0
+    id_calls: int = 0
     id_faults: list[httpx.Response | Exception] = field(default_factory=list)
 
     def transport(self) -> httpx.MockTransport:
@@ -125,6 +126,7 @@
             if isinstance(fault, Exception):
                 raise fault
             return fault
+        self.id_calls += 1
         count = json.loads(request.content)["count"]
         ids = [f"id{self.issued + index}" for index in range(count)]
         self.issued += count
