--- a/src/eelgrassyard/cli/_questionnaire_commands.py
+++ b/src/eelgrassyard/cli/_questionnaire_commands.py
@@ -23,6 +23,7 @@
 from ._command import Command
 from ._errors import CommandError, ExitCode
 from ._flags import define_json, define_store
+from ._host_settings import define_host_settings, host_settings, new_id_key
 from ._input import default_author, generate_document, read_either, read_questionnaire
 
 
@@ -73,6 +74,14 @@
 
 
 def _generate(values: Any, arguments: list[str]) -> int:
+    if values.host:
+        config = generate(read_questionnaire(arguments[0])).config
+        settings = host_settings(config, values)
+        if values.output == "-":
+            sys.stdout.buffer.write(settings)
+        else:
+            _write_private(values.output, settings.decode())
+        return ExitCode.DONE
     document = generate_document(arguments[0], values.author or default_author())
     if values.output == "-":
         sys.stdout.buffer.write(document)
@@ -91,6 +100,7 @@
     flags.DEFINE_string(
         "author", "", "Author recorded in the document; the user if left out.", flag_values=values
     )
+    define_host_settings(values)
 
 
 def _define_read(values: flags.FlagValues) -> None:
@@ -146,28 +156,42 @@
 
 
 def _key_new(values: Any, arguments: list[str]) -> int:
+    if values.id_key:
+        id_key = new_id_key()
+        if values.output:
+            _write_private(values.output, f"{id_key}\n")
+        else:
+            print(id_key)
+        return ExitCode.DONE
     key, salt = new_key(), new_salt()
     entry = json.dumps({"salt": salt, "hash": hash_key(key, salt)})
     if values.output:
-        _write_private(values.output, key)
+        _write_private(values.output, f"{key}\n")
     else:
         print(f"key: {key}")
     print(f'answer: "key": {entry},')
     return ExitCode.DONE
 
 
-def _write_private(path: str, key: str) -> None:
+def _write_private(path: str, text: str) -> None:
+    """Write a new file with a secret in it."""
     file = Path(path)
     try:
         file.touch(mode=0o600, exist_ok=False)
-        file.write_text(f"{key}\n", encoding="utf-8")
+        file.write_text(text, encoding="utf-8")
     except OSError as error:
         raise CommandError(
-            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="key", peer=path
+            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="write", peer=path
         ) from error
 
 
 def _define_key(values: flags.FlagValues) -> None:
+    flags.DEFINE_bool(
+        "id_key",
+        False,
+        "Make the secret by which all hosts of a site sign ids.",
+        flag_values=values,
+    )
     flags.DEFINE_string(
         "output",
         "",
@@ -206,7 +230,10 @@
         counts=(1, 1),
         text="""
             Generates the whole configuration document. The same answers give the same
-            configuration; only the change id differs.""",
+            configuration; only the change id differs.
+
+            With --host, writes the settings file of that host instead; it holds the site's id key,
+            so a new file is readable by its owner only.""",
         define=_define_generate,
         run=_generate,
     ),
@@ -242,7 +269,8 @@
         text="""
             Prints a new random key and the answer that goes into the caller's or operator's entry
             of the questionnaire. The answer holds a salted hash only; give the key to the caller
-            and keep no copy.""",
+            and keep no copy. With --id_key, makes the secret that every host of a site has in its
+            settings.""",
         define=_define_key,
         run=_key_new,
     ),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -6,7 +6,8 @@
 
 from eelgrassyard.cli import ExitCode, main
 from eelgrassyard.cli._main import COMMANDS
-from eelgrassyard.config import SITES, hash_key
+from eelgrassyard.config import CONFIG_KEY, SITES, generate, hash_key, load_questionnaire
+from eelgrassyard.daemon._settings import read_settings
 
 BAGMATI = str(SITES / "bagmati.jsonc")
 SAVANNAH = str(SITES / "savannah.jsonc")
@@ -55,6 +56,8 @@
     ["questionnaire", "new", "--from=nowhere", "x"],
     ["generate", BAGMATI, "extra"],
     ["generate", "--output=/nowhere/x", BAGMATI],
+    ["generate", "--host=nobody", BAGMATI],
+    ["generate", "--host=patan-1", BAGMATI],
     ["diff", BAGMATI],
     ["diff", BAGMATI, "/nowhere"],
     ["explain", BAGMATI, "no.such.key"],
@@ -145,6 +148,30 @@
     assert {"key", "before", "after", "effect"} == set(rows[0])
 
 
+def test_settings_of_every_host_are_accepted_by_the_daemon(tmp_path, capsys):
+    """Guards against settings that disagree with the questionnaire or that no host accepts."""
+    id_key = tmp_path / "id.key"
+    assert main(["key", "new", "--id_key", f"--output={id_key}"]) == ExitCode.DONE
+    config = generate(load_questionnaire(BAGMATI).unwrap()).config
+    for host in config.hosts_by_name.values():
+        path = tmp_path / f"{host.name}.json"
+        arguments = [
+            f"--host={host.name}",
+            f"--id_key_file={id_key}",
+            "--store=http://10.0.0.9:7000",
+            "--host_list=http://10.0.0.9:7001",
+            "--statsd=10.0.0.8:8125",
+            f"--output={path}",
+        ]
+        assert main(["generate", *arguments, BAGMATI]) == ExitCode.DONE
+        settings = read_settings(str(path)).unwrap()
+        assert (settings.name, settings.weight) == (host.name, host.weight)
+        assert (settings.http.port, settings.peer.port) == (host.callers_port, host.port)
+        assert settings.store.key == CONFIG_KEY
+        assert path.stat().st_mode & 0o077 == 0
+    capsys.readouterr()
+
+
 def test_new_keys(tmp_path, capsys):
     """Guards against a key whose printed hash does not match it, and a readable key file."""
     path = tmp_path / "key"
