Report unknown for a refusal after a lost answer; never poll in a tight loop

A key that is revoked between two calls made the client report bad input for work that may have run. A wait of 0 s made it ask without a pause.

--- a/src/eelgrassyard/cli/_client.py
+++ b/src/eelgrassyard/cli/_client.py
@@ -188,28 +188,24 @@
         calls, repeats = 0, 0
         may_have_arrived, accepted = not issuer, False
         while True:
-            left_s = max(0.0, min(wait_s, deadline - self._clock()))
-            if accepted:
-                answer = await self._call("GET", host, submission_id, left_s)
-            else:
-                answer = await self._call("PUT", host, submission_id, left_s, body)
+            began = self._clock()
+            left_s = max(0.0, min(wait_s, deadline - began))
+            method = "GET" if accepted else "PUT"
+            answer = await self._call(method, host, submission_id, left_s, body)
             calls += 1
+            ended = _end_of(answer, may_have_arrived, is_first=calls == 1)
+            if ended is not None:
+                return replace(ended, calls=calls)
             may_have_arrived |= answer.state not in (State.UNREACHED, State.NOT_TAKEN)
-            if answer.state is State.NOT_TAKEN and answer.reason in ENDING_REFUSALS:
-                if not may_have_arrived:
-                    # The client knows that nothing ran, because it will not use the id again.
-                    return replace(answer, state=State.NOT_RUN, calls=calls, unsent=True)
-                if answer.reason == ID_EXPIRED:
-                    return replace(answer, state=State.UNKNOWN, calls=calls)
-            if answer.state in FINAL or answer.state is State.REFUSED:
-                return replace(answer, calls=calls)
             if self._clock() >= deadline:
                 return replace(_give_up(answer, may_have_arrived), calls=calls)
             on_progress(replace(answer, calls=calls))
-            accepted = answer.state is State.RUNNING
+            was_accepted, accepted = accepted, answer.state is State.RUNNING
             if accepted:
                 repeats = 0
-            elif answer.state is not State.NOT_SUBMITTED:
+                # A host may answer before the time is over, and the caller may not want to wait.
+                await self._sleep(max(0.0, began + FIRST_PAUSE_S - self._clock()))
+            elif not (was_accepted and answer.state is State.NOT_SUBMITTED):
                 repeats += 1
                 host = self._take_host()
                 await self._pause(repeats, answer.retry_after_s, deadline)
@@ -263,7 +259,7 @@
                 method,
                 f"{host}/v1/submissions/{submission_id}",
                 params={"wait": f"{wait_s:.3f}"},
-                json=None if body is None else _kind_first(body),
+                json=_kind_first(body) if body is not None and method == "PUT" else None,
                 timeout=wait_s + CALL_MARGIN_S,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
@@ -290,6 +286,24 @@
     return {"kind": body["kind"], **body} if "kind" in body else dict(body)
 
 
+def _end_of(answer: Answer, may_have_arrived: bool, *, is_first: bool) -> Answer | None:
+    """The answer that ends a submission, or None if a further call may tell more.
+
+    :param may_have_arrived: a call before this one may have been taken.
+    """
+    if answer.state in FINAL:
+        return answer
+    if answer.state is State.REFUSED:
+        # A key that is revoked after the first call says nothing about what that call did.
+        return answer if is_first or not may_have_arrived else replace(answer, state=State.UNKNOWN)
+    if answer.state is not State.NOT_TAKEN or answer.reason not in ENDING_REFUSALS:
+        return None
+    if not may_have_arrived:
+        # The client knows that nothing ran, because it will not use the id again.
+        return replace(answer, state=State.NOT_RUN, unsent=True)
+    return replace(answer, state=State.UNKNOWN) if answer.reason == ID_EXPIRED else None
+
+
 def _give_up(answer: Answer, may_have_arrived: bool) -> Answer:
     """State to report when time is over before the outcome is known."""
     if answer.state is State.RUNNING:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -199,6 +199,21 @@
     assert (answer.state, answer.reason, answer.message) == (State.REFUSED, "body_conflict", "m")
 
 
+def test_a_refusal_after_a_lost_answer_is_unknown():
+    """Guards against "bad input" for work that ran before the caller's key was revoked."""
+    site = make_site(httpx.ReadTimeout("t"), refusal("unauthorized", 401))
+    assert run(site).state is State.UNKNOWN
+    site = make_site(httpx.ConnectError("x"), refusal("unauthorized", 401))
+    assert run(site).state is State.REFUSED
+
+
+def test_answers_without_waiting_are_not_asked_for_in_a_tight_loop():
+    """Guards against a client that keeps a host busy while its work runs."""
+    site = make_site(*[running()] * 500)
+    assert run(site, wait_s=0, give_up_s=10).state is State.RUNNING
+    assert len(site.calls) < 110
+
+
 def test_giving_up_tells_unknown_from_unreached():
     """Guards against "nothing ran" after a call that may have arrived."""
     site = make_site(*[httpx.ConnectError("refused")] * 100)
