Estimate waits from what each kind and flow got, and spread retry hints

Change: the rate of a kind is what it got while it waited, or what others leave; prompt work comes off it; a margin of 1.1 on the deadline; hints book places at the rate at which the flow is granted.

--- a/src/eelgrassyard/policy/_admission.py
+++ b/src/eelgrassyard/policy/_admission.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from dataclasses import dataclass, field
 
 from ._config import Urgency
-from ._fairqueue import FlowKey, QueueRefusal
+from ._fairqueue import WAIT_MARGIN, FlowKey, QueueRefusal
 from ._outcomes import Reason, SubmissionBody
 from ._system import ConfigView
 
@@ -18,6 +19,14 @@
 REFUSAL_HOLD_PART = 0.25
 """The same as a part of the flow's expected wait; its queue does not run empty meanwhile."""
 
+GRANT_WINDOW_S = 5.0
+"""Time constant of the rate at which a flow gets places."""
+
+LEAST_GRANTS_PER_S = 4.0
+"""Rate at which refused work comes back while nothing is granted; a task takes 50 ms to 1 s."""
+
+MAX_RETRY_S = 300.0
+
 MAX_FLOWS = 20_000
 """Flows kept before those without news are dropped."""
 
@@ -36,6 +45,8 @@
         urgency.
     :ivar closed_until: time up to which the scheduler's refusal is repeated.
     :ivar retry_at: time at which the scheduler expected room.
+    :ivar granted: tasks that got a place, decaying over ``GRANT_WINDOW_S``.
+    :ivar booked_until: time up to which refused tasks have been told to come back.
     """
 
     noted_at: float
@@ -43,6 +54,34 @@
     closed_until: float = 0.0
     retry_at: float = 0.0
     reason: Reason = Reason.FLOW_LIMIT
+    granted: float = 0.0
+    granted_at: float = -math.inf
+    first_granted_at: float = math.inf
+    booked_until: float = 0.0
+
+    def note_granted(self, now: float, tasks: int) -> None:
+        """Count tasks that got a place."""
+        if self.granted == 0.0:
+            self.first_granted_at = now
+        self.granted = self._granted(now) + tasks
+        self.granted_at = now
+
+    def book(self, now: float, earliest_s: float, tasks: int) -> float:
+        """Seconds after which refused tasks may come back, behind those refused before.
+
+        They come back no faster than this host gets places for the flow.
+        """
+        per_s = max(self._grants_per_s(now), LEAST_GRANTS_PER_S)
+        room_at = max(now + earliest_s, self.booked_until)
+        self.booked_until = min(room_at + tasks / per_s, now + MAX_RETRY_S)
+        return self.booked_until - now
+
+    def _grants_per_s(self, now: float) -> float:
+        age_s = max(now - self.first_granted_at, 0.1)
+        return self._granted(now) / (GRANT_WINDOW_S * (1.0 - math.exp(-age_s / GRANT_WINDOW_S)))
+
+    def _granted(self, now: float) -> float:
+        return self.granted * math.exp((self.granted_at - now) / GRANT_WINDOW_S)
 
 
 class RetryBudget:
@@ -95,16 +134,24 @@
         if site is not None and waiting + tasks > site.limits.queued_tasks_per_flow:
             message = f"{waiting} tasks of caller {flow[0]}, kind {flow[1]} are waiting here"
             return _refusal(Reason.FLOW_LIMIT, message, wait_s)
-        if wait_s > deadline_s:
+        if news is None:
+            return None
+        over_s = wait_s - deadline_s / WAIT_MARGIN
+        if over_s > 0.0:
             message = f"the expected wait is {wait_s:.1f} s, the deadline {deadline_s:.1f} s"
-            return _refusal(Reason.DEADLINE, message, wait_s - deadline_s)
-        if news is not None and now < news.closed_until:
+            return _refusal(Reason.DEADLINE, message, news.book(now, over_s, tasks))
+        if now < news.closed_until:
             message = f"the queue of caller {flow[0]}, kind {flow[1]} is full"
-            return _refusal(news.reason, message, news.retry_at - now)
+            return _refusal(news.reason, message, news.book(now, news.retry_at - now, tasks))
         return None
 
     def note_wait(
-        self, now: float, flow: FlowKey, wait_s: float, urgency: Urgency = Urgency.NORMAL
+        self,
+        now: float,
+        flow: FlowKey,
+        wait_s: float,
+        urgency: Urgency = Urgency.NORMAL,
+        granted: int = 0,
     ) -> None:
         """Take the expected wait of a flow from a grant or refusal.
 
@@ -112,8 +159,12 @@
         at the scheduler once the queue that was there must have been served.
 
         :param urgency: urgency of the submission that was granted or refused.
+        :param granted: number of its tasks that got a place.
         """
-        self._news(now, flow).start_at[urgency] = now + wait_s
+        news = self._news(now, flow)
+        news.start_at[urgency] = now + wait_s
+        if granted:
+            news.note_granted(now, granted)
 
     def note_refusal(
         self, now: float, flow: FlowKey, reason: Reason, retry_after_s: float | None
--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -28,6 +28,9 @@
 MIN_BURST_COST_S = 10.0
 """The same in seconds of cost, while the capacity is unknown."""
 
+WAIT_MARGIN = 1.1
+"""Factor on expected waits; without it, half of the work accepted at the limit comes too late."""
+
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 300.0
 
@@ -94,12 +97,11 @@
         taken = [entry.remaining.popleft() for _ in range(count)]
         burst_s = max(MIN_BURST_COST_S, self._waits.rate() * BURST_S)
         self._order.charge(kind, flow, entry.ask.urgency, cost_s * count, burst_s)
-        self._waits.note_taken(now, cost_s, count)
-        flow.meter.add(now, cost_s * count)
+        self._waits.note_taken(now, kind, flow, cost_s * count, now - entry.asked_at)
         self._count(kind, flow, entry.ask.urgency, -count)
         if not entry.remaining:
             self._drop(entry, kind, flow)
-        self._rank(kind)
+        self._order.rank(kind)
         return taken
 
     def correct_cost(self, flow: FlowKey, estimated_s: float, actual_s: float) -> None:
@@ -167,7 +169,6 @@
             return
         self._site = site
         self._limits = site.limits
-        self._waits.background_share = site.limits.background_share
         for kind in self._kind_by_name.values():
             for key, flow in kind.flow_by_key.items():
                 kind.set_weight(flow, self._weight(key[0]))
@@ -188,8 +189,6 @@
             self._limits.background_share,
             {entry.name for entry in entries if entry.urgency is Urgency.BACKGROUND},
         )
-        for kind in self._kind_by_name.values():
-            self._waits.active.update(kind)
 
     def _find_kind(self, name: str) -> KindFlows:
         kind = self._kind_by_name.get(name)
@@ -216,13 +215,13 @@
         tasks = len(entry.remaining)
         excess = self._excess(kind, flow, tasks)
         if excess > 0:
-            over_s = self._waits.drain_time(now, kind, flow, entry.ask.urgency, excess)
+            over_s = self._waits.drain_time(now, kind, flow, excess)
             return self._refuse(now, entry, kind, flow, Reason.FLOW_LIMIT, over_s)
         if not kind.cost_samples and not flow.queued:
             # The declared run time may be far too high; without a first run it is never corrected.
             return None
         wait_s = self._waits.wait(now, self._queued, kind, flow, entry.ask.urgency, tasks)
-        over_s = wait_s - (entry.deadline_at - now)
+        over_s = wait_s - (entry.deadline_at - now) / WAIT_MARGIN
         if over_s > 0.0:
             return self._refuse(now, entry, kind, flow, Reason.DEADLINE, over_s)
         return None
@@ -256,25 +255,22 @@
         Each refused ask books its place in that time, so that retries come back at the rate at
         which the flow is served rather than all at once.
         """
-        urgency = entry.ask.urgency
-        own_s = self._waits.drain_time(now, kind, flow, urgency, len(entry.remaining))
+        own_s = self._waits.drain_time(now, kind, flow, len(entry.remaining))
         flow.retry_at = min(max(now + over_s, flow.retry_at + own_s), now + MAX_RETRY_S)
         retry_s = max(MIN_RETRY_S, flow.retry_at - now)
         message = f"{flow.queued} tasks of caller {flow.key[0]}, kind {flow.key[1]} are waiting"
         return QueueRefusal(reason=reason, message=message, retry_after_s=round(retry_s, 3))
 
     def _insert(self, now: float, entry: QueuedAsk, kind: KindFlows, flow: Flow) -> None:
-        if not self._queued:
-            self._waits.meter.restart(now)
+        self._waits.note_waiting(now, self._queued, kind, flow)
         if not flow.queued:
             kind.activate(flow)
-            flow.meter.restart(now)
         flow.asks_by_urgency[entry.ask.urgency][entry.key] = entry
         self._ask_by_key[entry.key] = entry
         heapq.heappush(self._deadlines, (entry.deadline_at, next(self._sequence), entry))
         self._count(kind, flow, entry.ask.urgency, len(entry.remaining))
         kind.rank(flow)
-        self._rank(kind)
+        self._order.rank(kind)
 
     def _remove(self, key: AskKey) -> int:
         entry = self._ask_by_key.get(key)
@@ -284,7 +280,7 @@
         tasks = len(entry.remaining)
         self._count(kind, flow, entry.ask.urgency, -tasks)
         self._drop(entry, kind, flow)
-        self._rank(kind)
+        self._order.rank(kind)
         return tasks
 
     def _drop(self, entry: QueuedAsk, kind: KindFlows, flow: Flow) -> None:
@@ -300,7 +296,3 @@
         flow.queued_by_urgency[urgency] += tasks
         kind.queued += tasks
         self._queued += tasks
-
-    def _rank(self, kind: KindFlows) -> None:
-        self._order.rank(kind)
-        self._waits.active.update(kind)
--- a/src/eelgrassyard/policy/_flows.py
+++ b/src/eelgrassyard/policy/_flows.py
@@ -84,6 +84,26 @@
         return self.cost_s / time_s if time_s >= min_time_s else 0.0
 
 
+@dataclass(slots=True)
+class UseMeter:
+    """Cost in seconds served per second, averaged over all time."""
+
+    cost_s: float = 0.0
+    last: float = -math.inf
+
+    def add(self, now: float, cost_s: float) -> None:
+        """Count served cost."""
+        self.cost_s = self._left(now) + cost_s
+        self.last = now
+
+    def rate(self, now: float) -> float:
+        """Cost served per second."""
+        return self._left(now) / RATE_WINDOW_S
+
+    def _left(self, now: float) -> float:
+        return self.cost_s * math.exp((self.last - now) / RATE_WINDOW_S)
+
+
 class Flow:
     """Asks of one caller for one kind.
 
@@ -139,6 +159,9 @@
         self.cost_s = cost_s
         self.cost_samples = 0
         self.queued = 0
+        self.meter = RateMeter()
+        self.use = UseMeter()
+        self.prompt_use = UseMeter()
         self.flow_by_key: dict[FlowKey, Flow] = {}
         self.guarantee_tag = 0.0
         self.guaranteed_part = 0.0
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -68,7 +68,12 @@
         """Why a new submission is refused, or None."""
 
     def note_wait(
-        self, now: float, flow: FlowKey, wait_s: float, urgency: Urgency = Urgency.NORMAL
+        self,
+        now: float,
+        flow: FlowKey,
+        wait_s: float,
+        urgency: Urgency = Urgency.NORMAL,
+        granted: int = 0,
     ) -> None:
         """Take the expected wait that a scheduler named for a flow and urgency."""
 
@@ -358,7 +363,8 @@
             return
         body = submission.body
         flow = (submission.caller, body.kind)
-        self._admission.note_wait(now, flow, message.flow_wait_s, body.urgency)
+        granted = len(message.placements) if isinstance(message, SlotGrant) else 0
+        self._admission.note_wait(now, flow, message.flow_wait_s, body.urgency, granted)
         if isinstance(message, SlotRefusal):
             self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
 
