--- a/bench/bench_quotas.py
+++ b/bench/bench_quotas.py
@@ -183,6 +183,10 @@
             worst = max(worst, level)
         return worst / quota
 
+    def drop_queues(self) -> None:
+        """Withdraw all waiting work."""
+        self._owed.clear()
+
     def spread_demand(self, source: random.Random, factor: float) -> None:
         """Demand of each team as a factor of its quota, divided at random over schedulers."""
         for team in self.site.teams_by_name.values():
@@ -269,6 +273,7 @@
         loop.demand["patan-0", team] = 2.0 * loop.site.teams_by_name[team].starts_per_s
     loop.run(10.0)
     moved = loop.now
+    loop.drop_queues()
     loop.demand = {("thamel-0", team): 2.0 * quota for team, quota in _quotas(loop).items()}
     loop.run(15.0)
     times = []
--- a/src/eelgrassyard/policy/_quotas.py
+++ b/src/eelgrassyard/policy/_quotas.py
@@ -18,7 +18,14 @@
 from ._events import Event, PeerReceived
 from ._identity import HostIdentity
 from ._messages import QuotaDigest, TeamDemand
-from ._quotashares import PeerDemand, TeamBucket, fill_shares, fixed_parts
+from ._quotashares import (
+    CUT_RAISE_DELAY_S,
+    RAISE_DELAY_S,
+    PeerDemand,
+    TeamBucket,
+    fill_shares,
+    fixed_parts,
+)
 from ._system import ConfigView, MembershipView
 
 DIGEST_INTERVAL_S = 1.0
@@ -282,10 +289,11 @@
         ]
         weights = self._weights(peers)
         part = 1.0 if self._is_connected else self._part_by_domain.get(own, 0.0)
+        delay_s = RAISE_DELAY_S if self._is_connected else CUT_RAISE_DELAY_S
         for name, bucket in self._bucket_by_team.items():
             demands = [bucket.demand_per_s]
             demands.extend(peer.demand_by_team.get(name, 0.0) for peer in peers)
-            bucket.set_share(now, fill_shares(bucket.quota * part, demands, weights)[0])
+            bucket.set_share(now, fill_shares(bucket.quota * part, demands, weights)[0], delay_s)
 
     def _weights(self, peers: list[PeerDemand]) -> list[float]:
         """Fixed parts of the own host and of the peers; hosts of a domain divide its part."""
--- a/src/eelgrassyard/policy/_quotashares.py
+++ b/src/eelgrassyard/policy/_quotashares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -11,14 +12,21 @@
 BURST_S = 1.0
 """Seconds of the share that a bucket holds."""
 
-RAISE_DELAY_S = 1.5
+RAISE_DELAY_S = 0.3
 """Time for which a higher share must have been computed before it applies.
 
-It covers a digest interval and the delivery, so those who must lower their share do so first.
+It covers the delivery of a digest to all schedulers, so those who must lower their share do so
+first.
 """
 
-DEMAND_FALL = 0.5
-"""Part of the old demand that remains after a second without any; spares moves for short gaps."""
+CUT_RAISE_DELAY_S = 1.5
+"""The same on the fixed share; schedulers notice a cut up to a digest interval apart."""
+
+DEMAND_SMOOTHING = 0.3
+"""Weight of one second in the mean demand; small demands are noisy."""
+
+SIGNIFICANT_DEVIATIONS = 2.0
+"""Deviations by which demand must differ from its mean to count as changed rather than noise."""
 
 BACKLOG_FALL = 0.8
 """Part of the unmet demand that remains after a second; withdrawn asks leave no trace here."""
@@ -113,7 +121,7 @@
         missing = 1.0 - self._tokens
         if missing <= 1e-9:
             return now
-        return now + min(missing / self.share, RAISE_DELAY_S) if self.share else now + 1.0
+        return now + min(missing / self.share, CUT_RAISE_DELAY_S) if self.share else now + 1.0
 
     def close_period(self, elapsed_s: float) -> None:
         """Compute demand and starts per second of the period that ends."""
@@ -121,7 +129,11 @@
         if not self._is_short:
             self._unmet = 0.0
         wanted = min(self.quota, asked_per_s + self._unmet)
-        self.demand_per_s = max(wanted, self.demand_per_s * DEMAND_FALL)
+        change = wanted - self.demand_per_s
+        if abs(change) > SIGNIFICANT_DEVIATIONS * math.sqrt(self.demand_per_s + 1.0):
+            self.demand_per_s = wanted
+        else:
+            self.demand_per_s += DEMAND_SMOOTHING * change
         if self.demand_per_s < 0.01:
             self.demand_per_s = 0.0
         self.started_per_s = self._started / elapsed_s
@@ -129,13 +141,13 @@
         self._asked = self._started = 0
         self._is_short = False
 
-    def set_share(self, now: float, share: float) -> None:
+    def set_share(self, now: float, share: float, raise_delay_s: float) -> None:
         """Take a computed share; it applies at once if lower, else after the delay."""
         self._fill(now)
         self.computed = share
         first = not self._computed
         self._computed.append((now, share))
-        while len(self._computed) > 1 and self._computed[1][0] <= now - RAISE_DELAY_S:
+        while len(self._computed) > 1 and self._computed[1][0] <= now - raise_delay_s:
             self._computed.popleft()
         self.share = min(value for _, value in self._computed)
         if first:
