--- /dev/null
+++ b/tests/wary_membership.py
@@ -0,0 +1,35 @@
+"""A membership that can be made to take live hosts for dead, for tests of several cores."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import ClassVar
+
+import pytest
+
+from eelgrassyard.policy._membership import Membership
+
+
+class WaryMembership(Membership):
+    """The real membership, except for the hosts that a test has this host suspect."""
+
+    suspected: ClassVar[set[tuple[str, str]]] = set()
+
+    def is_alive(self, host: str, incarnation: int | None = None) -> bool:
+        return not self._suspects(host) and super().is_alive(host, incarnation)
+
+    def is_dead(self, host: str, incarnation: int) -> bool:
+        return self._suspects(host) or super().is_dead(host, incarnation)
+
+    def alive_hosts(self, failure_domain: str | None = None) -> Sequence[str]:
+        names = super().alive_hosts(failure_domain)
+        return [name for name in names if not self._suspects(name)]
+
+    def _suspects(self, host: str) -> bool:
+        return (self._own.name, host) in self.suspected
+
+
+def install_wary_membership(patch: pytest.MonkeyPatch) -> None:
+    """Have new cores use the membership of this module."""
+    WaryMembership.suspected.clear()
+    patch.setattr("eelgrassyard.policy._core.Membership", WaryMembership)
