--- a/src/eelgrassyard/policy/_hostview.py
+++ b/src/eelgrassyard/policy/_hostview.py
@@ -75,9 +75,12 @@
         return names
 
     def scheduler_for(self, pool: str, failure_domain: str | None = None) -> str:
-        """Host that schedules a pool; leaving hosts are chosen only if there is no other.
+        """Host that schedules a pool; leaving or silent hosts are chosen only if there is no other.
 
-        If the failure domain has no usable host, a host of another one schedules the pool.
+        If the failure domain has no usable host, a host of another one schedules the pool. A host
+        whose last probe went unanswered is passed over before it is known to have failed: asks
+        that wait for a dead scheduler would wait for the whole suspicion, and a scheduler that
+        was replaced without need only costs asks sent twice.
         """
         self._refresh()
         key = (pool, failure_domain)
@@ -119,7 +122,8 @@
         names = self.alive_hosts(failure_domain) or self.alive_hosts()
         members = [self._table.by_name[name] for name in names]
         staying = [member for member in members if member.state != MemberState.LEAVING]
-        weights = ((member.name, member.weight) for member in staying or members)
+        prompt = [member for member in staying if _is_prompt(member)]
+        weights = ((member.name, member.weight) for member in prompt or staying or members)
         return _rendezvous.choose(pool, weights) or self._identity.name
 
     def _find_witnesses(self) -> tuple[str, ...]:
@@ -129,8 +133,12 @@
                 for name in self.alive_hosts(failure_domain)
                 if name != self._identity.name
             ]
-            for states in ({MemberState.ALIVE}, {MemberState.ALIVE, MemberState.SUSPECT}):
-                names = tuple(member.name for member in candidates if member.state in states)
-                if names:
-                    return names
+            staying = [m for m in candidates if m.state != MemberState.LEAVING]
+            prompt = [member for member in staying if _is_prompt(member)]
+            if staying:
+                return tuple(member.name for member in prompt or staying)
         return ()
+
+
+def _is_prompt(member: Member) -> bool:
+    return member.state == MemberState.ALIVE and member.answers
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -225,7 +225,7 @@
             reason=reason,
             message=message,
             retry_after_s=retry_after_s,
-            flow_wait_s=self.granting.queue.expected_wait(now, entry.flow),
+            flow_wait_s=self.granting.queue.expected_wait(now, entry.flow, entry.ask.urgency),
         )
         out.append(Send(to=entry.owner, message=answer))
         out.append(Count(metric=f"scheduler.refused.{reason.value}"))
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -368,10 +368,11 @@
     def _note_wait(self, now: float, message: SlotGrant | SlotRefusal) -> None:
         """Pass the scheduler's word on a flow to the admission at this host."""
         submission = self._owner.by_id.get(message.submission_id)
-        if submission is None or submission.kind is None:
+        if submission is None or submission.body is None:
             return
-        flow = (submission.caller, submission.kind.name)
-        self._admission.note_wait(now, flow, message.flow_wait_s)
+        flow = (submission.caller, submission.body.kind)
+        urgency = submission.body.urgency
+        self._admission.note_wait(now, flow, message.flow_wait_s, urgency)
         if isinstance(message, SlotRefusal):
             self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
 
--- a/src/eelgrassyard/policy/_system.py
+++ b/src/eelgrassyard/policy/_system.py
@@ -83,5 +83,8 @@
     def is_cut_off(self, failure_domain: str) -> bool:
         """Tell whether no host of another failure domain has been reachable for a while."""
 
+    def doubt(self, host: str) -> None:
+        """Have a host probed soon, because an answer that it owes is late."""
+
     def cut_off_domains(self) -> Collection[str]:
         """All failure domains that are cut off."""
--- a/tests/at_most_once.py
+++ b/tests/at_most_once.py
@@ -101,6 +101,9 @@
     def is_cut_off(self, failure_domain: str) -> bool:
         return False
 
+    def doubt(self, host: str) -> None:
+        pass
+
     def cut_off_domains(self) -> Sequence[str]:
         return ()
 
