--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,100 @@
+"""Measures slopes on this repository and rewrites the tables of docs/CAPACITY.md.
+
+The measured points are kept in docs/capacity.json; the tables are functions of them. Without
+``--write`` the program prints the points and changes nothing. ``--only`` measures one section and
+``--tables`` measures nothing and rewrites the tables from the kept points.
+
+Usage: ``PYTHONPATH=src:. python -m bench.capacity [--write] [--only=SECTION]``
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import re
+import sys
+import time
+from collections.abc import Callable, Mapping, Sequence
+
+from absl import app, flags
+
+from . import capacity_roles as roles
+from .capacity_config import measure_config
+from .capacity_processes import measure_hosts, measure_kept, measure_memory, measure_served
+from .capacity_series import STORE, Figures, Series, load, save
+from .capacity_spread import measure_spread
+from .capacity_state import measure_decisions, measure_tables
+from .capacity_tables import (
+    budget_table,
+    measured_table,
+    peak_table,
+    role_table,
+    size_table,
+)
+
+PAGE = pathlib.Path("docs/CAPACITY.md")
+
+SECTIONS: Mapping[str, Callable[[], list[Series]]] = {
+    "memory": measure_memory,
+    "served": measure_served,
+    "kept": measure_kept,
+    "hosts": measure_hosts,
+    "spread": measure_spread,
+    "tables": measure_tables,
+    "decisions": measure_decisions,
+    "config": measure_config,
+}
+
+TABLES: Mapping[str, Callable[[Figures], str]] = {
+    "sizes": size_table,
+    "peak": peak_table,
+    "callers": lambda f: role_table(f, roles.CALLERS),
+    "upstreams": lambda f: role_table(f, roles.UPSTREAMS),
+    "peers": lambda f: role_table(f, roles.PEERS),
+    "watcher": lambda f: role_table(f, roles.WATCHER),
+    "tool": lambda f: role_table(f, roles.TOOL),
+    "platform": lambda f: role_table(f, roles.PLATFORM),
+    "budgets": lambda f: budget_table(f, roles.BUDGETS),
+    "measured": measured_table,
+}
+
+_WRITE = flags.DEFINE_bool("write", False, "Keep the points and rewrite the tables of the page.")
+_TABLES = flags.DEFINE_bool("tables", False, "Measure nothing; rewrite the tables of the page.")
+_ONLY = flags.DEFINE_enum("only", None, list(SECTIONS), "Measure one section.")
+
+_PLACE = re.compile(r"(<!-- table: (\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
+
+
+def fill_page(text: str, figures: Figures) -> str:
+    """The page with every table between its marker comments made from the figures.
+
+    :raises KeyError: if a marker names no table or a table needs a figure that was not measured.
+    """
+    return _PLACE.sub(lambda m: f"{m[1]}{TABLES[m[2]](figures)}\n{m[3]}", text)
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Measure, print, and rewrite the page if asked to."""
+    figures = load(STORE)
+    if not _TABLES.value:
+        for section in [_ONLY.value] if _ONLY.value else SECTIONS:
+            figures.update(_measure(section))
+    if _WRITE.value:
+        save(figures, STORE)
+    if _WRITE.value or _TABLES.value:
+        PAGE.write_text(fill_page(PAGE.read_text(), figures))
+    print(json.dumps({name: item.points for name, item in figures.items()}))
+
+
+def _measure(section: str) -> dict[str, Series]:
+    began = time.monotonic()
+    items = SECTIONS[section]()
+    print(f"{section}: {time.monotonic() - began:.0f} s", file=sys.stderr)
+    for item in items:
+        points = ", ".join(f"{x:g}: {y:.4g}" for x, y in item.points)
+        print(f"  {item.name:26} {item.unit:12} slope {item.slope:<10.4g} {points}")
+    return {item.name: item for item in items}
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/capacity_sizes.py
@@ -0,0 +1,92 @@
+"""The sizes that the tables are worked out for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from eelgrassyard.config import SITES, load_questionnaire
+
+DAY_S = 86_400.0
+MEAN_RUN_S = 0.5
+"""Assumed mean run time; section 1.1 gives 50 ms to 1 s for most tasks."""
+
+JOB_TASKS = 100
+"""Assumed tasks of a usual job at the size of section 1.6, which gives the largest, 620."""
+
+BUSY = 0.7
+"""Part of a core that a host may use at the peak, so that a lost failure domain can be carried."""
+
+ID_LIFETIME_S = 600.0
+RECORD_S = 660.0
+"""Lifetime of an id and the allowance for clock skew."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SiteSize:
+    """A site.
+
+    :param hosts: entry hosts; 0 if they follow from the measured processor time per task.
+    :param tasks_per_job: tasks of a usual submission.
+    :param changes_per_day: revisions of the configuration.
+    :param restarts_per_day: hosts that fail, restart or are replaced.
+    """
+
+    name: str
+    hosts: int
+    domains: int
+    upstreams: int
+    workers: int
+    starts_per_s: float
+    tasks_per_job: float
+    teams: int
+    changes_per_day: float
+    restarts_per_day: float
+    scope_domains: int
+
+    @property
+    def jobs_per_s(self) -> float:
+        """Submissions a second."""
+        return self.starts_per_s / self.tasks_per_job
+
+    @property
+    def running(self) -> float:
+        """Tasks in progress."""
+        return self.starts_per_s * MEAN_RUN_S
+
+
+def today(site: str) -> SiteSize:
+    """A shipped site at its busiest hour, from its questionnaire."""
+    answers = load_questionnaire(SITES / f"{site}.jsonc").unwrap().answers
+    tasks_by_kind = {kind.name: kind.tasks_usual for kind in answers.kinds}
+    sends = [item for caller in answers.callers for item in caller.sends.items()]
+    jobs_per_s = sum(sent.per_s for _, sent in sends)
+    starts_per_s = sum(sent.per_s * tasks_by_kind[kind] for kind, sent in sends)
+    workers = sum(len(rack.workers) for rack in answers.racks)
+    return SiteSize(
+        name=site,
+        hosts=len(answers.hosts),
+        domains=len(answers.failure_domains),
+        upstreams=workers + sum(len(service.runners) for service in answers.services),
+        workers=workers,
+        starts_per_s=starts_per_s,
+        tasks_per_job=starts_per_s / jobs_per_s,
+        teams=len(answers.teams),
+        changes_per_day=10,
+        restarts_per_day=len(answers.hosts),
+        scope_domains=1,
+    )
+
+
+LARGE = SiteSize(
+    name="section 1.6",
+    hosts=0,
+    domains=11,
+    upstreams=1_400,
+    workers=1_400,
+    starts_per_s=87_000,
+    tasks_per_job=JOB_TASKS,
+    teams=68,
+    changes_per_day=1_700,
+    restarts_per_day=19 + 320,
+    scope_domains=11,
+)
--- /dev/null
+++ b/bench/capacity_tables.py
@@ -0,0 +1,185 @@
+"""The tables of docs/CAPACITY.md as functions of measured points."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+from .capacity_series import Figures
+from .capacity_sizes import BUSY, LARGE, SiteSize, today
+
+JOB_SIZES = (1, 20, 100, 620)
+Formula = Callable[["Reader", SiteSize], float]
+
+
+class Reader:
+    """Reads figures and notes which ones a formula used and how far beyond their range.
+
+    :raises KeyError: if a figure was not measured.
+    """
+
+    def __init__(self, figures: Figures) -> None:
+        self._figures = figures
+        self.used: dict[str, bool] = {}
+
+    def at(self, name: str, x: float = 0.0) -> float:
+        """Value of the line at ``x``."""
+        item = self._figures[name]
+        beyond = bool(item.x) and not item.is_measured(x)
+        self.used[name] = self.used.get(name, False) or beyond
+        return item.at(x)
+
+    def slope(self, name: str, count: float) -> float:
+        """Growth for ``count`` more of what was varied."""
+        item = self._figures[name]
+        self.used[name] = self.used.get(name, False) or count > item.highest
+        return item.slope * count
+
+    def sources(self) -> str:
+        """Names of the figures with their sections and ranges."""
+        return "; ".join(self._source(name, beyond) for name, beyond in self.used.items())
+
+    def _source(self, name: str, beyond: bool) -> str:
+        item = self._figures[name]
+        if not item.x:
+            return f"`{name}`"
+        ending = ", extrapolated" if beyond else ""
+        return f"`{name}` {item.lowest:,.0f} to {item.highest:,.0f}{ending}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Row:
+    """One line of a table.
+
+    :param bound: what is allowed, if there is a budget.
+    """
+
+    what: str
+    unit: str
+    formula: Formula
+    bound: float | None = None
+
+
+def job_cost_ms(reader: Reader, tasks: float) -> tuple[float, float]:
+    """Milliseconds a job at its owner and at the scheduler and witness."""
+    return reader.at("served.owner", tasks), reader.at("served.scheduler", tasks)
+
+
+def hosts_needed(reader: Reader, size: SiteSize, busy: float = BUSY) -> int:
+    """Entry hosts, one core each, that the starts of a site need."""
+    ms = sum(job_cost_ms(reader, size.tasks_per_job))
+    return math.ceil(size.jobs_per_s * ms / 1e3 / busy)
+
+
+def sizes(figures: Figures) -> tuple[SiteSize, ...]:
+    """The three sizes, the hosts of the largest worked out from the processor time per task."""
+    needed = hosts_needed(Reader(figures), LARGE)
+    return today("bagmati"), today("savannah"), replace(LARGE, hosts=needed)
+
+
+def number(value: float) -> str:
+    """Three significant digits."""
+    if value == 0 or not math.isfinite(value):
+        return f"{value:g}"
+    digits = 2 - math.floor(math.log10(abs(value)))
+    return f"{round(value, digits):,.{max(0, digits)}f}"
+
+
+def render(header: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """A table in Markdown."""
+    lines = ["| " + " | ".join(header) + " |", "|" + "---|" * len(header)]
+    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def measured_table(figures: Figures) -> str:
+    """Every measured figure: range, line and command."""
+    rows = []
+    for name in sorted(figures, key=lambda n: (figures[n].section, n)):
+        item = figures[name]
+        if item.x:
+            span = f"{item.lowest:,.0f} to {item.highest:,.0f} {item.x}"
+            line = [number(item.points[0][1]), number(item.points[-1][1]), number(item.slope)]
+        else:
+            span, line = "", [number(item.points[0][1]), "", ""]
+        rows.append([f"`{name}`", item.unit, span, *line, f"`{item.command}`"])
+    header = ["figure", "unit", "measured over", "first", "last", "slope", "command"]
+    return render(header, rows)
+
+
+def size_table(figures: Figures) -> str:
+    """What the three sizes are."""
+    columns = sizes(figures)
+    fields: list[tuple[str, Callable[[SiteSize], float]]] = [
+        ("entry hosts", lambda s: s.hosts),
+        ("failure domains", lambda s: s.domains),
+        ("upstreams", lambda s: s.upstreams),
+        ("task starts a second", lambda s: s.starts_per_s),
+        ("tasks a submission", lambda s: s.tasks_per_job),
+        ("submissions a second", lambda s: s.jobs_per_s),
+        ("tasks in progress", lambda s: s.running),
+        ("teams", lambda s: s.teams),
+        ("configuration changes a day", lambda s: s.changes_per_day),
+        ("hosts restarted a day", lambda s: s.restarts_per_day),
+    ]
+    rows = [[what, *(number(get(size)) for size in columns)] for what, get in fields]
+    return render(["", *(size.name for size in columns)], rows)
+
+
+def peak_table(figures: Figures) -> str:
+    """Entry hosts that the peak needs, by tasks a job."""
+    rows = []
+    for tasks in JOB_SIZES:
+        reader = Reader(figures)
+        size = replace(LARGE, tasks_per_job=float(tasks))
+        owner, scheduler = (ms / tasks for ms in job_cost_ms(reader, tasks))
+        per_scheduler = scheduler * LARGE.starts_per_s / LARGE.domains / 1e3
+        rows.append(
+            [
+                f"{tasks}",
+                number(owner),
+                number(scheduler),
+                f"{hosts_needed(reader, size, 1.0):,}",
+                f"{hosts_needed(reader, size):,}",
+                number(per_scheduler),
+                reader.sources(),
+            ]
+        )
+    header = [
+        "tasks a job",
+        "owner, ms a task",
+        "scheduler, ms a task",
+        "hosts, full cores",
+        f"hosts, cores {BUSY:.0%} busy",
+        "cores of one scheduler a failure domain",
+        "from",
+    ]
+    return render(header, rows)
+
+
+def role_table(figures: Figures, rows: Sequence[Row]) -> str:
+    """State, messages, processor time and memory of one role at the three sizes."""
+    columns = sizes(figures)
+    lines = []
+    for row in rows:
+        reader = Reader(figures)
+        values = [number(row.formula(reader, size)) for size in columns]
+        lines.append([f"{row.what}, {row.unit}", *values, reader.sources()])
+    return render(["", *(size.name for size in columns), "from"], lines)
+
+
+def budget_table(figures: Figures, rows: Sequence[Row]) -> str:
+    """Budgets with the factor by which each size keeps or breaks them."""
+    columns = sizes(figures)
+    lines = []
+    for row in rows:
+        assert row.bound is not None
+        reader = Reader(figures)
+        values = [row.formula(reader, size) for size in columns]
+        factor = values[-1] / row.bound
+        verdict = f"**broken, {factor:.2g} times**" if factor > 1 else f"kept, {factor:.2g} of it"
+        cells = [f"{row.what}, {row.unit}", number(row.bound), *map(number, values), verdict]
+        lines.append([*cells, reader.sources()])
+    header = ["", "allowed", *(size.name for size in columns), "at section 1.6", "from"]
+    return render(header, lines)
--- a/bench/daemon_site.py
+++ b/bench/daemon_site.py
@@ -13,12 +13,13 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from typing import IO
 
 import httpx
 
-from eelgrassyard.config import hash_key, new_key, new_salt, render_document
+from eelgrassyard.config import hash_key, new_key, new_salt, pack_document, render_document
 from eelgrassyard.policy import (
     CallerEntry,
     HostEntry,
@@ -70,6 +71,7 @@
     hosts: list[HostProcess]
     config: SiteConfig
     store_url: str
+    list_url: str
     runner_urls: list[str]
     worker_urls: list[str]
     key_by_caller: dict[str, str] = field(default_factory=dict)
@@ -95,8 +97,12 @@
     workers: int = 1,
     slots: int = 8,
     limits: Limits | None = None,
+    padding: Sequence[UpstreamEntry] = (),
 ) -> Iterator[Site]:
-    """Start a site, wait until its hosts are ready, and stop it at the end."""
+    """Start a site, wait until its hosts are ready, and stop it at the end.
+
+    :param padding: upstreams that configuration and host list name but that do not run.
+    """
     ports = iter(free_ports(2 + runners + workers + 2 * hosts))
     store_port, list_port = next(ports), next(ports)
     runner_ports = [next(ports) for _ in range(runners)]
@@ -106,14 +112,18 @@
     config = make_config(keys, host_ports, runner_ports, worker_ports, slots, limits or Limits())
     with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
         directory = pathlib.Path(folder)
-        spec = stand_in_spec(config, store_port, list_port)
+        spec = stand_in_spec(config, store_port, list_port, padding)
+        named = {**config.upstreams_by_name, **{entry.name: entry for entry in padding}}
+        config = replace(config, upstreams_by_name=named)
         (directory / "stand-ins.json").write_text(json.dumps(spec))
+        # Stopping with open connections makes the stand-ins write a traceback for each of them.
+        log = stack.enter_context((directory / "stand-ins.log").open("wb"))
         stack.enter_context(
-            started("eelgrassyard.standins", f"--spec={directory / 'stand-ins.json'}")
+            started("eelgrassyard.standins", f"--spec={directory / 'stand-ins.json'}", errors=log)
         )
         store_url = f"http://127.0.0.1:{store_port}"
         wait_until_answering(store_url + "/counts")
-        document = render_document(config, author="bench").decode()
+        document = pack_document(render_document(config, author="bench")).decode()
         body = {"value": document, "expect": 0}
         httpx.put(f"{store_url}/kv/{STORE_KEY}", json=body, trust_env=False).raise_for_status()
         id_key = secrets.token_hex(32)
@@ -141,6 +151,7 @@
             hosts=processes,
             config=config,
             store_url=store_url,
+            list_url=f"http://127.0.0.1:{list_port}",
             runner_urls=[f"http://127.0.0.1:{port}" for port in runner_ports],
             worker_urls=[f"http://127.0.0.1:{port}" for port in worker_ports],
             key_by_caller=keys,
@@ -207,8 +218,10 @@
     )
 
 
-def stand_in_spec(config: SiteConfig, store_port: int, list_port: int) -> list[dict[str, object]]:
-    """What the stand-ins serve."""
+def stand_in_spec(
+    config: SiteConfig, store_port: int, list_port: int, padding: Sequence[UpstreamEntry] = ()
+) -> list[dict[str, object]]:
+    """What the stand-ins serve; ``padding`` is only listed."""
     spec: list[dict[str, object]] = [{"role": "keyvalue", "port": store_port}]
     listed: list[dict[str, object]] = [
         {
@@ -227,6 +240,8 @@
             spec.append({"role": "runner", "port": port, "name": entry.name, "slots": entry.slots})
         else:
             spec.append({"role": "worker", "port": port, "name": entry.name})
+    for entry in [*config.upstreams_by_name.values(), *padding]:
+        port = int(entry.url.rpartition(":")[2])
         listed.append(
             {
                 "name": entry.name,
@@ -246,9 +261,14 @@
 
 
 @contextlib.contextmanager
-def started(module: str, *arguments: str) -> Iterator[subprocess.Popen[bytes]]:
-    """Run a module in a process of its own and end it with SIGTERM."""
-    process = subprocess.Popen([sys.executable, "-m", module, *arguments])
+def started(
+    module: str, *arguments: str, errors: IO[bytes] | None = None
+) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a module in a process of its own and end it with SIGTERM.
+
+    :param errors: file for its standard error; that of this process if not given.
+    """
+    process = subprocess.Popen([sys.executable, "-m", module, *arguments], stderr=errors)
     try:
         yield process
     finally:
--- a/bench/measure_daemon.py
+++ b/bench/measure_daemon.py
@@ -64,7 +64,9 @@
     return int(head.split(None, 2)[1]), await reader.readexactly(length)
 
 
-async def run_requests(host: HostProcess, requests: Sequence[bytes]) -> dict[int, int]:
+async def run_requests(
+    host: HostProcess, requests: Sequence[bytes], connections: int = CONNECTIONS
+) -> dict[int, int]:
     """Send requests over a few connections; returns the number of answers by status."""
     statuses: dict[int, int] = {}
     waiting = iter(requests)
@@ -76,7 +78,7 @@
             statuses[status] = statuses.get(status, 0) + 1
         writer.close()
 
-    await asyncio.gather(*(use_connection() for _ in range(CONNECTIONS)))
+    await asyncio.gather(*(use_connection() for _ in range(connections)))
     return statuses
 
 
