--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import pathlib
 import re
 import sys
@@ -31,18 +32,20 @@
     role_table,
     size_table,
 )
+from .capacity_wire import measure_wire
 
 PAGE = pathlib.Path("docs/CAPACITY.md")
 
 SECTIONS: Mapping[str, Callable[[], list[Series]]] = {
     "memory": measure_memory,
-    "served": measure_served,
+    "wire": measure_wire,
     "kept": measure_kept,
     "hosts": measure_hosts,
     "spread": measure_spread,
     "tables": measure_tables,
     "decisions": measure_decisions,
     "config": measure_config,
+    "served": measure_served,
 }
 
 TABLES: Mapping[str, Callable[[Figures], str]] = {
@@ -75,12 +78,15 @@
 
 def main(arguments: Sequence[str]) -> None:
     """Measure, print, and rewrite the page if asked to."""
+    logging.getLogger("httpx").setLevel(logging.WARNING)
     figures = load(STORE)
     if not _TABLES.value:
         for section in [_ONLY.value] if _ONLY.value else SECTIONS:
+            # What an earlier version of the program measured must not stay behind.
+            figures = {n: item for n, item in figures.items() if item.section != section}
             figures.update(_measure(section))
-    if _WRITE.value:
-        save(figures, STORE)
+            if _WRITE.value:
+                save(figures, STORE)
     if _WRITE.value or _TABLES.value:
         PAGE.write_text(fill_page(PAGE.read_text(), figures))
     print(json.dumps({name: item.points for name, item in figures.items()}))
--- a/bench/capacity_config.py
+++ b/bench/capacity_config.py
@@ -17,6 +17,7 @@
     render_document,
 )
 from eelgrassyard.policy import UpstreamEntry, UpstreamRole
+from eelgrassyard.policy._configpull import pack as pack_for_peer
 
 from .capacity_series import Series, series
 
@@ -34,7 +35,7 @@
     for upstreams in UPSTREAMS:
         for name, value in _measure(upstreams).items():
             points.setdefault(name, []).append((upstreams, value))
-    units = {"plain_bytes": "B", "packed_bytes": "B"}
+    units = {"plain_bytes": "B", "packed_bytes": "B", "peer_bytes": "B"}
     return [
         series("config", f"config.{name}", units.get(name, "ms"), values, "upstreams")
         for name, values in points.items()
@@ -60,6 +61,7 @@
     return {
         "plain_bytes": len(document),
         "packed_bytes": len(packed),
+        "peer_bytes": len(pack_for_peer(packed)),
         "parse": parse_ms,
         "generate": generate_ms,
         "questionnaire": read_ms,
--- a/bench/capacity_series.py
+++ b/bench/capacity_series.py
@@ -49,11 +49,12 @@
         """Value at ``x``.
 
         Inside the measured range it lies on the straight line between the neighbouring points,
-        beyond it on a line with the least-squares slope through the nearest end.
+        above it on a line with the least-squares slope through the last one. Below it, the first
+        one holds, because a line through few points may go below zero there.
         """
         points = sorted(self.points)
         if x <= points[0][0]:
-            return points[0][1] + self.slope * (x - points[0][0])
+            return points[0][1]
         if x >= points[-1][0]:
             return points[-1][1] + self.slope * (x - points[-1][0])
         (x0, y0), (x1, y1) = next(
--- a/bench/capacity_sizes.py
+++ b/bench/capacity_sizes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from eelgrassyard.config import SITES, load_questionnaire
@@ -29,6 +30,8 @@
     :param tasks_per_job: tasks of a usual submission.
     :param changes_per_day: revisions of the configuration.
     :param restarts_per_day: hosts that fail, restart or are replaced.
+    :param scope_domains: failure domains with pools of their own; 1 if pools serve the whole site.
+    :param scheduler_jobs_per_s: submissions a second for the busiest pool.
     """
 
     name: str
@@ -42,6 +45,8 @@
     changes_per_day: float
     restarts_per_day: float
     scope_domains: int
+    scheduler_jobs_per_s: float
+    scheduler_tasks_per_job: float
 
     @property
     def jobs_per_s(self) -> float:
@@ -61,6 +66,13 @@
     sends = [item for caller in answers.callers for item in caller.sends.items()]
     jobs_per_s = sum(sent.per_s for _, sent in sends)
     starts_per_s = sum(sent.per_s * tasks_by_kind[kind] for kind, sent in sends)
+    pool_by_kind = {kind.name: kind.service or "" for kind in answers.kinds}
+    jobs_by_pool: Counter[str] = Counter()
+    tasks_by_pool: Counter[str] = Counter()
+    for kind, sent in sends:
+        jobs_by_pool[pool_by_kind[kind]] += sent.per_s
+        tasks_by_pool[pool_by_kind[kind]] += sent.per_s * tasks_by_kind[kind]
+    busiest = max(jobs_by_pool, key=lambda pool: jobs_by_pool[pool])
     workers = sum(len(rack.workers) for rack in answers.racks)
     return SiteSize(
         name=site,
@@ -74,6 +86,8 @@
         changes_per_day=10,
         restarts_per_day=len(answers.hosts),
         scope_domains=1,
+        scheduler_jobs_per_s=jobs_by_pool[busiest],
+        scheduler_tasks_per_job=tasks_by_pool[busiest] / jobs_by_pool[busiest],
     )
 
 
@@ -89,4 +103,6 @@
     changes_per_day=1_700,
     restarts_per_day=19 + 320,
     scope_domains=11,
+    scheduler_jobs_per_s=87_000 / JOB_TASKS / 11,
+    scheduler_tasks_per_job=JOB_TASKS,
 )
