--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -41,6 +41,7 @@
     UpstreamEntry,
     UpstreamRole,
 )
+from eelgrassyard.policy._ids import parse_id
 from wary_membership import WaryMembership, install_wary_membership
 
 DOMAINS = ("patan", "thamel", "bhaktapur")
@@ -242,8 +243,9 @@
 
     def check_end(self) -> None:
         """Every id that is submitted (again) has one outcome, the same at every host."""
-        self.recover()
-        self.run(15.0)
+        for seconds in (8.0, 8.0):
+            self.recover()
+            self.run(seconds)
         final: defaultdict[str, list[OutcomeKind]] = defaultdict(list)
         first, *others = self.up()
         self._collect(final, first, self.submit, 2.0 * DEADLINE_S)
@@ -417,6 +419,34 @@
         if jitter == 0.5:
             self.o.run(1.0)
 
+    @rule(
+        owner=hosts,
+        asker=hosts,
+        kind=st.sampled_from(sorted(KINDS)),
+        named=st.booleans(),
+        moments=st.lists(st.sampled_from((0.0, 0.0004, 0.003, 0.2)), min_size=2, max_size=2),
+        kill_owner=st.booleans(),
+    )
+    def lose_the_witness(self, owner, asker, kind, named, moments, kill_owner):
+        """The witness restarts and the owner is dead, or taken for dead, or only cut off."""
+        before = len(self._ids())
+        self.o.issue(owner, CALLERS[0], kind, named=named)
+        if owner == asker or len(self._ids()) == before:
+            return
+        text = self._ids()[-1]
+        self.o.submit(owner, text, 5.0)
+        self.o.run(moments[0])
+        witness = parse_id(text).witness
+        if witness is not None:
+            _kill(self.o, witness, "", 1)
+        if kill_owner:
+            self.o.site.kill(owner)
+        else:
+            WaryMembership.suspected.add((asker, owner))
+        self.o.run(moments[1])
+        self.o.query(asker, text, 5.0)
+        self.o.run(1.1)
+
     @rule(fault=st.sampled_from(sorted(FAULTS)), host=hosts, other=hosts, level=levels)
     def suffer(self, fault, host, other, level):
         FAULTS[fault](self.o, host, other, level)
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -379,6 +379,24 @@
     assert releases_in(actions) == [StartResult.UNUSED]
 
 
+def test_a_record_that_arrives_when_the_id_has_expired_starts_nothing():
+    """Guards against a start at the moment from which the witness answers for nothing."""
+    site = Site()
+    text = id_text(1, lifetime_s=5)
+    site.submit(text)
+    message = SlotGrant(
+        submission_id=text,
+        pool=POOLS["check"],
+        attempt=0,
+        placements=(Placement(grant=1, index=0, upstream="up-1"),),
+    )
+    site.receive(SCHEDULER, message)
+    site.now += 5.0
+    actions = site.receive(WITNESS, WitnessAck(submission_id=text, accepted=True))
+    assert not of_type(actions, StartTask)
+    assert outcome_in(actions).kind is OutcomeKind.UNKNOWN
+
+
 @pytest.mark.parametrize(
     ("body", "reason"),
     [
@@ -596,6 +614,14 @@
     assert not releases_in(actions)
 
 
+def test_a_late_duplicate_of_a_grant_that_was_given_back_is_not_taken():
+    """Guards against a start on a place that the scheduler has given to somebody else."""
+    site = running_job(tasks=1, started=(0,))
+    site.finish(1, StartResult.NOT_STARTED)
+    assert not of_type(site.grant(0, kind="rule"), StartTask)
+    assert of_type(site.grant(0, first=2, kind="rule", attempt=1), StartTask)
+
+
 def test_a_second_place_for_a_started_task_is_given_back():
     """Guards against two places for one task after a repeated ask."""
     site = running_job()
