Use one httpcore connection under each httpx transport; survive odd answers

Cause: a pool of one connection costs processor time in every request, and an unexpected error with one upstream ended the process. Change: a transport that is one connection; unexpected errors are logged and count as lost; unusable URLs as not started.

--- a/src/eelgrassyard/daemon/_connections.py
+++ b/src/eelgrassyard/daemon/_connections.py
@@ -15,8 +15,21 @@
 from dataclasses import dataclass
 
 import anyio
+import httpcore
 import httpx
 
+from ._logs import logger
+from ._transport import ConnectionTransport
+
+LOSING_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.ConnectionNotAvailable,
+    OSError,
+)
+"""Errors after which the request may or may not have arrived."""
+
 # httpcore imports sniffio about five times for each request. Where it is not installed, each try
 # searches the whole path, a tenth of the processor time of a served request. An entry of None
 # makes the import fail at once, with the same result.
@@ -47,7 +60,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class _IdleConnection:
-    transport: httpx.AsyncHTTPTransport
+    transport: ConnectionTransport
     since: float
 
 
@@ -106,24 +119,33 @@
         :raises LostError: if the request may have arrived and there is no whole answer.
         :raises AnswerTooLargeError: if the answer is too large.
         """
-        request = httpx.Request(
-            method,
-            self.url + path,
-            headers={"content-type": "application/json", **(headers or {})},
-            content=content or None,
-            extensions={"timeout": {"connect": self._connect_s, "read": read_s}},
-        )
-        transport = await self._take()
+        try:
+            request = httpx.Request(
+                method,
+                self.url + path,
+                headers={"content-type": "application/json", **(headers or {})},
+                content=content or None,
+                extensions={"timeout": {"connect": self._connect_s, "read": read_s}},
+            )
+            transport = await self._take()
+        except (httpx.InvalidURL, ValueError) as error:
+            raise NeverSentError(str(error)) from error
         self.in_use += 1
         reusable = False
         try:
             reply = await self._exchange(transport, request)
             reusable = reply.headers.get("connection", "").lower() != "close"
             return reply
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.UnsupportedProtocol) as error:
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise NeverSentError(str(error) or type(error).__name__) from error
-        except httpx.TransportError as error:
+        except AnswerTooLargeError:
+            raise
+        except LOSING_ERRORS as error:
             raise LostError(str(error) or type(error).__name__) from error
+        except Exception as error:
+            # One bad answer must not end the process.
+            logger.exception("a request failed", extra={"step": "connection", "peer": self.url})
+            raise LostError(repr(error)) from error
         finally:
             self.in_use -= 1
             if reusable and len(self._idle) < self._max_idle:
@@ -132,9 +154,7 @@
                 with anyio.CancelScope(shield=True):
                     await transport.aclose()
 
-    async def _exchange(
-        self, transport: httpx.AsyncHTTPTransport, request: httpx.Request
-    ) -> HttpReply:
+    async def _exchange(self, transport: ConnectionTransport, request: httpx.Request) -> HttpReply:
         response = await transport.handle_async_request(request)
         chunks = []
         size = 0
@@ -150,21 +170,12 @@
             status=response.status_code, headers=response.headers, body=b"".join(chunks)
         )
 
-    async def _take(self) -> httpx.AsyncHTTPTransport:
+    async def _take(self) -> ConnectionTransport:
         await self.close_expired()
         if self._idle:
             # The one used last is taken, so that connections beyond the need expire.
             return self._idle.pop().transport
-        return httpx.AsyncHTTPTransport(
-            verify=self._tls,
-            trust_env=False,
-            retries=0,
-            limits=httpx.Limits(
-                max_connections=1,
-                max_keepalive_connections=1,
-                keepalive_expiry=self._idle_s,
-            ),
-        )
+        return ConnectionTransport(url=self.url, tls=self._tls, idle_s=self._idle_s)
 
     async def close_expired(self) -> None:
         """Close connections that have not been used for a while."""
--- a/tests/test_daemon_upstreams.py
+++ b/tests/test_daemon_upstreams.py
@@ -161,6 +161,19 @@
     assert finished.result is StartResult.NOT_STARTED
 
 
+def test_unusable_address_is_not_a_start():
+    """Guards against a wrong entry in the host list that ends the process."""
+
+    async def run():
+        for url in ("http://[::1", "ftp://127.0.0.1:1", "127.0.0.1:1", "http://127.0.0.1:0"):
+            async with anyio.create_task_group() as group:
+                finished = await Rig(group, url, UpstreamRole.RUNNER).run(make_start())
+                assert finished.result is StartResult.NOT_STARTED, url
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 LOST_CASES = {
     "closed at once": closing_after(0),
     "closed after the first bytes": closing_after(1),
