--- a/src/eelgrassyard/policy/_dissemination.py
+++ b/src/eelgrassyard/policy/_dissemination.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 
 from ._memberlist import Member, MemberTable
 from ._messages import MemberState, MemberUpdate
 from ._reach import DomainReach
 
-NEWS_PER_MESSAGE = 6
-"""Changes carried by one message."""
+NEWS_PER_MESSAGE = 4
+"""Changes carried by one message; a host then sends under 2 KB/s while all others have changed."""
 
 SWEEP_PER_MESSAGE = 2
 """Unchanged entries carried by one message; a host that missed news gets all 128 in about 15 s."""
 
-TRANSMISSION_FACTOR = 3
+TRANSMISSION_FACTOR = 2
 """A change is sent this many times the logarithm of the number of hosts."""
 
 
@@ -48,8 +49,8 @@
     def updates_for(self, receiver: Member | None) -> tuple[MemberUpdate, ...]:
         """Entries for one message, the own one first."""
         chosen = self._start_with_claims(receiver)
-        newest_first = sorted(self._left_by_name, key=lambda n: -self._left_by_name[n])
-        for name in newest_first[:NEWS_PER_MESSAGE]:
+        left = self._left_by_name
+        for name in heapq.nlargest(NEWS_PER_MESSAGE, left, key=left.__getitem__):
             if self._add(name, receiver, chosen):
                 self._spend(name)
         for _ in range(min(SWEEP_PER_MESSAGE, len(self._table.by_name))):
@@ -78,9 +79,8 @@
         return member is not None and self._reach.is_cut_off(member.failure_domain)
 
     def _add_claim_about(self, receiver: Member, chosen: dict[str, MemberUpdate]) -> None:
-        # A suspect or failed host refutes what it reads about itself.
-        doubted = receiver.state in (MemberState.SUSPECT, MemberState.DEAD)
-        if doubted and receiver.incarnation and not receiver.has_ended:
+        # A host that others wrongly hold for suspect, failed or leaving refutes what it reads.
+        if receiver.state != MemberState.ALIVE and receiver.incarnation and not receiver.has_ended:
             chosen[receiver.name] = receiver.to_update()
 
     def _add(self, name: str, receiver: Member | None, chosen: dict[str, MemberUpdate]) -> bool:
