Let the client move on at once when a host is lost

After not_run for a drained owner or witness the client waited for the whole retry hint, though other hosts could take the work. It now takes a new id at once, and tries the next host before it heeds the hint of one.

--- a/src/eelgrassyard/cli/_client.py
+++ b/src/eelgrassyard/cli/_client.py
@@ -34,6 +34,9 @@
 LONGEST_PAUSE_S = 5.0
 MOST_IDS = 1000
 
+LOST_HOST_REASONS = frozenset({"draining", "owner_lost", "witness_lost"})
+"""Reasons not to run that concern the id's hosts and not the site."""
+
 REPLACED_IDS = frozenset({"draining", "id_expired"})
 """Refusals of an unused id after which a new one helps at once."""
 
@@ -129,22 +132,30 @@
         :param run_again: after *not run* with a retry hint, take a new id and submit again.
         """
         deadline = self._clock() + give_up_s
-        calls = 0
+        calls, hosts_replaced = 0, 0
+        last: Answer | None = None
         while True:
-            current = (
-                submission_id
-                or (await self.take_ids(1, kind=str(body.get("kind", "")), give_up_s=give_up_s))[0]
-            )
-            answer = await self._run_one(body, current, wait_s, deadline, on_progress)
+            if submission_id is None:
+                left_s = max(0.0, deadline - self._clock())
+                try:
+                    kind = str(body.get("kind", ""))
+                    submission_id = (await self.take_ids(1, kind=kind, give_up_s=left_s))[0]
+                except CommandError:
+                    if last is None:
+                        raise
+                    return last
+            answer = await self._run_one(body, submission_id, wait_s, deadline, on_progress)
             calls += answer.calls
-            hint_s = answer.retry_after_s
-            again = answer.state is State.NOT_RUN and (
-                answer.reason in REPLACED_IDS if answer.unsent else run_again and hint_s is not None
-            )
-            if not again or self._clock() + (hint_s or 0.0) >= deadline:
-                return replace(answer, calls=calls)
-            on_progress(answer)
-            await self._sleep(hint_s or FIRST_PAUSE_S)
+            last = replace(answer, calls=calls)
+            pause_s = answer.retry_after_s or FIRST_PAUSE_S
+            if answer.reason in LOST_HOST_REASONS and hosts_replaced < len(self._hosts):
+                # Another host can take the work at once; the hint is for a site that is full.
+                hosts_replaced += 1
+                pause_s = FIRST_PAUSE_S
+            if not _may_run_again(answer, run_again) or self._clock() + pause_s >= deadline:
+                return last
+            on_progress(last)
+            await self._sleep(pause_s)
             submission_id = None
 
     async def query(self, submission_id: str, *, wait_s: float = 0.0) -> Answer:
@@ -208,7 +219,10 @@
             elif not (was_accepted and answer.state is State.NOT_SUBMITTED):
                 repeats += 1
                 host = self._take_host()
-                await self._pause(repeats, answer.retry_after_s, deadline)
+                # Until every host was asked, a hint of one of them says nothing about the next.
+                is_of_host = answer.state is not State.UNKNOWN and repeats < len(self._hosts)
+                hint_s = None if is_of_host else answer.retry_after_s
+                await self._pause(repeats, hint_s, deadline)
 
     async def _take_some(self, body: Mapping[str, Any], give_up_s: float) -> list[str]:
         deadline = self._clock() + give_up_s
@@ -234,7 +248,8 @@
             if self._clock() >= deadline:
                 raise CommandError(ExitCode.UNREACHABLE, problem, step="ids", peer=host)
             repeats += 1
-            await self._pause(repeats, retry_after_s, deadline)
+            hint_s = None if repeats < len(self._hosts) else retry_after_s
+            await self._pause(repeats, hint_s, deadline)
 
     async def _at_any_host(self, method: str, submission_id: str, wait_s: float) -> Answer:
         answer = Answer(submission_id=submission_id, state=State.UNREACHED)
@@ -276,7 +291,8 @@
         return host
 
     async def _pause(self, repeats: int, hint_s: float | None, deadline: float) -> None:
-        longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(repeats, 10))
+        rounds = repeats // len(self._hosts)
+        longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 4 ** min(rounds, 10))
         pause = hint_s if hint_s is not None else longest * self._random.uniform(0.5, 1.0)
         await self._sleep(max(0.0, min(pause, deadline - self._clock())))
 
@@ -286,6 +302,15 @@
     return {"kind": body["kind"], **body} if "kind" in body else dict(body)
 
 
+def _may_run_again(answer: Answer, run_again: bool) -> bool:
+    """Tell whether the work may be submitted under a new id, and a new id helps."""
+    if answer.state is not State.NOT_RUN:
+        return False
+    if answer.unsent and answer.reason in REPLACED_IDS:
+        return True
+    return run_again and answer.retry_after_s is not None
+
+
 def _end_of(answer: Answer, may_have_arrived: bool, *, is_first: bool) -> Answer | None:
     """The answer that ends a submission, or None if a further call may tell more.
 
--- a/src/eelgrassyard/cli/_load_command.py
+++ b/src/eelgrassyard/cli/_load_command.py
@@ -40,6 +40,7 @@
 class LoadOptions:
     """What every submission of a run has in common.
 
+    :param run_again: submit again under a new id after *not run* with a retry hint.
     :param grace_s: seconds after the last arrival in which answers still count.
     """
 
@@ -53,6 +54,7 @@
     memory_mb: int
     urgency: str = ""
     deadline_s: float | None = None
+    run_again: bool = False
 
     def body(self, number: int, work_s: float) -> dict[str, Any]:
         """Submission number ``number``; each task has a payload of its own."""
@@ -115,7 +117,10 @@
         submission_id = self._ids.popleft() if self._ids else None
         try:
             answer = await self._client.run(
-                body, submission_id=submission_id, give_up_s=self._options.grace_s
+                body,
+                submission_id=submission_id,
+                give_up_s=self._options.grace_s,
+                run_again=self._options.run_again,
             )
         except CommandError as error:
             answer = Answer(submission_id="", state=State.UNREACHED, message=str(error))
@@ -254,6 +259,13 @@
         lower_bound=1,
         flag_values=values,
     )
+    flags.DEFINE_bool(
+        "run_again",
+        False,
+        "After not_run with a retry hint, take a new id and submit again, as submit --run_again "
+        "does; without it, refusals are counted as they come.",
+        flag_values=values,
+    )
     flags.DEFINE_bool("quiet", False, "Show no progress on stderr.", flag_values=values)
 
 
@@ -300,6 +312,7 @@
         cores=values.cores,
         memory_mb=values.memory_mb,
         urgency=values.urgency or "",
+        run_again=values.run_again,
         deadline_s=values.deadline_s,
     )
     try:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -117,6 +117,40 @@
     assert run(site, run_again=True).state is State.NOT_RUN
 
 
+def test_the_hint_of_one_host_does_not_delay_the_call_to_the_next():
+    """Guards against a pause of seconds because one host restarts."""
+    site = make_site(refusal("not_ready", 503, 50), complete())
+    assert run(site).state is State.COMPLETE
+    assert site.clock.now < 1
+    site = make_site(*[refusal("not_ready", 503, 50)] * 3, complete())
+    assert run(site).state is State.COMPLETE
+    assert site.clock.now >= 50
+
+
+def test_work_of_a_lost_host_moves_on_at_once():
+    """Guards against a pause of seconds when another host can take the work."""
+    lost = outcome("not_run", 503, reason="owner_lost", retry_after_s=50)
+    site = make_site(lost, complete())
+    assert run(site, run_again=True).state is State.COMPLETE
+    assert site.clock.now < 1
+    site = make_site(*[lost] * 20)
+    assert run(site, run_again=True, give_up_s=100).state is State.NOT_RUN
+    assert len(site.calls) < 8
+
+
+def test_the_last_outcome_is_kept_when_no_new_id_is_to_be_had():
+    """Guards against an error that hides the outcome already known."""
+    site = make_site(outcome("not_run", 503, reason="deadline", retry_after_s=1))
+    issue = site._issue
+
+    def issue_once(request: httpx.Request) -> httpx.Response:
+        return httpx.Response(503) if site.issued else issue(request)
+
+    site._issue = issue_once
+    answer = run(site, run_again=True, give_up_s=5)
+    assert (answer.state, answer.reason) == (State.NOT_RUN, "deadline")
+
+
 @pytest.mark.parametrize(("code", "status"), [("flow_limit", 429), ("impossible", 422)])
 def test_a_submission_that_no_host_took_is_not_run(code, status):
     """Guards against repeated calls of a flood, and against "unknown" for work never taken."""
