--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -127,25 +127,31 @@
     # From the queue to a grant
 
     def grant_idle(self, now: float, entry: QueuedAsk, incarnation: int) -> bool:
-        """Grant a single task at once if nothing waits and a good slot is free.
+        """Grant or park a single task at once if nothing waits and a slot is free.
 
         Most asks of a pool that is not overloaded take this way around the queue.
         """
         ask = entry.ask
         if len(self.queue) or self._placement is not None or len(entry.remaining) != 1:
             return False
-        if self._table.probes_due or self._context.quotas.allowed(now, ask.team, 1) <= 0:
+        if self._context.quotas.allowed(now, ask.team, 1) <= 0 or self._probe_for(now, ask):
             return False
         self._try_freed(now)
         ahead = self.parked.ahead_of(ask.urgency)
         name = self._table.speeds.choose(ask.kind, ahead, ask.avoid)
-        if not name:
+        if name is None:
             return False
-        expected_s = self._expected_s(name, ask.kind)
-        self.queue.serve_idle(now, entry, expected_s)
         self._context.quotas.charge(now, ask.team, 1)
         self._note_owner(entry.owner, incarnation)
-        self._grant(now, entry, entry.remaining.popleft(), name, expected_s)
+        size = entry.remaining.popleft()
+        if name == WAIT:
+            cost_s = self._table.speeds.work.work(ask.kind)
+            self.queue.serve_idle(now, entry, cost_s)
+            self.parked.add(ParkedTask(entry=entry, size=size, cost_s=cost_s))
+        else:
+            expected_s = self._expected_s(name, ask.kind)
+            self.queue.serve_idle(now, entry, expected_s)
+            self._grant(now, entry, size, name, expected_s)
         return True
 
     def _try_freed(self, now: float) -> None:
@@ -179,7 +185,7 @@
         """Grant parked tasks for which a slot that is free now is good enough."""
         if not self.parked:
             return
-        for ahead, task in enumerate(list(itertools.islice(self.parked, tries))):
+        for ahead, task in enumerate(self.parked.first(tries)):
             ask = task.entry.ask
             name = self._table.speeds.choose(ask.kind, ahead, ask.avoid)
             if name is None:
--- a/src/eelgrassyard/policy/_parked.py
+++ b/src/eelgrassyard/policy/_parked.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -37,6 +38,14 @@
         for tasks in self._tasks_by_urgency.values():
             yield from tasks
 
+    def first(self, count: int) -> list[ParkedTask]:
+        """The first tasks in order."""
+        found: list[ParkedTask] = []
+        for tasks in self._tasks_by_urgency.values():
+            if tasks:
+                found.extend(itertools.islice(tasks, count - len(found)))
+        return found
+
     def add(self, task: ParkedTask) -> None:
         """Put a task at the end of its urgency."""
         self._tasks_by_urgency[task.entry.ask.urgency].append(task)
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -58,7 +58,12 @@
     @property
     def has_room(self) -> bool:
         """Whether it may get ordinary work now."""
-        return self.usable and len(self.starts) < self.limit and self.blocked_until == -math.inf
+        return (
+            len(self.starts) < self.limit
+            and self.state is UpstreamState.LIVE
+            and not self.cut_off
+            and self.blocked_until == -math.inf
+        )
 
 
 def slots_of(entry: UpstreamEntry) -> int:
