Measure recovery; take the store's confirmation of a peer's document

A starting host that got the configuration from a peer before the store's answer waited for its neighbours for a second although the store had confirmed the revision.

--- /dev/null
+++ b/bench/bench_recovery.py
@@ -0,0 +1,301 @@
+"""What callers see, and how long it takes until all is as before, after each kind of fault.
+
+Whole cores on a virtual clock under a light load. In the scenarios of an hour there are fewer
+hosts, they probe 16 times less often, and the load is lower, so that the run stays short.
+``--json`` prints the JSON line only.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+
+from bench.recovery_site import RACK, Record, RecoverySite
+from eelgrassyard.policy import OutcomeKind
+
+SEED = 20_232
+HOSTS = 9
+LONG_HOSTS = 6
+WARM_UP_S = 20.0
+FAULT_S = 30.0
+HOUR_S = 3_600.0
+AFTER_S = 30.0
+DRAIN_S = 80.0
+"""Time for the last callers to give up."""
+
+STEP_S = 0.1
+SLOW_S = 8.0
+SLOWER_S = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """A fault: how it begins and ends, and how long it lasts."""
+
+    name: str
+    begin: Callable[[RecoverySite], None]
+    end: Callable[[RecoverySite], None]
+    seconds: float = FAULT_S
+
+
+@dataclass(frozen=True, kw_only=True)
+class Result:
+    """What became of the submissions made, or not answered yet, when the fault began or later.
+
+    :param views_s: seconds from the end of the fault until all hosts agree.
+    :param callers_s: seconds from the end of the fault to the last submission that did not go well.
+    """
+
+    name: str
+    submitted: int
+    complete: int
+    failed: int
+    refused: int
+    unknown: int
+    no_answer: int
+    broken: int
+    views_s: float
+    callers_s: float
+
+
+def out(site: RecoverySite) -> None:
+    """The store stops answering; a host restarts in the meantime."""
+    site.store_up = False
+    site.after(600.0, lambda: restart(site, ["d1-0"]))
+
+
+def out_again(site: RecoverySite) -> None:
+    """The store comes back for two seconds with a new revision in the middle of an outage."""
+
+    def flap() -> None:
+        site.store_up = True
+        site.write_config()
+        site.after(2.0, lambda: set_store(site, up=False))
+
+    out(site)
+    site.after(HOUR_S / 2, flap)
+
+
+def set_store(site: RecoverySite, *, up: bool) -> None:
+    """Take the store down or bring it back."""
+    site.store_up = up
+
+
+def back(site: RecoverySite) -> None:
+    """The store answers again as usual and gets a new revision."""
+    site.store_up = True
+    site.store_latency_s = 0.003
+    site.write_config()
+
+
+def slow(site: RecoverySite) -> None:
+    """The store takes seconds to answer; revisions are written and a host restarts."""
+    site.store_latency_s = SLOW_S
+    for number in range(1, 6):
+        site.after(number * 500.0, lambda: drop(site.write_config()))
+    site.after(600.0, lambda: restart(site, ["d1-0"]))
+
+
+def slower(site: RecoverySite) -> None:
+    """The store gets slower still while it is slow."""
+    slow(site)
+    site.after(HOUR_S / 2, lambda: set_latency(site, SLOWER_S))
+
+
+def set_latency(site: RecoverySite, seconds: float) -> None:
+    """Set the answer time of the store."""
+    site.store_latency_s = seconds
+
+
+def drop(value: object) -> None:
+    """Ignore a result."""
+
+
+def restart(site: RecoverySite, names: Sequence[str]) -> None:
+    """End hosts and start them again a second later."""
+    for name in names:
+        site.kill(name)
+    site.after(1.0, lambda: start(site, names))
+
+
+def start(site: RecoverySite, names: Sequence[str]) -> None:
+    """Start hosts."""
+    for name in names:
+        site.start(name)
+
+
+def cut(*pairs: tuple[str, str]) -> Callable[[RecoverySite], None]:
+    """Cut pairs of failure domains off from each other."""
+
+    def begin(site: RecoverySite) -> None:
+        for first, second in pairs:
+            site.cut(first, second)
+
+    return begin
+
+
+def rack(number: int) -> tuple[list[str], str]:
+    """Workers and the one entry host of a rack."""
+    workers = [f"worker-{n}" for n in range(number * RACK, (number + 1) * RACK)]
+    return workers, f"d{number}-0"
+
+
+def lose_racks(*numbers: int) -> Callable[[RecoverySite], None]:
+    """Take racks down."""
+
+    def begin(site: RecoverySite) -> None:
+        for number in numbers:
+            workers, host = rack(number)
+            site.kill(host)
+            site.lose_upstreams(workers)
+
+    return begin
+
+
+def restore_racks(*numbers: int) -> Callable[[RecoverySite], None]:
+    """Bring racks back."""
+
+    def end(site: RecoverySite) -> None:
+        for number in numbers:
+            workers, host = rack(number)
+            site.restore_upstreams(workers)
+            site.start(host)
+
+    return end
+
+
+def restart_domains(*domains: str) -> Callable[[RecoverySite], None]:
+    """Restart all hosts of failure domains."""
+
+    def begin(site: RecoverySite) -> None:
+        names = [name for name in site.host_by_name if name[:2] in domains]
+        restart(site, names)
+
+    return begin
+
+
+def nothing(site: RecoverySite) -> None:
+    """The fault ends by itself."""
+
+
+SCENARIOS = (
+    Scenario(name="quiet", begin=nothing, end=nothing),
+    Scenario(name="store out 1 h", begin=out, end=back, seconds=HOUR_S),
+    Scenario(name="store out, back 2 s, out", begin=out_again, end=back, seconds=HOUR_S),
+    Scenario(name="store slow 1 h", begin=slow, end=back, seconds=HOUR_S),
+    Scenario(name="store slow, then slower", begin=slower, end=back, seconds=HOUR_S),
+    Scenario(name="2 domains cut", begin=cut(("d0", "d1")), end=RecoverySite.heal),
+    Scenario(
+        name="2 pairs cut",
+        begin=cut(("d0", "d1"), ("d1", "d2")),
+        end=RecoverySite.heal,
+    ),
+    Scenario(name="rack lost", begin=lose_racks(0), end=restore_racks(0)),
+    Scenario(name="2 racks lost", begin=lose_racks(0, 1), end=restore_racks(0, 1)),
+    Scenario(name="domain restarted", begin=restart_domains("d0"), end=nothing, seconds=1.0),
+    Scenario(
+        name="2 domains restarted", begin=restart_domains("d0", "d1"), end=nothing, seconds=1.0
+    ),
+)
+
+
+def measure(scenario: Scenario) -> Result:
+    """Run one scenario."""
+    is_long = scenario.seconds >= HOUR_S
+    site = RecoverySite(
+        hosts=LONG_HOSTS if is_long else HOSTS,
+        seed=SEED,
+        rate=0.2 if is_long else 16.0,
+        ping_interval_s=8.0 if is_long else 0.5,
+    )
+    site.start_all()
+    site.run_for(WARM_UP_S / 2)
+    site.start_load()
+    site.run_for(WARM_UP_S / 2)
+    began = site.now
+    scenario.begin(site)
+    _run(site, scenario.seconds)
+    ended = site.now
+    scenario.end(site)
+    views_s = _time_until_settled(site)
+    _run(site, AFTER_S)
+    site.stop_load()
+    _run(site, DRAIN_S)
+    site.check_promises()
+    return _summarize(scenario, site, began, ended, views_s)
+
+
+def _run(site: RecoverySite, seconds: float) -> None:
+    until = site.now + seconds
+    while site.now < until:
+        site.run_until(min(until, site.now + 1.0))
+        site.check_revisions()
+
+
+def _time_until_settled(site: RecoverySite) -> float:
+    started = site.now
+    while site.now - started < AFTER_S:
+        if site.is_settled():
+            return site.now - started
+        site.run_for(STEP_S)
+        site.check_revisions()
+    return float("inf")
+
+
+def _summarize(
+    scenario: Scenario, site: RecoverySite, began: float, ended: float, views_s: float
+) -> Result:
+    records = [r for r in site.records if not r.answered_at or r.answered_at >= began]
+    counts = Counter(_verdict(record) for record in records)
+    bad = [record.submitted_at for record in records if _verdict(record) != "complete"]
+    return Result(
+        name=scenario.name,
+        submitted=len(records),
+        complete=counts["complete"],
+        failed=counts["failed"],
+        refused=counts["not_run"],
+        unknown=counts["unknown"],
+        no_answer=counts["no answer"],
+        broken=sum(site.broken.values()),
+        views_s=round(views_s, 2),
+        callers_s=round(max(0.0, max(bad, default=ended) - ended), 2),
+    )
+
+
+def _verdict(record: Record) -> str:
+    if record.outcome is None:
+        return "not_run" if record.refused and not record.submission_id else "no answer"
+    return OutcomeKind(record.outcome.kind).value
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Print the table and the JSON line; returns 1 if a promise was broken."""
+    results = [measure(scenario) for scenario in SCENARIOS]
+    if "--json" not in arguments:
+        _print_table(results)
+    print(json.dumps([asdict(result) for result in results]))
+    return 1 if any(result.broken for result in results) else 0
+
+
+def _print_table(results: Sequence[Result]) -> None:
+    print(
+        f"seed {SEED}; {HOSTS} hosts ({LONG_HOSTS} in the scenarios of an hour) in 3 failure "
+        "domains; times in s after the end of the fault"
+    )
+    print(
+        f"{'scenario':24} {'sent':>5} {'complete':>8} {'failed':>6} {'not run':>7} {'unknown':>7} "
+        f"{'no answer':>9} {'broken':>6} {'views':>6} {'callers':>7}"
+    )
+    for result in results:
+        print(
+            f"{result.name:24} {result.submitted:5} {result.complete:8} {result.failed:6} "
+            f"{result.refused:7} {result.unknown:7} {result.no_answer:9} {result.broken:6} "
+            f"{result.views_s:6.2f} {result.callers_s:7.2f}"
+        )
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/eelgrassyard/policy/_configpull.py
+++ b/src/eelgrassyard/policy/_configpull.py
@@ -127,10 +127,13 @@
                 del self._sources_by_peer[peer]
         if transfer is None:
             return False
-        is_peers = (transfer.revision, transfer.document) == (revision, document)
+        if transfer.document is None:
+            if transfer.peer not in self._sources_by_peer:
+                self._transfer = None
+            return False
         if transfer.revision <= revision:
             self._transfer = None
-        return is_peers
+        return (transfer.revision, transfer.document) == (revision, document)
 
     def advance(self, now: float, own_revision: int, out: list[Action]) -> None:
         """End a transfer that took too long and start the next one."""
--- a/src/eelgrassyard/policy/_configsync.py
+++ b/src/eelgrassyard/policy/_configsync.py
@@ -114,9 +114,11 @@
     # Documents
 
     def _take_loaded(self, event: ConfigLoaded, out: list[Action]) -> None:
+        from_peer = self._puller.loaded(event.revision, event.document)
         if event.revision <= self._revision:
+            # The store's answer confirms what a peer sent before it.
+            self._from_store |= event.revision == self._revision and not from_peer
             return
-        from_peer = self._puller.loaded(event.revision, event.document)
         self._from_store |= not from_peer
         self._revision = event.revision
         self._current = event.config
--- a/src/eelgrassyard/policy/_detector.py
+++ b/src/eelgrassyard/policy/_detector.py
@@ -67,7 +67,8 @@
         self._probes = ProbeTable(rng=rng)
         self._hosts_ring = Ring(own=own.name, others=())
         self._domains_ring = Ring(own=own.failure_domain, others=())
-        self._ring_version = -1
+        self._absent: list[str] = []
+        self._order_version = -1
         self._absent_order = RoundRobin(rng=rng)
         self._local_at = self._remote_at = self._absent_at = -math.inf
         self._joined = False
@@ -138,6 +139,7 @@
             domain = self._domain_ring().target(now, limits.remote_ping_interval_s)
             if domain is not None:
                 self._probe_domain(now, domain, 1, Purpose.DOMAIN, out)
+        self._refresh_order()
         if now >= self._absent_at:
             self._absent_at = now + RETURN_INTERVAL_S
             self._probe_absent(now, out)
@@ -166,7 +168,7 @@
         return min(
             self._local_at,
             self._remote_at,
-            self._absent_at,
+            self._absent_at if self._absent else math.inf,
             self._probes.next_deadline(),
             self._reach.next_timer(now),
         )
@@ -202,17 +204,17 @@
             self._start(now, member, Purpose.MEMBER, out)
 
     def _local_ring(self) -> Ring:
-        self._refresh_rings()
+        self._refresh_order()
         return self._hosts_ring
 
     def _domain_ring(self) -> Ring:
-        self._refresh_rings()
+        self._refresh_order()
         return self._domains_ring
 
-    def _refresh_rings(self) -> None:
-        if self._ring_version == self._table.version:
+    def _refresh_order(self) -> None:
+        if self._order_version == self._table.version:
             return
-        self._ring_version = self._table.version
+        self._order_version = self._table.version
         own = self._own
         usable = [m.name for m in self._in_domain(own.failure_domain) if m.is_usable]
         self._hosts_ring = Ring(own=own.name, others=usable)
@@ -222,6 +224,7 @@
             others=self._remote_domains(),
             shift=self._hosts_ring.position,
         )
+        self._absent = [m.name for m in self._table if not m.is_usable and not m.has_ended]
 
     def _probe_domain(
         self, now: float, domain: str, count: int, purpose: Purpose, out: list[Action]
@@ -232,8 +235,8 @@
             self._start(now, member, purpose, out)
 
     def _probe_absent(self, now: float, out: list[Action]) -> None:
-        absent = [m.name for m in self._table if not m.is_usable and not m.has_ended]
-        name = self._absent_order.pick(absent)
+        self._refresh_order()
+        name = self._absent_order.pick(self._absent)
         if name is not None:
             self._start(now, self._table.by_name[name], Purpose.ABSENT, out)
 
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -229,6 +229,16 @@
     assert [a.ready for a in actions if isinstance(a, ReadinessChanged)] == [True]
 
 
+def test_store_that_confirms_a_peer_makes_ready_at_once():
+    """Guards against a start that waits for its peers although the store has answered."""
+    core = make_core()
+    core.tick(1.0, [shown(5)])
+    core.tick(1.1, [document(5, b"five")])
+    core.tick(1.2, [loaded(5, b"five")])
+    actions = core.tick(1.3, [loaded(5, b"five")])
+    assert [a.ready for a in actions if isinstance(a, ReadinessChanged)] == [True]
+
+
 def test_peer_is_enough_during_a_store_outage():
     """Guards against starts that fail while the store is out."""
     site = start_site()
