--- a/bench/measure_daemon.py
+++ b/bench/measure_daemon.py
@@ -144,12 +144,12 @@
                 cases += [
                     Case(
                         name="one id",
-                        make=lambda n: request_bytes("POST", "/v1/ids", key, ids),
+                        make=lambda n, key=key, ids=ids: request_bytes("POST", "/v1/ids", key, ids),
                         expected=frozenset({201}),
                     ),
                     Case(
                         name="liveness",
-                        make=lambda n: request_bytes("GET", "/healthz", key),
+                        make=lambda n, key=key: request_bytes("GET", "/healthz", key),
                         expected=frozenset({200}),
                     ),
                     Case(
--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -331,7 +331,9 @@
                 attempt=attempt,
                 placements=placements,
                 recorded=self._context.witness.is_recorded(submission_id),
-                flow_wait_s=self.queue.expected_wait(now, (grants[0].caller, grants[0].kind)),
+                flow_wait_s=self.queue.expected_wait(
+                    now, (grants[0].caller, grants[0].kind), grants[0].urgency
+                ),
             )
             out.append(Send(to=owner, message=message))
         self._outgoing.clear()
--- a/src/eelgrassyard/policy/_membership.py
+++ b/src/eelgrassyard/policy/_membership.py
@@ -65,6 +65,7 @@
         self._draining = False
         self._superseded = False
         self._expected_wake = 0.0
+        self._doubted: set[str] = set()
         self._settled_at = math.inf
         self._cleanup_at = -math.inf
 
@@ -95,6 +96,7 @@
             self._settled_at = now + YOUNG_S
         self._allow_for_pause(now)
         self._take_config(now)
+        self._probe_doubted(now, out)
         self._end_probes(now, out)
         self._end_suspicions(now, out)
         self._detector.start_due(now, self._limits(), out)
@@ -106,7 +108,7 @@
 
     def next_wake(self, now: float) -> float:
         """Time of the next timer."""
-        return self._expected_wake
+        return now if self._doubted else self._expected_wake
 
     def dump(self) -> dict[str, object]:
         """The table of hosts."""
@@ -122,6 +124,11 @@
         }
         return {"hosts": hosts, "cut_off": list(self.cut_off_domains())}
 
+    def doubt(self, host: str) -> None:
+        """Have a host probed in the next tick, because an answer that it owes is late."""
+        if host in self._table.by_name and host != self._own.name:
+            self._doubted.add(host)
+
     # Messages
 
     def _take_message(self, now: float, event: PeerReceived, out: list[Action]) -> None:
@@ -291,6 +298,13 @@
         for member in self._suspect_by_name.values():
             member.suspect_until += late_s
 
+    def _probe_doubted(self, now: float, out: list[Action]) -> None:
+        for name in sorted(self._doubted):
+            member = self._table.by_name.get(name)
+            if member is not None:
+                self._detector.confirm(now, member, out)
+        self._doubted.clear()
+
     def _end_probes(self, now: float, out: list[Action]) -> None:
         for member in self._detector.end_due(now, self._limits(), out):
             if member.is_usable and member.state != MemberState.SUSPECT:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -19,6 +19,7 @@
     ListedHost,
     MemberState,
     MemberUpdate,
+    PeerFailed,
     PeerReceived,
     Ping,
     ReadinessChanged,
@@ -363,3 +364,27 @@
     small, large = sent_by_size[16], sent_by_size[64]
     assert large["messages"] <= 1.1 * small["messages"]
     assert large["entries"] <= 1.1 * small["entries"]
+
+
+def test_a_silent_scheduler_is_passed_over_before_it_counts_as_failed():
+    """Guards against asks that wait for a dead scheduler during the whole suspicion."""
+    site = start_site(hosts=3, domains=1)
+    scheduler = site.running()["d0-0"].membership.scheduler_for("workers")
+    observer = next(name for name in site.host_by_name if name != scheduler)
+    site.kill(scheduler)
+    site.deliver(observer, PeerFailed(peer=scheduler))
+    site.run_for(0.2)
+    view = site.running()[observer].membership
+    assert view.is_alive(scheduler)
+    assert view.scheduler_for("workers") != scheduler
+
+
+def test_a_doubted_host_that_answers_keeps_its_pools():
+    """Guards against schedulers that move because one answer was slow."""
+    site = start_site(hosts=3, domains=1)
+    view = site.running()["d0-0"].membership
+    scheduler = view.scheduler_for("workers")
+    view.doubt("d0-1")
+    view.doubt("d0-2")
+    site.run_for(0.5)
+    assert view.scheduler_for("workers") == scheduler
