--- a/src/eelgrassyard/cli/_client.py
+++ b/src/eelgrassyard/cli/_client.py
@@ -8,13 +8,23 @@
 
 import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import replace
 from typing import Any
 
 import anyio
 import httpx
 
-from ._answer import FINAL, Answer, State, read_answer, read_retry_after
+from ._answer import (
+    ENDING_REFUSALS,
+    FINAL,
+    ID_EXPIRED,
+    Answer,
+    State,
+    read_answer,
+    read_retry_after,
+)
 from ._errors import CommandError, ExitCode
+from ._transport import DirectTransport
 
 DEFAULT_WAIT_S = 30.0
 DEFAULT_GIVE_UP_S = 120.0
@@ -24,6 +34,9 @@
 LONGEST_PAUSE_S = 5.0
 MOST_IDS = 1000
 
+REPLACED_IDS = frozenset({"draining", "id_expired"})
+"""Refusals of an unused id after which a new one helps at once."""
+
 Sleep = Callable[[float], Awaitable[None]]
 Progress = Callable[[Answer], None]
 
@@ -40,6 +53,7 @@
     :param transport: replaces the network, for tests.
     :param clock: seconds that advance steadily.
     :param seed: seed of the first host and of the jitter in pauses.
+    :param most_connections: calls in progress at once, over all hosts.
     """
 
     def __init__(
@@ -61,9 +75,8 @@
         self._next_host = self._random.randrange(len(self._hosts))
         self._client = httpx.AsyncClient(
             headers={"Authorization": f"Bearer {key}"},
-            transport=transport,
+            transport=transport or DirectTransport(most_connections=most_connections),
             trust_env=False,
-            limits=httpx.Limits(max_connections=most_connections),
         )
 
     async def close(self) -> None:
@@ -106,6 +119,10 @@
     ) -> Answer:
         """Submit and wait for the outcome.
 
+        An id that this client has taken and not used yet is replaced by a new one if its owner
+        drains or it has expired before any call was taken. Any other id given may have been
+        submitted before, and is kept.
+
         :param submission_id: id to use; None takes one.
         :param give_up_s: seconds after which no further call is made; the state is then the last
             one known, ``unknown`` if the work may have run.
@@ -121,9 +138,11 @@
             answer = await self._run_one(body, current, wait_s, deadline, on_progress)
             calls += answer.calls
             hint_s = answer.retry_after_s
-            again = run_again and answer.state is State.NOT_RUN and hint_s is not None
+            again = answer.state is State.NOT_RUN and (
+                answer.reason in REPLACED_IDS if answer.unsent else run_again and hint_s is not None
+            )
             if not again or self._clock() + (hint_s or 0.0) >= deadline:
-                return _with_calls(answer, calls)
+                return replace(answer, calls=calls)
             on_progress(answer)
             await self._sleep(hint_s or FIRST_PAUSE_S)
             submission_id = None
@@ -164,26 +183,29 @@
         on_progress: Progress,
     ) -> Answer:
         """Call until the outcome of one id is final, a call is refused, or time is over."""
-        host = self._issuer_by_id.pop(submission_id, "") or self._take_host()
+        issuer = self._issuer_by_id.pop(submission_id, "")
+        host = issuer or self._take_host()
         calls, repeats = 0, 0
-        may_have_arrived, accepted = False, False
+        may_have_arrived, accepted = not issuer, False
         while True:
-            left_s = max(0.0, min(wait_s, deadline - self._clock()))
-            if accepted:
-                answer = await self._call("GET", host, submission_id, left_s)
-            else:
-                answer = await self._call("PUT", host, submission_id, left_s, body)
+            began = self._clock()
+            left_s = max(0.0, min(wait_s, deadline - began))
+            method = "GET" if accepted else "PUT"
+            answer = await self._call(method, host, submission_id, left_s, body)
             calls += 1
-            may_have_arrived |= answer.state is not State.UNREACHED
-            if answer.state in FINAL or answer.state is State.REFUSED:
-                return _with_calls(answer, calls)
+            ended = _end_of(answer, may_have_arrived, is_first=calls == 1)
+            if ended is not None:
+                return replace(ended, calls=calls)
+            may_have_arrived |= answer.state not in (State.UNREACHED, State.NOT_TAKEN)
             if self._clock() >= deadline:
-                return _with_calls(_give_up(answer, may_have_arrived), calls)
-            on_progress(_with_calls(answer, calls))
-            accepted = answer.state is State.RUNNING
+                return replace(_give_up(answer, may_have_arrived), calls=calls)
+            on_progress(replace(answer, calls=calls))
+            was_accepted, accepted = accepted, answer.state is State.RUNNING
             if accepted:
                 repeats = 0
-            elif answer.state is not State.NOT_SUBMITTED:
+                # A host may answer before the time is over, and the caller may not want to wait.
+                await self._sleep(max(0.0, began + FIRST_PAUSE_S - self._clock()))
+            elif not (was_accepted and answer.state is State.NOT_SUBMITTED):
                 repeats += 1
                 host = self._take_host()
                 await self._pause(repeats, answer.retry_after_s, deadline)
@@ -218,7 +240,9 @@
         answer = Answer(submission_id=submission_id, state=State.UNREACHED)
         for _ in self._hosts:
             answer = await self._call(method, self._take_host(), submission_id, wait_s)
-            if answer.state not in (State.LOST, State.UNREACHED):
+            if answer.reason == ID_EXPIRED:
+                return replace(answer, state=State.UNKNOWN)
+            if answer.state not in (State.LOST, State.UNREACHED, State.NOT_TAKEN):
                 break
         return answer
 
@@ -235,7 +259,7 @@
                 method,
                 f"{host}/v1/submissions/{submission_id}",
                 params={"wait": f"{wait_s:.3f}"},
-                json=body,
+                json=_kind_first(body) if body is not None and method == "PUT" else None,
                 timeout=wait_s + CALL_MARGIN_S,
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
@@ -257,31 +281,35 @@
         await self._sleep(max(0.0, min(pause, deadline - self._clock())))
 
 
+def _kind_first(body: Mapping[str, Any]) -> dict[str, Any]:
+    """The body with the kind at its start, so that a host can refuse before it reads the rest."""
+    return {"kind": body["kind"], **body} if "kind" in body else dict(body)
+
+
+def _end_of(answer: Answer, may_have_arrived: bool, *, is_first: bool) -> Answer | None:
+    """The answer that ends a submission, or None if a further call may tell more.
+
+    :param may_have_arrived: a call before this one may have been taken.
+    """
+    if answer.state in FINAL:
+        return answer
+    if answer.state is State.REFUSED:
+        # A key that is revoked after the first call says nothing about what that call did.
+        return answer if is_first or not may_have_arrived else replace(answer, state=State.UNKNOWN)
+    if answer.state is not State.NOT_TAKEN or answer.reason not in ENDING_REFUSALS:
+        return None
+    if not may_have_arrived:
+        # The client knows that nothing ran, because it will not use the id again.
+        return replace(answer, state=State.NOT_RUN, unsent=True)
+    return replace(answer, state=State.UNKNOWN) if answer.reason == ID_EXPIRED else None
+
+
 def _give_up(answer: Answer, may_have_arrived: bool) -> Answer:
     """State to report when time is over before the outcome is known."""
     if answer.state is State.RUNNING:
         return answer
-    state = State.UNKNOWN if may_have_arrived else State.UNREACHED
-    return Answer(
-        submission_id=answer.submission_id,
-        state=state,
-        status=answer.status,
-        reason=answer.reason,
-        message=answer.message,
-        retry_after_s=answer.retry_after_s,
-        host=answer.host,
-    )
-
-
-def _with_calls(answer: Answer, calls: int) -> Answer:
-    return Answer(
-        submission_id=answer.submission_id,
-        state=answer.state,
-        status=answer.status,
-        results=answer.results,
-        reason=answer.reason,
-        message=answer.message,
-        retry_after_s=answer.retry_after_s,
-        host=answer.host,
-        calls=calls,
-    )
+    if may_have_arrived:
+        return replace(answer, state=State.UNKNOWN, reason=answer.reason or "no_answer")
+    if answer.state is State.NOT_TAKEN:
+        return replace(answer, state=State.NOT_RUN)
+    return replace(answer, state=State.UNREACHED)
--- a/src/eelgrassyard/cli/_questionnaire_commands.py
+++ b/src/eelgrassyard/cli/_questionnaire_commands.py
@@ -11,6 +11,7 @@
 
 from ..config import (
     SITES,
+    Document,
     diff_configs,
     explain,
     find_notes,
@@ -21,7 +22,8 @@
 )
 from ._command import Command
 from ._errors import CommandError, ExitCode
-from ._flags import define_json
+from ._flags import define_json, define_store
+from ._host_settings import define_host_settings, host_settings, new_id_key
 from ._input import default_author, generate_document, read_either, read_questionnaire
 
 
@@ -72,6 +74,14 @@
 
 
 def _generate(values: Any, arguments: list[str]) -> int:
+    if values.host:
+        config = generate(read_questionnaire(arguments[0])).config
+        settings = host_settings(config, values)
+        if values.output == "-":
+            sys.stdout.buffer.write(settings)
+        else:
+            _write_private(values.output, settings.decode())
+        return ExitCode.DONE
     document = generate_document(arguments[0], values.author or default_author())
     if values.output == "-":
         sys.stdout.buffer.write(document)
@@ -90,11 +100,21 @@
     flags.DEFINE_string(
         "author", "", "Author recorded in the document; the user if left out.", flag_values=values
     )
+    define_host_settings(values)
+
+
+def _define_read(values: flags.FlagValues) -> None:
+    define_json(values)
+    define_store(values)
+
+
+def _read(values: Any, name: str) -> Document:
+    _, document = read_either(name, store_url=values.store, key=values.config_key)
+    return document
 
 
 def _diff(values: Any, arguments: list[str]) -> int:
-    _, before = read_either(arguments[0])
-    _, after = read_either(arguments[1])
+    before, after = (_read(values, argument) for argument in arguments)
     changes = diff_configs(before.config, after.config, origins_by_key=after.origins_by_key)
     if values.json:
         rows = [
@@ -112,7 +132,7 @@
 
 
 def _explain(values: Any, arguments: list[str]) -> int:
-    _, document = read_either(arguments[0])
+    document = _read(values, arguments[0])
     key = arguments[1] if len(arguments) > 1 else ""
     rows = explain(document.config, document.origins_by_key, key)
     if not rows:
@@ -136,28 +156,42 @@
 
 
 def _key_new(values: Any, arguments: list[str]) -> int:
+    if values.id_key:
+        id_key = new_id_key()
+        if values.output:
+            _write_private(values.output, f"{id_key}\n")
+        else:
+            print(id_key)
+        return ExitCode.DONE
     key, salt = new_key(), new_salt()
     entry = json.dumps({"salt": salt, "hash": hash_key(key, salt)})
     if values.output:
-        _write_private(values.output, key)
+        _write_private(values.output, f"{key}\n")
     else:
         print(f"key: {key}")
     print(f'answer: "key": {entry},')
     return ExitCode.DONE
 
 
-def _write_private(path: str, key: str) -> None:
+def _write_private(path: str, text: str) -> None:
+    """Write a new file with a secret in it."""
     file = Path(path)
     try:
         file.touch(mode=0o600, exist_ok=False)
-        file.write_text(f"{key}\n", encoding="utf-8")
+        file.write_text(text, encoding="utf-8")
     except OSError as error:
         raise CommandError(
-            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="key", peer=path
+            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="write", peer=path
         ) from error
 
 
 def _define_key(values: flags.FlagValues) -> None:
+    flags.DEFINE_bool(
+        "id_key",
+        False,
+        "Make the secret by which all hosts of a site sign ids.",
+        flag_values=values,
+    )
     flags.DEFINE_string(
         "output",
         "",
@@ -196,7 +230,10 @@
         counts=(1, 1),
         text="""
             Generates the whole configuration document. The same answers give the same
-            configuration; only the change id differs.""",
+            configuration; only the change id differs.
+
+            With --host, writes the settings file of that host instead; it holds the site's id key,
+            so a new file is readable by its owner only.""",
         define=_define_generate,
         run=_generate,
     ),
@@ -206,11 +243,11 @@
         arguments="BEFORE AFTER",
         counts=(2, 2),
         text="""
-            Compares two revisions. Each is a generated document or a questionnaire (.jsonc,
-            .json5). A line starts with + for a new entry, - for one that is gone, ~ for a changed
-            value, and says what the change means; the next line names the answer that the new
-            value came from.""",
-        define=define_json,
+            Compares two revisions. Each is a generated document, a questionnaire (.jsonc, .json5),
+            or @store for the revision in the store. A line starts with + for a new entry, - for one
+            that is gone, ~ for a changed value, and says what the change means; the next line names
+            the answer that the new value came from.""",
+        define=_define_read,
         run=_diff,
     ),
     Command(
@@ -219,10 +256,11 @@
         arguments="FILE [KEY]",
         counts=(1, 2),
         text="""
-            Prints each value of a generated document or questionnaire with the JSON path and line
-            of the answer that it came from, and the rule applied. KEY is a value, such as
+            Prints each value of a generated document, a questionnaire, or (@store) the revision in
+            the store, with the JSON path and line of the answer that it came from and the rule
+            applied. KEY is a value, such as
             kinds.rule-layout.share, or an entry or table, such as kinds or limits.""",
-        define=define_json,
+        define=_define_read,
         run=_explain,
     ),
     Command(
@@ -231,7 +269,8 @@
         text="""
             Prints a new random key and the answer that goes into the caller's or operator's entry
             of the questionnaire. The answer holds a salted hash only; give the key to the caller
-            and keep no copy.""",
+            and keep no copy. With --id_key, makes the secret that every host of a site has in its
+            settings.""",
         define=_define_key,
         run=_key_new,
     ),
--- a/src/eelgrassyard/policy/_memberlist.py
+++ b/src/eelgrassyard/policy/_memberlist.py
@@ -26,6 +26,7 @@
     :param started_at: time at which the incarnation was first heard of.
     :param synced: the whole table was sent to this incarnation.
     :param named: the host list or the configuration names the host.
+    :param answers: the last probe of this host was answered, as far as this host knows.
     """
 
     name: str
@@ -41,6 +42,7 @@
     started_at: float = 0.0
     synced: bool = False
     named: bool = False
+    answers: bool = True
 
     @property
     def is_usable(self) -> bool:
@@ -77,12 +79,24 @@
     def __init__(self) -> None:
         self.by_name: dict[str, Member] = {}
         self.version = 0
+        self._domains_of_version: tuple[int, dict[str, list[Member]]] = (-1, {})
         self._ended_by_name: dict[str, int] = {}
         self._name_by_endpoint: dict[tuple[str, int], str] = {}
 
     def __iter__(self) -> Iterator[Member]:
         return iter(self.by_name.values())
 
+    def by_domain(self) -> dict[str, list[Member]]:
+        """Hosts that have not ended, by failure domain."""
+        version, by_domain = self._domains_of_version
+        if version != self.version:
+            by_domain = {}
+            for member in self.by_name.values():
+                if not member.has_ended:
+                    by_domain.setdefault(member.failure_domain, []).append(member)
+            self._domains_of_version = (self.version, by_domain)
+        return by_domain
+
     def add_own(self, identity: HostIdentity) -> Member:
         """Add the own host, which is alive."""
         own = Member(
@@ -113,6 +127,7 @@
         elif member.incarnation == 0:
             member.address, member.port = entry.address, entry.port
             member.failure_domain, member.weight = entry.failure_domain, entry.weight
+            self.version += 1
         return member
 
     def merge(self, now: float, update: MemberUpdate) -> bool:
@@ -127,6 +142,7 @@
             return False
         if member is not None and 0 < member.incarnation < update.incarnation:
             self.note_ended(update.name, member.incarnation)
+            member.answers = True
         if member is None:
             member = Member(
                 name=update.name,
@@ -141,6 +157,12 @@
         self.version += 1
         return True
 
+    def note_answers(self, member: Member, answers: bool) -> None:
+        """Note whether the last probe of a host was answered."""
+        if member.answers != answers:
+            member.answers = answers
+            self.version += 1
+
     def displaced_by(self, member: Member) -> Member | None:
         """The older of two hosts at the endpoint of ``member``; its process must have ended."""
         if not member.address or not member.port or not member.is_usable:
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from typing import ClassVar, Protocol
+from typing import ClassVar
 
 from result import Err, Ok
 
 from ._actions import Action, ReplyIds
-from ._config import Limits, Urgency
+from ._admission import Admission
+from ._config import Limits
 from ._drain import Drain, DrainState
 from ._endings import RETRY_AFTER_S, expired
 from ._events import (
@@ -22,7 +23,6 @@
     StartFinished,
     SubmitCalled,
 )
-from ._fairqueue import FlowKey, QueueRefusal
 from ._forwarding import ForwardedCall, Forwarding
 from ._identity import HostIdentity
 from ._ids import MAX_IDS_PER_CALL, SubmissionId, issue_id, verify_id
@@ -61,32 +61,10 @@
 }
 
 
-class AdmissionCheck(Protocol):
-    """Bounds at the host towards callers."""
-
-    def check(self, now: float, caller: str, body: SubmissionBody) -> QueueRefusal | None:
-        """Why a new submission is refused, or None."""
-
-    def note_wait(
-        self,
-        now: float,
-        flow: FlowKey,
-        wait_s: float,
-        urgency: Urgency = Urgency.NORMAL,
-        granted: int = 0,
-    ) -> None:
-        """Take the expected wait that a scheduler named for a flow and urgency."""
-
-    def note_refusal(
-        self, now: float, flow: FlowKey, reason: Reason, retry_after_s: float | None
-    ) -> None:
-        """Take a scheduler's refusal of a submission of a flow."""
-
-
 class Submissions:
     """Issues ids and answers calls; the submissions themselves are kept by their owner.
 
-    :param admission: bounds at this host; None for no bounds.
+    :param admission: bounds at this host.
     """
 
     HANDLES: ClassVar[tuple[type, ...]] = (
@@ -112,7 +90,7 @@
         identity: HostIdentity,
         config: ConfigView,
         membership: MembershipView,
-        admission: AdmissionCheck | None = None,
+        admission: Admission,
     ) -> None:
         self._identity = identity
         self._config = config
@@ -165,6 +143,10 @@
             self._drain.next_wake(),
         )
 
+    def knows(self, submission_id: str) -> bool:
+        """Tell whether this host owns a submission of that id; it is never refused for its flow."""
+        return submission_id in self._owner.by_id
+
     def dump(self) -> dict[str, object]:
         """The table of submissions, unfinished ones one by one."""
         live = itertools.islice(self._owner.live_by_id.values(), MAX_DUMPED)
@@ -288,7 +270,7 @@
             message = _MESSAGES[Reason.NOT_READY]
             waiter.refuse(text, Reason.NOT_READY, message, out, retry_after_s=RETRY_AFTER_S)
             return True
-        refusal = None if self._admission is None else self._admission.check(now, caller, body)
+        refusal = self._admission.check(now, caller, body)
         if refusal is None:
             return False
         waiter.refuse(
@@ -349,25 +331,14 @@
                 self._owner.take_ack(now, event, message, out)
                 self._drain.take_ack(now, event, message, out)
             case SlotGrant() as message:
-                self._note_waits(now, message)
+                self._note_wait(now, message)
                 self._owner.take_grant(now, event, message, out)
             case SlotRefusal() as message:
-                self._note_waits(now, message)
+                self._note_wait(now, message)
                 self._owner.take_refusal(now, event, message, out)
             case TaskControl() as message:
                 self._owner.take_control(message, out)
 
-    def _note_waits(self, now: float, message: SlotGrant | SlotRefusal) -> None:
-        submission = self._owner.live_by_id.get(message.submission_id)
-        if self._admission is None or submission is None or submission.body is None:
-            return
-        body = submission.body
-        flow = (submission.caller, body.kind)
-        granted = len(message.placements) if isinstance(message, SlotGrant) else 0
-        self._admission.note_wait(now, flow, message.flow_wait_s, body.urgency, granted)
-        if isinstance(message, SlotRefusal):
-            self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
-
     def _take_forwarded(
         self, now: float, event: PeerReceived, message: ForwardCall, out: list[Action]
     ) -> None:
@@ -394,6 +365,18 @@
             case Err(reason):
                 waiter.refuse(text, reason, _MESSAGES[reason], out)
 
+    def _note_wait(self, now: float, message: SlotGrant | SlotRefusal) -> None:
+        """Pass the scheduler's word on a flow to the admission at this host."""
+        submission = self._owner.by_id.get(message.submission_id)
+        if submission is None or submission.body is None:
+            return
+        flow = (submission.caller, submission.body.kind)
+        urgency = submission.body.urgency
+        granted = len(message.placements) if isinstance(message, SlotGrant) else 0
+        self._admission.note_wait(now, flow, message.flow_wait_s, urgency, granted)
+        if isinstance(message, SlotRefusal):
+            self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
+
     def _is_own(self, fields: SubmissionId) -> bool:
         own = (self._identity.name, self._identity.incarnation)
         return (fields.owner, fields.incarnation) == own
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -8,7 +8,7 @@
 
 from eelgrassyard.cli import Answer, Client, CommandError, ExitCode, State
 from eelgrassyard.cli._client_commands import read_submissions, worst_code
-from tool_fakes import FakeClock, FakeSite, outcome
+from tool_fakes import FakeClock, FakeSite, outcome, refusal
 
 BODY = {"kind": "rule", "tasks": [{"payload": {"n": 1}}]}
 HOSTS = ["http://10.0.0.1:1", "http://10.0.0.2:1", "http://10.0.0.3:1"]
@@ -70,9 +70,10 @@
     httpx.RemoteProtocolError("closed"),
     httpx.ConnectError("refused"),
     httpx.Response(502, text="bad gateway"),
-    httpx.Response(503, json={"error": {"code": "draining", "message": "m"}}),
+    refusal("not_ready", 503),
+    refusal("owner_unreachable", 504),
     httpx.Response(200, text="<html>"),
-    httpx.Response(200, json={"outcome": "complete"}),
+    httpx.Response(200, json={"state": "complete"}),
     outcome("unknown", 504, reason="owner_lost"),
 ]
 
@@ -116,6 +117,79 @@
     assert run(site, run_again=True).state is State.NOT_RUN
 
 
+@pytest.mark.parametrize(("code", "status"), [("flow_limit", 429), ("impossible", 422)])
+def test_a_submission_that_no_host_took_is_not_run(code, status):
+    """Guards against repeated calls of a flood, and against "unknown" for work never taken."""
+    site = make_site(refusal(code, status, retry_after_s=3))
+    answer = run(site)
+    assert (answer.state, answer.reason, answer.calls) == (State.NOT_RUN, code, 1)
+    assert answer.retry_after_s == 3
+
+
+def test_a_refusal_after_a_lost_answer_does_not_end_the_submission():
+    """Guards against "not run" for work that an earlier call may have started."""
+    site = make_site(httpx.ReadTimeout("t"), refusal("flow_limit", 429), complete())
+    assert run(site).state is State.COMPLETE
+    site = make_site(httpx.ReadTimeout("t"), *[refusal("flow_limit", 429)] * 100)
+    assert run(site, give_up_s=10).state is State.UNKNOWN
+
+
+def test_an_id_of_a_draining_owner_is_replaced():
+    """Guards against waiting for a host that takes no more work."""
+    site = make_site(refusal("draining", 503), complete())
+    answer = run(site)
+    assert (answer.state, answer.submission_id) == (State.COMPLETE, "id1")
+    site = make_site(refusal("draining", 503))
+    assert run(site, submission_id="mine", give_up_s=0).state is State.UNKNOWN
+    site = make_site(httpx.ReadTimeout("t"), refusal("draining", 503), complete())
+    assert run(site).submission_id == "id0"
+
+
+def test_an_expired_id_is_replaced_only_if_it_was_never_used():
+    """Guards against a second run under a new id after the first id expired."""
+    site = make_site(refusal("id_expired", 504), complete())
+    answer = run(site)
+    assert (answer.state, answer.submission_id) == (State.COMPLETE, "id1")
+    site = make_site(httpx.ReadTimeout("t"), refusal("id_expired", 504))
+    assert (run(site).state, site.issued) == (State.UNKNOWN, 1)
+
+
+def test_a_query_of_an_expired_id_is_unknown():
+    """Guards against "not run" or an error for work whose id expired after it ran."""
+    site = make_site(outcome("unknown", 504, reason="id_expired"))
+
+    async def query():
+        client = Client(hosts=HOSTS, key="secret", transport=site.transport(), clock=site.clock)
+        try:
+            return await client.query("id0")
+        finally:
+            await client.close()
+
+    assert anyio.run(query).state is State.UNKNOWN
+
+
+@pytest.mark.parametrize("code", ["draining", "id_expired", "flow_limit", "impossible"])
+def test_an_id_that_was_given_may_have_been_used_before(code):
+    """Guards against "not run" and a new id for a resubmission whose first call has run."""
+    site = make_site(*[refusal(code, 503)] * 50)
+    answer = run(site, submission_id="mine", give_up_s=5, run_again=True)
+    assert (answer.state, site.issued) == (State.UNKNOWN, 0)
+    assert {submission_id for _, _, submission_id in site.calls} == {"mine"}
+
+
+def test_the_kind_comes_first_in_the_body():
+    """Guards against bodies that a host must read whole before it can refuse them."""
+    site = make_site(complete())
+
+    async def submit():
+        client = Client(hosts=HOSTS, key="secret", transport=site.transport(), clock=site.clock)
+        await client.put_once("id0", {"tasks": [], "kind": "rule"}, wait_s=0)
+        await client.close()
+
+    anyio.run(submit)
+    assert site.bodies[0].startswith(b'{"kind":"rule"')
+
+
 @pytest.mark.parametrize("status", [400, 401, 403, 409, 413, 431])
 def test_a_refused_call_is_not_repeated(status):
     """Guards against a flood of calls that can only be refused again."""
@@ -125,6 +199,21 @@
     assert (answer.state, answer.reason, answer.message) == (State.REFUSED, "body_conflict", "m")
 
 
+def test_a_refusal_after_a_lost_answer_is_unknown():
+    """Guards against "bad input" for work that ran before the caller's key was revoked."""
+    site = make_site(httpx.ReadTimeout("t"), refusal("unauthorized", 401))
+    assert run(site).state is State.UNKNOWN
+    site = make_site(httpx.ConnectError("x"), refusal("unauthorized", 401))
+    assert run(site).state is State.REFUSED
+
+
+def test_answers_without_waiting_are_not_asked_for_in_a_tight_loop():
+    """Guards against a client that keeps a host busy while its work runs."""
+    site = make_site(*[running()] * 500)
+    assert run(site, wait_s=0, give_up_s=10).state is State.RUNNING
+    assert len(site.calls) < 110
+
+
 def test_giving_up_tells_unknown_from_unreached():
     """Guards against "nothing ran" after a call that may have arrived."""
     site = make_site(*[httpx.ConnectError("refused")] * 100)
