--- a/bench/bench_floods.py
+++ b/bench/bench_floods.py
@@ -14,6 +14,7 @@
 
 from bench.flood_loop import DEADLINE_S, KINDS, Job, Loop, Outcome, flood_jobs, quiet_jobs
 from bench.flood_sites import measure_costs, run_whole_cores
+from bench.queue_cost import queue_cost
 from eelgrassyard.policy import RetryBudget, Urgency
 
 SEED = 20
@@ -119,6 +120,7 @@
         "retry_load_at_failures": {str(f): retry_load(f) for f in (0.05, 0.3, 1.0)},
         "hints": honest_hints(),
         "costs": measure_costs(),
+        "queue_costs": [queue_cost(flows) for flows in (20, 1_000, 20_000)],
         "whole_cores": run_whole_cores(),
     }
 
@@ -140,7 +142,7 @@
     print("kept: throughput of other callers; p99, worst: ratio to the quiet run, all and")
     print("worst kind; least: throughput of the least urgent; refusals at host and scheduler;")
     print("late: refused only at the deadline; taken: retries after a hint that got a place")
-    for name in ("retry_load_at_failures", "hints", "costs", "whole_cores"):
+    for name in ("retry_load_at_failures", "hints", "costs", "queue_costs", "whole_cores"):
         print(name, json.dumps(result[name]))
 
 
--- a/bench/bench_placement.py
+++ b/bench/bench_placement.py
@@ -9,6 +9,7 @@
 
 import argparse
 import json
+import math
 import pathlib
 import random
 import sys
@@ -33,6 +34,9 @@
 """Variant, learned sizes, load."""
 
 FLOOD_SECONDS = 10.0
+DEADLOCK_LOAD = 0.95
+DEADLOCK_SECONDS = 10.0
+DEADLOCK_SEEDS = 8
 LARGE_GANG = 100
 TASKS_PER_WORKER = 27
 """Tasks of 1.9 cores on average that fill a worker of 64 cores to 80%."""
@@ -105,6 +109,24 @@
     }
 
 
+def deadlock_rate() -> dict[str, float]:
+    """How often gangs that hold and wait come to a deadlock, over seeds, and how soon."""
+    times = []
+    for seed in range(DEADLOCK_SEEDS):
+        jobs = make_jobs(seed=seed, load=DEADLOCK_LOAD, seconds=DEADLOCK_SECONDS)
+        loop = Loop(variant="hold")
+        loop.run(jobs, DEADLOCK_SECONDS)
+        times.append(loop.first_deadlock_s)
+    locked = [at for at in times if at < math.inf]
+    return {
+        "load": DEADLOCK_LOAD,
+        "runs": DEADLOCK_SEEDS,
+        "seconds": DEADLOCK_SECONDS,
+        "deadlocked_runs": len(locked),
+        "mean_first_s": sum(locked) / max(1, len(locked)),
+    }
+
+
 def placement_cost(workers: int, tasks: int = 20_000) -> float:
     """Microseconds of processor time to place and release one task on a pool that is 80% full."""
     source = random.Random(SEED)
@@ -156,6 +178,7 @@
         "seed": SEED,
         "rows": rows,
         "gangs_in_a_flood": [gangs_in_a_flood(v) for v in ("atomic", "reserve")],
+        "deadlocks": deadlock_rate(),
         "cost": {
             "task_us_24": small,
             "task_us_1400": large,
@@ -182,6 +205,7 @@
     print("response times are ratios to the longest task of the job; large: gangs of 200 and more;")
     print("slowed: tasks on overfilled workers; locks: deadlocks; open: unfinished jobs")
     print(json.dumps(result["gangs_in_a_flood"]))
+    print(json.dumps(result["deadlocks"]))
     print(json.dumps(result["cost"]))
 
 
--- a/bench/worker_loop.py
+++ b/bench/worker_loop.py
@@ -9,6 +9,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Callable
@@ -140,6 +141,7 @@
         self.learning = learning
         self.now = 0.0
         self.deadlocks = 0
+        self.first_deadlock_s = math.inf
         self.core_s = 0.0
         self.busy_until = 0.0
         self.slowed_tasks = 0
@@ -152,7 +154,7 @@
         self._dispatched_at = 0.0
         self._used: Counter[str] = Counter()
         self._running: dict[str, dict[tuple[int, int], UsageEntry]] = {
-            name: {} for name in self.usable
+            entry.name: {} for entry in entries
         }
         self._running_tasks = 0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -253,6 +255,7 @@
         if self._running_tasks or not waiting:
             return
         self.deadlocks += 1
+        self.first_deadlock_s = min(self.first_deadlock_s, self.now)
         victim = waiting[-1]
         for name, size in victim.held:
             self.placement.release(name, victim.kind, size)
--- a/src/eelgrassyard/policy/_flows.py
+++ b/src/eelgrassyard/policy/_flows.py
@@ -126,7 +126,10 @@
     @property
     def urgency(self) -> int:
         """Urgency of the ask that is next."""
-        return next((u for u, asks in enumerate(self.asks_by_urgency) if asks), len(Urgency))
+        for urgency, asks in enumerate(self.asks_by_urgency):
+            if asks:
+                return urgency
+        return len(Urgency)
 
     def head(self, urgency: int | None = None) -> QueuedAsk:
         """First ask of an urgency, by default of the most urgent one."""
--- a/src/eelgrassyard/policy/_placement.py
+++ b/src/eelgrassyard/policy/_placement.py
@@ -389,7 +389,7 @@
     def _set_reserved(self, names: frozenset[str]) -> None:
         changed = self._reserved | names
         self._reserved = names
-        for name in changed:
+        for name in sorted(changed):
             self._reindex(self._room_by_name[name])
 
     def _look_at_parked(self, usable: Collection[str]) -> None:
