--- a/src/eelgrassyard/policy/_owner.py
+++ b/src/eelgrassyard/policy/_owner.py
@@ -17,21 +17,16 @@
 from ._outcomes import Outcome, OutcomeKind, Reason, SubmissionBody
 from ._recording import Recording
 from ._records import Submission, TaskState, body_digest
+from ._repeats import Repeats
 from ._retries import may_retry
-from ._slots import MAX_ASK_INTERVAL_S, Slots
+from ._slots import Slots
 from ._starts import Start, Starts
 from ._system import ConfigView, MembershipView
 from ._timers import TimerQueue
 
-MAX_AVOIDED = 4
-"""Upstreams that one ask may exclude; more could exclude a whole small pool."""
-
 TICK_BOUND_S = 1.0
 """The driver is woken this often while something is unfinished, so that a pause shows as a gap."""
 
-FIRST_REASK_DELAY_S = 0.02
-"""Delay before asking again for a start that was not made twice; doubles up to a second."""
-
 _PASSING_REASONS = {Reason.FLOW_LIMIT, Reason.QUOTA, Reason.NO_UPSTREAM, Reason.NOT_READY}
 """Refusals that do not end a submission that has started: it asks again until its deadline."""
 
@@ -68,8 +63,9 @@
         self.by_id: dict[str, Submission] = {}
         self.live_by_id: dict[str, Submission] = {}
         self.starts = Starts(identity=identity)
+        self._repeats = Repeats(config=config)
         self.slots = Slots(
-            identity=identity, config=config, membership=membership, on_ask=self._note_ask
+            identity=identity, config=config, membership=membership, on_ask=self._repeats.note_ask
         )
         self._recording = Recording(
             membership=membership,
@@ -78,7 +74,7 @@
             on_lost=self._give_up,
         )
         self._admission = admission
-        self._timers: TimerQueue[tuple[str, str, int]] = TimerQueue()
+        self._timers: TimerQueue[tuple[str, str]] = TimerQueue()
         self._last_tick = -math.inf
         self._gap_at = -math.inf
 
@@ -178,7 +174,7 @@
             return
         if submission.possible_starts > 0 and refusal.reason in _PASSING_REASONS:
             delay = refusal.retry_after_s or RETRY_AFTER_S
-            self._set_reask(now + delay, submission)
+            self._repeats.ask_later(now + delay, submission)
             return
         self._give_up(now, submission, refusal.reason, refusal.message, out, refusal.retry_after_s)
 
@@ -242,19 +238,14 @@
 
     def advance(self, now: float, out: list[Action]) -> None:
         """Run timers and send releases."""
-        for name, text, number in self._timers.pop_due(now):
+        for name, text in self._timers.pop_due(now):
+            submission = self.live_by_id.get(text)
             if name == "expire":
                 self._expire(now, text, out)
-                continue
-            submission = self.live_by_id.get(text)
-            if submission is None:
-                continue
-            if name == "deadline":
+            elif submission is not None:
                 self._check_deadline(now, submission, out)
-            elif number == _number_of(submission, name):
-                submission.reask_due = submission.reask_due and name == "ask"
-                if submission.waiting:
-                    self.slots.ask(now, submission, out)
+        for submission in self._repeats.take_due(now):
+            self.slots.ask(now, submission, out)
         self._recording.advance(now, out)
         self.starts.advance(now, self._limits(), out)
         self.slots.advance(now, out)
@@ -265,6 +256,7 @@
         return min(
             bound,
             self._timers.next_due(),
+            self._repeats.next_wake(),
             self._recording.next_wake(),
             self.starts.next_wake(),
             self.slots.next_wake(),
@@ -285,7 +277,7 @@
             return
         self.slots.ask(now, submission, out)
         self._timers.add(
-            submission.deadline_at + config.limits.ask_timeout_s, ("deadline", submission.text, 0)
+            submission.deadline_at + config.limits.ask_timeout_s, ("deadline", submission.text)
         )
         self._recording.begin(now, submission, out)
 
@@ -349,22 +341,7 @@
         if now >= submission.deadline_at:
             self._check_deadline(now, submission, out)
             return
-        others = [name for name in submission.avoid if name != start.upstream]
-        submission.avoid = (*others, start.upstream)[-MAX_AVOIDED:]
-        if submission.reask_due:
-            return
-        delay = FIRST_REASK_DELAY_S * 2.0 ** min(submission.reasks - 1, 10)
-        self._set_reask(now + (min(1.0, delay) if submission.reasks else 0.0), submission)
-
-    def _set_reask(self, due: float, submission: Submission) -> None:
-        submission.reask_due = True
-        submission.reasks += 1
-        self._timers.add(due, ("reask", submission.text, submission.reasks))
-
-    def _note_ask(self, now: float, submission: Submission) -> None:
-        first = self._limits().ask_timeout_s
-        backoff = min(MAX_ASK_INTERVAL_S, first * 2.0 ** min(submission.attempt, 10))
-        self._timers.add(now + backoff, ("ask", submission.text, submission.attempt))
+        self._repeats.ask_again(now, submission, start.upstream)
 
     def _void_grants(self, now: float, submission: Submission, out: list[Action]) -> None:
         if submission.waiting == 0 and all(
@@ -419,7 +396,7 @@
                 task.state in (TaskState.STARTED, TaskState.DONE) for task in submission.tasks
             )
             if running:
-                self._timers.add(now + 1.0, ("expire", text, 0))
+                self._timers.add(now + 1.0, ("expire", text))
                 return
             self._end(now, submission, expired(), out)
         del self.by_id[text]
@@ -441,12 +418,8 @@
     def _keep(self, submission: Submission) -> None:
         self.by_id[submission.text] = submission
         expires_at = float(submission.fields.expires_at)
-        self._timers.add(expires_at, ("expire", submission.text, 0))
+        self._timers.add(expires_at, ("expire", submission.text))
 
     def _limits(self) -> Limits:
         config = self._config.current
         return _DEFAULT_LIMITS if config is None else config.limits
-
-
-def _number_of(submission: Submission, timer: str) -> int:
-    return submission.attempt if timer == "ask" else submission.reasks
--- a/src/eelgrassyard/policy/_slots.py
+++ b/src/eelgrassyard/policy/_slots.py
@@ -33,9 +33,6 @@
 SILENCE_S = 0.2
 """Time without a message from a scheduler that is asked for places, after which it is probed."""
 
-MAX_ASK_INTERVAL_S = 8.0
-"""Repeats of an unanswered ask back off to this, as a long queue is no fault."""
-
 _DEFAULT_LIMITS = Limits()
 
 
