Count work that never waits in the estimate of waits

Change: serve_idle books the cost as prompt use of its kind. The wait of a new task counts one round of the kind's flows instead of one task of the pool.

--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -112,11 +112,8 @@
         self._read_config()
         kind, flow = self._find_flow(entry)
         burst_s = max(MIN_BURST_COST_S, self._waits.rate() * BURST_S)
-        self._waits.meter.restart(now)
-        flow.meter.restart(now)
         self._order.charge_idle(kind, flow, entry.ask.urgency, cost_s, burst_s)
-        self._waits.note_taken(now, cost_s, 1)
-        flow.meter.add(now, cost_s)
+        self._waits.note_idle(now, kind, cost_s)
 
     def correct_cost(self, flow: FlowKey, estimated_s: float, actual_s: float) -> None:
         """Replace an estimated charge by the time that the task really took."""
--- a/src/eelgrassyard/policy/_flowwaits.py
+++ b/src/eelgrassyard/policy/_flowwaits.py
@@ -45,6 +45,11 @@
         if waited_s < PROMPT_S:
             kind.prompt_use.add(now, cost_s)
 
+    def note_idle(self, now: float, kind: KindFlows, cost_s: float) -> None:
+        """Count cost that got a place while nothing waited; it tells nothing of rates."""
+        for use in (self._use, kind.use, kind.prompt_use):
+            use.add(now, cost_s)
+
     def rate(self) -> float:
         """Cost in seconds that the pool serves per second; 0 if unknown."""
         return self._meter.rate(MIN_MEASURED_S) or self.capacity
@@ -67,11 +72,11 @@
 
         :param queued: tasks that wait in the whole queue.
         """
-        capacity = self.rate()
-        if not queued or capacity <= 0.0:
+        if not queued or self.rate() <= 0.0:
             return 0.0
-        ahead_s = (flow.queued_up_to(urgency) + tasks - 1) * kind.cost_s
-        return kind.cost_s / capacity + ahead_s / self.flow_rate(now, kind, flow)
+        # The flow's next turn may be a whole round of the kind's flows away.
+        ahead_s = (flow.queued_up_to(urgency) + tasks) * kind.cost_s
+        return ahead_s / self.flow_rate(now, kind, flow)
 
     def drain_time(self, now: float, kind: KindFlows, flow: Flow, tasks: float) -> float:
         """Seconds in which a flow is expected to get places for ``tasks``; 0 if unknown."""
