--- a/src/eelgrassyard/policy/_placement.py
+++ b/src/eelgrassyard/policy/_placement.py
@@ -11,7 +11,7 @@
 from ._events import UsageReported
 from ._fits import gang_too_large, holds, task_too_large
 from ._messages import TaskSize
-from ._rooms import HeldGroup, Hold, Need, Room, RoomIndex, SizeKey, size_key
+from ._rooms import TOLERANCE, HeldGroup, Hold, Need, Room, RoomIndex, SizeKey, size_key
 from ._usage import LearnedSizes, group_by_kind
 
 RACK_TRIES = 4
@@ -49,6 +49,7 @@
         self._shapes: Counter[SizeKey] = Counter()
         self._learned = LearnedSizes()
         self._without_work: WorkerPlacement | None = None
+        self._free_cores = 0.0
 
     def set_workers(self, workers: Iterable[UpstreamEntry]) -> None:
         """Replace the table of workers, keeping what is in use."""
@@ -59,6 +60,7 @@
         self._parked.clear()
         self._shapes.clear()
         self._without_work = None
+        self._free_cores = 0.0
         for entry in workers:
             room = Room.empty(entry)
             old = old_by_name.get(entry.name)
@@ -68,6 +70,7 @@
                     room.add(group.need, group.count)
             self._room_by_name[entry.name] = room
             self._shapes[(entry.cores, entry.memory_mb, entry.accelerators)] += 1
+            self._free_cores += max(0.0, room.cores)
             self._reindex(room)
         self._racks = sorted(self._index_by_rack)
         self._reserved &= self._room_by_name.keys()
@@ -105,6 +108,8 @@
         :param reservation: the tasks may use the workers that :meth:`reserve` set aside; the
             reservation ends when they get a place.
         """
+        if len(sizes) > 1 and not self._has_room(kind, sizes):
+            return None
         reserved = self._reserved
         if reservation:
             self._set_reserved(frozenset())
@@ -240,6 +245,12 @@
 
     # Search
 
+    def _has_room(self, kind: str, sizes: Sequence[TaskSize]) -> bool:
+        """Tell quickly that a gang cannot fit now; it is tried each time that room is freed."""
+        counts = Counter(size_key(size) for size in sizes)
+        cores = sum(self._need_of(kind, key).cores * count for key, count in counts.items())
+        return cores <= self._free_cores + TOLERANCE
+
     def _fits_without_work(self, kind: str, sizes: Sequence[TaskSize]) -> bool:
         if self._without_work is None:
             self._without_work = WorkerPlacement()
@@ -362,7 +373,9 @@
             self._change(room, need, group.count)
 
     def _change(self, room: Room, need: Need, count: int) -> None:
+        free = max(0.0, room.cores)
         room.add(need, count)
+        self._free_cores += max(0.0, room.cores) - free
         self._reindex(room)
 
     def _reindex(self, room: Room) -> None:
@@ -376,7 +389,7 @@
     def _set_reserved(self, names: frozenset[str]) -> None:
         changed = self._reserved | names
         self._reserved = names
-        for name in changed:
+        for name in sorted(changed):
             self._reindex(self._room_by_name[name])
 
     def _look_at_parked(self, usable: Collection[str]) -> None:
--- a/src/eelgrassyard/policy/_submissions.py
+++ b/src/eelgrassyard/policy/_submissions.py
@@ -372,7 +372,8 @@
             return
         flow = (submission.caller, submission.body.kind)
         urgency = submission.body.urgency
-        self._admission.note_wait(now, flow, message.flow_wait_s, urgency)
+        granted = len(message.placements) if isinstance(message, SlotGrant) else 0
+        self._admission.note_wait(now, flow, message.flow_wait_s, urgency, granted)
         if isinstance(message, SlotRefusal):
             self._admission.note_refusal(now, flow, message.reason, message.retry_after_s)
 
