--- a/src/eelgrassyard/policy/_configpull.py
+++ b/src/eelgrassyard/policy/_configpull.py
@@ -119,21 +119,22 @@
         )
         out.append(LoadConfig(revision=message.revision, document=document))
 
-    def loaded(self, revision: int, document: bytes) -> bool:
-        """Take a configuration that is now in force; returns True if it is the peer's document."""
+    def loaded(self, revision: int, document: bytes) -> str | None:
+        """Take a valid configuration; returns the peer if it is the document of one."""
         transfer = self._transfer
         for peer, source in list(self._sources_by_peer.items()):
             if source.revision <= revision:
                 del self._sources_by_peer[peer]
         if transfer is None:
-            return False
+            return None
         if transfer.document is None:
             if transfer.peer not in self._sources_by_peer:
                 self._transfer = None
-            return False
+            return None
         if transfer.revision <= revision:
             self._transfer = None
-        return (transfer.revision, transfer.document) == (revision, document)
+        is_peers = (transfer.revision, transfer.document) == (revision, document)
+        return transfer.peer if is_peers else None
 
     def advance(self, now: float, own_revision: int, out: list[Action]) -> None:
         """End a transfer that took too long and start the next one."""
--- a/src/eelgrassyard/policy/_configsync.py
+++ b/src/eelgrassyard/policy/_configsync.py
@@ -114,12 +114,12 @@
     # Documents
 
     def _take_loaded(self, event: ConfigLoaded, out: list[Action]) -> None:
-        from_peer = self._puller.loaded(event.revision, event.document)
+        peer = self._puller.loaded(event.revision, event.document)
         if event.revision <= self._revision:
             # The store's answer confirms what a peer sent before it.
-            self._from_store |= event.revision == self._revision and not from_peer
+            self._from_store |= event.revision == self._revision and peer is None
             return
-        self._from_store |= not from_peer
+        self._from_store |= peer is None
         self._revision = event.revision
         self._current = event.config
         self._document = event.document
@@ -128,7 +128,7 @@
         out.append(
             StateChanged(
                 step="config",
-                peer="peer" if from_peer else "store",
+                peer=peer or "store",
                 message=f"configuration revision {event.revision} is in force",
             )
         )
