--- a/tests/test_daemon_connections.py
+++ b/tests/test_daemon_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 
 import anyio
 
@@ -208,3 +209,55 @@
             assert (await stream.receive()).startswith(b"HTTP/1.1 200")
 
     anyio.run(run)
+
+
+def test_garbage_and_cut_requests_leave_nothing_behind():
+    """Guards against connections or calls that leak when clients send nonsense or hang up."""
+    rng = random.Random(17)
+    plain = put_request(body_of())
+    chunked = plain.replace(b"content-length", b"x-length").replace(
+        b"host: x", b"host: x\r\ntransfer-encoding: chunked"
+    )
+    inputs = [rng.randbytes(rng.randrange(1, 400)) for _ in range(20)]
+    for _ in range(40):
+        damaged = bytearray(rng.choice((plain, chunked)))
+        for _ in range(rng.randrange(1, 4)):
+            damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        inputs.append(bytes(damaged[: rng.randrange(1, len(damaged))]))
+    inputs += [plain * 30, chunked + b"ffffffffffff\r\n", chunked + b"5\r\nab", plain[:-1]]
+
+    async def run():
+        core = ScriptedCore(script=complete)
+        async with running_host(core) as host:
+            for content in inputs:
+                async with await connect(host) as stream:
+                    await stream.send(content)
+            async with client_of(host) as client:
+                assert (await client.get("/v1/submissions/id-1")).status_code == 200
+            with anyio.fail_after(10):
+                while host._server.open_connections or len(host.calls):
+                    await anyio.sleep(0.005)
+            assert not host.metrics.total_by_name["http.internal_error"]
+
+    anyio.run(run)
+
+
+def test_refused_uploads_do_not_keep_their_connections():
+    """Guards against a connection that stays for ever because nobody reads a refused body."""
+
+    async def run():
+        core = ScriptedCore(script=complete)
+        async with running_host(core) as host:
+            head = put_request(b"", caller="clerk", length=2_000_000)
+            wrong = head.replace(b"key-of-clerk", b"key-of-nobod")
+            async with contextlib.AsyncExitStack() as stack:
+                for _ in range(10):
+                    stream = await stack.enter_async_context(await connect(host))
+                    await stream.send(wrong + b"x" * 200_000)
+                    answer = await receive_all(stream)
+                    assert answer.startswith(b"HTTP/1.1 401")
+            with anyio.fail_after(10):
+                while host._server.open_connections:
+                    await anyio.sleep(0.005)
+
+    anyio.run(run)
