--- a/src/eelgrassyard/cli/_apply_command.py
+++ b/src/eelgrassyard/cli/_apply_command.py
@@ -153,7 +153,8 @@
 
 def _show_progress(done: int, total: int) -> None:
     if sys.stderr.isatty():
-        print(f"\rin force on {done} of {total} hosts", end="", file=sys.stderr, flush=True)
+        end = "\n" if done == total else ""
+        print(f"\rin force on {done} of {total} hosts", end=end, file=sys.stderr, flush=True)
 
 
 def _bracketed(address: str) -> str:
--- a/src/eelgrassyard/cli/_main.py
+++ b/src/eelgrassyard/cli/_main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -43,7 +44,8 @@
             raise
         return _report(_first(found))
     except BrokenPipeError:
-        sys.stderr.close()
+        # The reader has gone; the interpreter must not try to write the rest at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return int(ExitCode.DONE)
     except KeyboardInterrupt:
         return INTERRUPTED
--- a/tests/test_operating_page.py
+++ b/tests/test_operating_page.py
@@ -1,4 +1,4 @@
-"""The page for operators against the code."""
+"""The pages for operators and the glossary against the code."""
 
 import re
 from pathlib import Path
@@ -67,3 +67,12 @@
     names = {command.name.split()[0] for command in COMMANDS}
     for word in re.findall(r"`eelgrassyard ([a-z]+)", PAGE):
         assert word in names, word
+
+
+def test_names_in_the_glossary_exist():
+    """Guards against terms that are mapped to names which the code no longer has."""
+    page = (ROOT / "docs" / "glossary.md").read_text(encoding="utf-8")
+    paths = sorted((ROOT / "src" / "eelgrassyard").glob("*/*.py"))
+    code = "".join(f"{path.name} {path.read_text(encoding='utf-8')}" for path in paths)
+    words = {word for text in re.findall(r"`([^`]+)`", page) for word in re.findall(r"\w+", text)}
+    assert not {word for word in words if not re.search(rf"\b{word}\b", code)}
