Take the round trip to clients off the deadline of a kind

The answer latency_ms.to_clients changed nothing. The deadline that hosts keep is now what callers allow less the way to the client and back. A test changes each of 35 answers and wants a difference in the configuration.

--- a/src/eelgrassyard/config/_checks.py
+++ b/src/eelgrassyard/config/_checks.py
@@ -8,7 +8,7 @@
 
 from ._answers import Answers, KindAnswer
 from ._positions import Path
-from ._rates import MB_PER_GB, WORKER_POOL, find_rates, pool_of
+from ._rates import MB_PER_GB, WORKER_POOL, deadline_of, find_rates, pool_of
 
 HIGHEST_LOAD = 0.95
 """Above this load, queues grow for most of the time even without a flood."""
@@ -123,10 +123,11 @@
 def _check_kind(answers: Answers, path: Path, kind: KindAnswer) -> Iterator[Contradiction]:
     if kind.longest_s < kind.typical_s:
         yield Contradiction((*path, "longest_s"), f"allowed: at least typical_s, {kind.typical_s}")
-    if kind.answer_within_s < kind.typical_s:
+    if deadline_of(kind, answers) < kind.typical_s:
         yield Contradiction(
             (*path, "answer_within_s"),
-            f"no answer can come sooner than typical_s; allowed: at least {kind.typical_s}",
+            "no answer can come sooner than typical_s and the way to the client and back; allowed: "
+            f"at least {kind.typical_s + 2 * answers.latency_ms.to_clients / 1000:g}",
         )
     if kind.tasks_most is not None and kind.tasks_most < kind.tasks_usual:
         yield Contradiction(
--- a/src/eelgrassyard/config/_generate.py
+++ b/src/eelgrassyard/config/_generate.py
@@ -21,7 +21,7 @@
 from ._positions import Path, Positions, json_path
 from ._priorities import PRIORITY_BY_ANSWER, Priority
 from ._questionnaire import Questionnaire
-from ._rates import MB_PER_GB, Rates, find_rates
+from ._rates import MB_PER_GB, Rates, deadline_of, find_rates
 from ._shares import find_shares, find_weights
 
 WEIGHT_BY_SIZE = {"small": 0.5, "usual": 1.0, "large": 2.0}
@@ -223,7 +223,7 @@
                     "late_answer",
                     "someone_waits urgent, work_slows normal, else background",
                 ),
-                "deadline_s": ("answer_within_s", ""),
+                "deadline_s": ("answer_within_s", "less the way to the client and back"),
             },
         )
         if kind.keeps_percent is not None:
@@ -246,7 +246,7 @@
             idempotent=kind.doubled_run == "harmless",
             urgency=URGENCY_BY_ANSWER[kind.late_answer],
             share=shares[kind.name],
-            deadline_s=kind.answer_within_s,
+            deadline_s=deadline_of(kind, answers),
         )
     return entries
 
--- a/src/eelgrassyard/config/_rates.py
+++ b/src/eelgrassyard/config/_rates.py
@@ -11,6 +11,7 @@
 """Name of the pool of guarded workers; a pool of runners has the name of its service."""
 
 MB_PER_GB = 1024
+DEADLINE_DIGITS = 6
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -49,6 +50,11 @@
     return kind.service if kind.runs_as == "request" and kind.service else WORKER_POOL
 
 
+def deadline_of(kind: KindAnswer, answers: Answers) -> float:
+    """Seconds that a host has for the answer: what the caller allows, less the round trip."""
+    return round(kind.answer_within_s - 2 * answers.latency_ms.to_clients / 1000, DEADLINE_DIGITS)
+
+
 def find_rates(answers: Answers) -> Rates:
     """Add up the answers; kinds and pools that are not declared count as nothing."""
     kind_by_name = {kind.name: kind for kind in answers.kinds}
--- a/tests/questionnaires.py
+++ b/tests/questionnaires.py
@@ -160,7 +160,7 @@
         "name": f"kind{number}",
         "typical_s": typical_s,
         "longest_s": typical_s * draw(st.floats(1, 10)),
-        "answer_within_s": typical_s + draw(st.floats(0, 600)),
+        "answer_within_s": typical_s + draw(st.floats(0.01, 600)),
         "late_answer": draw(st.sampled_from(["someone_waits", "work_slows", "can_wait"])),
         "doubled_run": draw(st.sampled_from(["harm", "harmless"])),
     }
--- a/tests/test_generate.py
+++ b/tests/test_generate.py
@@ -121,7 +121,7 @@
     assert config.kinds_by_name["bind"].idempotent is False
     assert config.kinds_by_name["rule"].urgency is Urgency.URGENT
     assert config.kinds_by_name["bind"].urgency is Urgency.BACKGROUND
-    assert config.kinds_by_name["rule"].deadline_s == 10
+    assert config.kinds_by_name["rule"].deadline_s == 10 - 2 * 0.003
     assert config.limits.background_share == 0.12
     assert config.hosts_by_name["patan-1"].weight == 2.0
     assert config.upstreams_by_name["r1"].slots == 4
@@ -133,6 +133,71 @@
     assert config.callers_by_name["clerk"].weight > config.callers_by_name["till"].weight
 
 
+# Path of an answer and another valid value for it.
+OTHER_ANSWERS = [
+    (("site",), "other"),
+    (("least_urgent_keeps_percent",), 33),
+    (("failure_domains", 0, "region"), "other"),
+    (("latency_ms", "between_failure_domains"), 200),
+    (("latency_ms", "to_clients"), 40),
+    (("hosts", 0, "address"), "127.0.0.2"),
+    (("hosts", 0, "peer_port"), 9001),
+    (("hosts", 0, "callers_port"), 9002),
+    (("hosts", 0, "size"), "large"),
+    (("services", 0, "slots"), 9),
+    (("services", 0, "connections"), 99),
+    (("services", 0, "runners", 0, "rack"), "r"),
+    (("services", 0, "runners", 0, "slots"), 9),
+    (("services", 0, "runners", 0, "connections"), 99),
+    (("services", 0, "runners", 0, "port"), 9003),
+    (("racks", 0, "name"), "other"),
+    (("racks", 0, "cores"), 32),
+    (("racks", 0, "memory_gb"), 32),
+    (("racks", 0, "accelerators"), 1),
+    (("racks", 0, "connections"), 99),
+    (("racks", 0, "workers", 0, "port"), 9004),
+    (("kinds", 0, "typical_s"), 0.3),
+    (("kinds", 0, "longest_s"), 4),
+    (("kinds", 0, "answer_within_s"), 20),
+    (("kinds", 0, "late_answer"), "work_slows"),
+    (("kinds", 0, "doubled_run"), "harm"),
+    (("kinds", 0, "keeps_percent"), 40),
+    (("kinds", 1, "late_answer"), "work_slows"),
+    (("kinds", 1, "tasks_most"), 500),
+    (("teams", 0, "most_starts_per_s"), 60),
+    (("callers", 0, "team"), "shop"),
+    (("callers", 0, "sends", "rule", "per_s"), 9),
+    (("callers", 0, "key"), {"salt": "00", "hash": "ab" * 32}),
+    (("operators", 0, "key"), {"salt": "00", "hash": "ab" * 32}),
+    (("operators", 0, "name"), "other"),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), OTHER_ANSWERS, ids=repr)
+def test_every_answer_has_an_effect(path, value):
+    """Guards against questions whose answers change nothing."""
+    values = small()
+    parent = values
+    for part in path[:-1]:
+        parent = parent[part]
+    assert parent.get(path[-1]) != value
+    parent[path[-1]] = value
+    changes = diff_configs(config_of(), generate(parsed(values)).config)
+    assert changes
+
+
+@pytest.mark.parametrize(
+    ("name", "value"), [("tasks_usual", 20), ("cores", 4), ("memory_mb", 20_000)]
+)
+def test_sizes_of_a_job_have_an_effect(name, value):
+    """Guards against sizes that leave the shares of the workers as they are."""
+    values = small()
+    values["kinds"][1]["late_answer"] = "work_slows"
+    before = generate(parsed(values)).config
+    values["kinds"][1][name] = value
+    assert diff_configs(before, generate(parsed(values)).config)
+
+
 def test_slow_links_stretch_timings():
     """Guards against probes and asks that time out within a few round trips."""
     near = config_of().limits
--- a/tests/test_questionnaire.py
+++ b/tests/test_questionnaire.py
@@ -150,7 +150,7 @@
     (("services",), [], "$.kinds[0].service", "service"),
     (("kinds", 0, "service"), "press", "$.kinds[0].service", "ledger"),
     (("kinds", 0, "longest_s"), 0.1, "$.kinds[0].longest_s", "0.25"),
-    (("kinds", 0, "answer_within_s"), 0.1, "$.kinds[0].answer_within_s", "0.25"),
+    (("kinds", 0, "answer_within_s"), 0.255, "$.kinds[0].answer_within_s", "0.256"),
     (("kinds", 0, "tasks_usual"), 2, "$.kinds[0].tasks_usual", "1"),
     (("kinds", 0, "all_at_once"), True, "$.kinds[0].all_at_once", "false"),
     (("kinds", 0, "typical_s"), 2.9, "$.kinds[0].typical_s", "95%"),
