--- a/src/eelgrassyard/policy/_usage.py
+++ b/src/eelgrassyard/policy/_usage.py
@@ -9,11 +9,15 @@
 from ._events import UsageEntry
 from ._rooms import SizeKey
 
-RISE_TASKS = 4.0
-"""A report of this many tasks counts half when it raises a size; one task alone may be unusual."""
+WINDOW_TASKS = 300.0
+"""Reported tasks over which use is averaged.
 
-FALL_SMOOTHING = 0.02
-"""Weight of a report that lowers a size; a size that falls too soon overfills workers again."""
+Reports lag, so the tasks in a report are not quite those that the worker holds when it arrives.
+With mixed sizes the two means differ by chance; over this many tasks the differences cancel out.
+"""
+
+PRIOR_TASKS = 5.0
+"""Weight, in tasks, of the declared size before the first report."""
 
 STEPS_PER_UNIT = 16
 """Learned factors are rounded up to this grid, so that small changes do not move reservations."""
@@ -23,14 +27,21 @@
 class Factor:
     """Ratio of used to declared size, at least 1."""
 
-    value: float = 1.0
+    used: float = 0.0
+    declared: float = 0.0
 
-    def learn(self, ratio: float, tasks: int) -> None:
-        """Take the mean ratio over some tasks."""
-        if ratio > self.value:
-            self.value += (ratio - self.value) * tasks / (tasks + RISE_TASKS)
-        else:
-            self.value += (max(1.0, ratio) - self.value) * FALL_SMOOTHING
+    @property
+    def value(self) -> float:
+        """The ratio so far."""
+        return max(1.0, self.used / self.declared) if self.declared > 0.0 else 1.0
+
+    def learn(self, used: float, declared: float, tasks: int) -> None:
+        """Take the mean use of some tasks and their mean declared size."""
+        if self.declared == 0.0:
+            self.used = self.declared = declared * PRIOR_TASKS
+        keep = math.exp(-tasks / WINDOW_TASKS)
+        self.used = self.used * keep + used * tasks
+        self.declared = self.declared * keep + declared * tasks
 
     @property
     def rounded(self) -> float:
@@ -73,9 +84,9 @@
         cores = sum(size[0] * count for size, count in declared.items()) / tasks
         memory_mb = sum(size[1] * count for size, count in declared.items()) / tasks
         if cores > 0.0:
-            found.cores.learn(used_cores / cores, len(entries))
+            found.cores.learn(used_cores, cores, len(entries))
         if memory_mb > 0.0:
-            found.memory.learn(used_mb / memory_mb, len(entries))
+            found.memory.learn(used_mb, memory_mb, len(entries))
         return True
 
     def dump(self) -> dict[str, object]:
