Refuse malformed URLs and file names in one line

1,500 random command lines of a scratch script ended ten times with a traceback: ports above 65535, arguments that are no UTF-8, and NUL in file names. None does now; the cases are in the test of wrong use.

--- a/src/eelgrassyard/cli/_flags.py
+++ b/src/eelgrassyard/cli/_flags.py
@@ -15,6 +15,8 @@
 HOSTS_VARIABLE = "EELGRASSYARD_HOSTS"
 KEY_VARIABLE = "EELGRASSYARD_KEY"
 STORE_VARIABLE = "EELGRASSYARD_STORE"
+HTTP_PORT = 80
+HIGHEST_PORT = 65_535
 
 
 def define_hosts(values: flags.FlagValues) -> None:
@@ -67,12 +69,15 @@
 
 def check_url(url: str, flag: str) -> None:
     """End the command if the text is no HTTP URL."""
+    problem = "is not http://IP:PORT"
     try:
         parsed = httpx.URL(url)
-    except httpx.InvalidURL as error:
-        raise CommandError(ExitCode.USAGE, f"--{flag}: {url!r}: {error}", step="flags") from error
-    if parsed.scheme not in ("http", "https") or not parsed.host:
-        raise CommandError(ExitCode.USAGE, f"--{flag}: {url!r} is not http://IP:PORT", step="flags")
+        is_valid = parsed.scheme in ("http", "https") and bool(parsed.host)
+        is_valid &= 0 < (parsed.port or HTTP_PORT) <= HIGHEST_PORT
+    except (httpx.InvalidURL, ValueError) as error:
+        is_valid, problem = False, str(error)
+    if not is_valid:
+        raise CommandError(ExitCode.USAGE, f"--{flag}: {url!r}: {problem}", step="flags")
 
 
 def read_key(values: Any, *, required: bool = True) -> str:
@@ -81,7 +86,7 @@
     if values.key_file:
         try:
             key = Path(values.key_file).read_text(encoding="utf-8").strip()
-        except (OSError, UnicodeDecodeError) as error:
+        except (OSError, ValueError) as error:
             raise CommandError(
                 ExitCode.USAGE, f"--key_file: {values.key_file}: {error}", step="flags"
             ) from error
--- a/src/eelgrassyard/cli/_input.py
+++ b/src/eelgrassyard/cli/_input.py
@@ -32,9 +32,10 @@
         if path == "-":
             return sys.stdin.buffer.read(MOST_INPUT_BYTES)
         return Path(path).read_bytes()
-    except OSError as error:
+    except (OSError, ValueError) as error:
+        reason = error.strerror if isinstance(error, OSError) else error
         raise CommandError(
-            ExitCode.USAGE, f"cannot be read: {error.strerror}", step="read", peer=path
+            ExitCode.USAGE, f"cannot be read: {reason}", step="read", peer=path
         ) from error
 
 
--- a/src/eelgrassyard/cli/_questionnaire_commands.py
+++ b/src/eelgrassyard/cli/_questionnaire_commands.py
@@ -31,9 +31,9 @@
     source = SITES / f"{values['from'].value}.jsonc"
     try:
         text = source.read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise CommandError(
-            ExitCode.USAGE, f"cannot be read: {error.strerror}", step="new", peer=str(source)
+            ExitCode.USAGE, f"cannot be read: {error}", step="new", peer=str(source)
         ) from error
     _write_new(arguments[0], text.encode())
     return ExitCode.DONE
@@ -47,9 +47,9 @@
     try:
         with Path(path).open("xb") as file:
             file.write(data)
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise CommandError(
-            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="write", peer=path
+            ExitCode.USAGE, f"cannot be written: {error}", step="write", peer=path
         ) from error
 
 
@@ -88,7 +88,7 @@
         return ExitCode.DONE
     try:
         Path(values.output).write_bytes(document)
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise CommandError(
             ExitCode.USAGE, f"cannot be written: {error}", step="generate", peer=values.output
         ) from error
@@ -179,9 +179,9 @@
     try:
         file.touch(mode=0o600, exist_ok=False)
         file.write_text(text, encoding="utf-8")
-    except OSError as error:
+    except (OSError, ValueError) as error:
         raise CommandError(
-            ExitCode.USAGE, f"cannot be written: {error.strerror}", step="write", peer=path
+            ExitCode.USAGE, f"cannot be written: {error}", step="write", peer=path
         ) from error
 
 
--- a/src/eelgrassyard/config/_questionnaire.py
+++ b/src/eelgrassyard/config/_questionnaire.py
@@ -57,8 +57,9 @@
     """Read and check a questionnaire file."""
     try:
         data = FilePath(path).read_bytes()
-    except OSError as error:
-        return Err((_file_error(str(path), 1, f"cannot be read: {error.strerror}"),))
+    except (OSError, ValueError) as error:
+        reason = error.strerror if isinstance(error, OSError) else error
+        return Err((_file_error(str(path), 1, f"cannot be read: {reason}"),))
     return parse_questionnaire(data, file=str(path))
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -73,6 +73,12 @@
     ["status", "id"],
     ["status", "--hosts=localhost", "id"],
     ["status", f"--hosts={NOBODY}", "id"],
+    ["drain", "--hosts=http://127.0.0.1:99999"],
+    ["state", "--hosts=http://[::1"],
+    ["diff", "--store=http://\udcff", "@store", BAGMATI],
+    ["questionnaire", "check", "\0"],
+    ["questionnaire", "new", "\0"],
+    ["submit", f"--hosts={NOBODY}", "\0"],
     ["status", f"--hosts={NOBODY}", "--key_file=/nowhere", "id"],
     ["state", "--surprise"],
     ["load", f"--hosts={NOBODY}"],
@@ -80,7 +86,7 @@
 ]
 
 
-@pytest.mark.parametrize("arguments", WRONG_USE, ids=" ".join)
+@pytest.mark.parametrize("arguments", WRONG_USE, ids=repr)
 def test_wrong_use_is_refused_in_one_line(arguments, capsys):
     """Guards against tracebacks and a success code for wrong use."""
     assert main(arguments) == ExitCode.USAGE
