Make room for urgent work and for waiting gangs on guarded workers

Cause: the scheduler did not use preemption, partial placement and reservations of the placement. Change: WorkerRooms places tasks, throttles or checkpoints background tasks for urgent ones, resumes them when nothing else waits, and sets workers aside for a gang that waited a second. Paused starts count neither as a stall nor as expired.

--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -112,11 +112,9 @@
         self._read_config()
         kind, flow = self._find_flow(entry)
         burst_s = max(MIN_BURST_COST_S, self._waits.rate() * BURST_S)
-        self._waits.meter.restart(now)
-        flow.meter.restart(now)
+        self._waits.note_waiting(now, 0, kind, flow)
         self._order.charge_idle(kind, flow, entry.ask.urgency, cost_s, burst_s)
-        self._waits.note_taken(now, cost_s, 1)
-        flow.meter.add(now, cost_s)
+        self._waits.note_taken(now, kind, flow, cost_s, now - entry.asked_at)
 
     def correct_cost(self, flow: FlowKey, estimated_s: float, actual_s: float) -> None:
         """Replace an estimated charge by the time that the task really took."""
--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -6,16 +6,26 @@
 import math
 from dataclasses import dataclass
 
-from ._actions import Action, Send
+from ._actions import Action, Count, Send
 from ._classes import WAIT
+from ._config import Urgency
 from ._fairqueue import FairQueue, FlowKey, QueuedAsk
 from ._grants import Grant, GrantTable
-from ._messages import Placement, Release, SlotAsk, SlotGrant, StartResult, TaskSize
+from ._messages import (
+    Placement,
+    Release,
+    SlotAsk,
+    SlotGrant,
+    StartResult,
+    TaskControl,
+    TaskSize,
+)
 from ._parked import ParkedTask, ParkedTasks
 from ._placement import WorkerPlacement
 from ._quotas import Quotas
 from ._system import ConfigView, MembershipView, WitnessView
 from ._upstreams import UpstreamTable
+from ._workers import PlaceRequest, WorkerRooms
 
 LIFETIME_FACTOR = 3.0
 """Owners give a start up after three times the declared longest run time, or at the deadline."""
@@ -62,7 +72,9 @@
         self._room_freed = False
         self._pool = pool
         self._table = table
-        self._placement = placement
+        self.rooms = (
+            None if placement is None else WorkerRooms(placement=placement, grants=self.grants)
+        )
         self._context = context
         self._outgoing: dict[tuple[str, str, int], list[Grant]] = {}
         self._entry_by_key: dict[tuple[str, str], QueuedAsk] = {}
@@ -81,7 +93,7 @@
     @property
     def has_news(self) -> bool:
         """Whether grants wait to be sent."""
-        return bool(self._outgoing)
+        return bool(self._outgoing) or (self.rooms is not None and bool(self.rooms.steps))
 
     def clear_asks(self) -> None:
         """Forget all tasks that have no place."""
@@ -116,10 +128,12 @@
     def forget(self, owner: str, submission_id: str) -> None:
         """Note that the queue no longer holds an ask."""
         self._entry_by_key.pop((owner, submission_id), None)
+        if self.rooms is not None:
+            self.rooms.forget_ask((owner, submission_id))
 
     def withdraw(self, owner: str, submission_id: str) -> None:
         """Forget the tasks of a submission that have no place."""
-        self._entry_by_key.pop((owner, submission_id), None)
+        self.forget(owner, submission_id)
         self.queue.withdraw(owner, submission_id)
         if self.parked:
             self.parked.withdraw(owner, submission_id)
@@ -132,7 +146,7 @@
         Most asks of a pool that is not overloaded take this way around the queue.
         """
         ask = entry.ask
-        if len(self.queue) or self._placement is not None or len(entry.remaining) != 1:
+        if len(self.queue) or self.rooms is not None or len(entry.remaining) != 1:
             return False
         if self._context.quotas.allowed(now, ask.team, 1) <= 0 or self._probe_for(now, ask):
             return False
@@ -162,6 +176,8 @@
     def dispatch(self, now: float) -> None:
         """Grant what the free slots, quotas and waits for faster slots allow."""
         self._try_freed(now)
+        if self.rooms is not None and not len(self.queue):
+            self.rooms.resume(now, self._table.speeds.names_with_room)
         skip: set[FlowKey] = set()
         while len(self.queue):
             entry = self.queue.select(now, skip=skip)
@@ -173,8 +189,8 @@
                 again = self._context.quotas.next_allowed(now, ask.team)
                 self.quota_at = min(self.quota_at, max(again, now + QUOTA_MIN_WAIT_S))
                 skip.add(entry.flow)
-            elif self._placement is not None:
-                if not self._place_on_worker(now, entry, allowed, self._placement):
+            elif self.rooms is not None:
+                if not self._place_on_worker(now, entry, allowed, self.rooms):
                     skip.add(entry.flow)
             elif not self._place_on_runner(now, entry):
                 if not ask.avoid:
@@ -218,29 +234,21 @@
         return True
 
     def _place_on_worker(
-        self, now: float, entry: QueuedAsk, allowed: int, placement: WorkerPlacement
+        self, now: float, entry: QueuedAsk, allowed: int, rooms: WorkerRooms
     ) -> bool:
         """Grant as many tasks of an ask as fit, or all of a gang; False if none fits."""
-        ask = entry.ask
-        count = len(entry.remaining)
-        if ask.gang and allowed < count:
-            return False
-        count = count if ask.gang else min(count, allowed)
-        probe = None if ask.gang else self._probe_for(now, ask)
-        usable = self._table.speeds.names_with_room if probe is None else {probe}
-        count = count if probe is None else 1
-        while count > 0:
-            sizes = list(itertools.islice(entry.remaining, count))
-            workers = placement.place(
-                ask.kind, sizes, usable=usable, avoid=ask.avoid, spread_racks=ask.spread_racks
-            )
-            if workers is not None:
-                self._grant_workers(now, entry, workers, probe=probe is not None)
-                return True
-            if ask.gang:
-                return False
-            count //= 2
-        return False
+        if entry.ask.urgency is Urgency.BACKGROUND:
+            rooms.resume(now, self._table.speeds.names_with_room)
+        probe = None if entry.ask.gang else self._probe_for(now, entry.ask)
+        request = PlaceRequest(
+            entry=entry,
+            most=allowed if probe is None else 1,
+            usable=self._table.speeds.names_with_room if probe is None else {probe},
+        )
+        workers = rooms.place(now, request)
+        if workers:
+            self._grant_workers(now, entry, workers, probe=probe is not None)
+        return bool(workers)
 
     def _grant_workers(
         self, now: float, entry: QueuedAsk, workers: list[str], *, probe: bool
@@ -297,6 +305,8 @@
         )
         self.grants.add(grant)
         self._table.acquire(now, grant)
+        if self.rooms is not None:
+            self.rooms.add(grant)
         self._announce(grant)
 
     def lifetime_s(self, kind: str, expected_s: float) -> float:
@@ -340,8 +350,8 @@
         return True
 
     def _give_room_back(self, grant: Grant) -> None:
-        if self._placement is not None:
-            self._placement.release(grant.upstream, grant.kind, grant.size)
+        if self.rooms is not None:
+            self.rooms.remove(grant)
 
     def _announce(self, grant: Grant) -> None:
         key = (grant.owner, grant.submission_id, grant.attempt)
@@ -371,3 +381,14 @@
             )
             out.append(Send(to=owner, message=message))
         self._outgoing.clear()
+        if self.rooms is not None:
+            self._send_steps(self.rooms, out)
+
+    def _send_steps(self, rooms: WorkerRooms, out: list[Action]) -> None:
+        for step in rooms.steps:
+            control = TaskControl(
+                submission_id=step.submission_id, index=step.index, control=step.control.value
+            )
+            out.append(Send(to=step.owner, message=control))
+            out.append(Count(metric=f"scheduler.control.{step.control.value}"))
+        rooms.steps.clear()
--- a/src/eelgrassyard/policy/_grants.py
+++ b/src/eelgrassyard/policy/_grants.py
@@ -21,6 +21,7 @@
     """A place held by a task.
 
     :param expires_at: time at which the place is taken back if no release has come.
+    :param paused_at: time since which the task is throttled or checkpointed.
     :param probe: the start tells whether an upstream that was out of use works again.
     """
 
@@ -38,6 +39,7 @@
     attempt: int = 0
     urgency: Urgency = Urgency.NORMAL
     probe: bool = False
+    paused_at: float | None = None
 
     @property
     def task(self) -> TaskKey:
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 
 from ._actions import Action, Count, Send, StateChanged
+from ._config import Urgency
 from ._fairqueue import QueuedAsk
 from ._granting import LIFETIME_MARGIN_S, Granting, PoolContext
 from ._grants import Grant
@@ -125,11 +126,18 @@
             granted_at=now - max(0.0, place.running_s),
             expected_s=expected_s,
             expires_at=now + lifetime_s + LIFETIME_MARGIN_S,
+            urgency=self._urgency(place.kind),
         )
         self.granting.grants.add(grant)
         self.table.acquire(now, grant)
-        if self.placement is not None:
-            self.placement.hold(place.upstream, place.kind, place.size)
+        if self.granting.rooms is not None:
+            self.granting.rooms.adopt(grant)
+
+    def _urgency(self, kind: str) -> Urgency:
+        """Urgency of a kind by the configuration; reports of held places do not carry it."""
+        current = self._context.config.current
+        entry = None if current is None else current.kinds_by_name.get(kind)
+        return Urgency.NORMAL if entry is None else entry.urgency
 
     # End of a tick
 
@@ -143,6 +151,8 @@
                 self._queue_ask(now, owner, incarnation, ask, out)
             self._new_asks.clear()
             self._dirty = True
+        if self.granting.rooms is not None and self.granting.rooms.advance(now):
+            self._dirty = True
         if now >= self.granting.quota_at:
             self.granting.quota_at = math.inf
             self._dirty = True
@@ -159,6 +169,8 @@
         if not self.granting.is_busy:
             return math.inf
         wake = min(max(self._maintain_at, now), self.granting.quota_at)
+        if self.granting.rooms is not None:
+            wake = min(wake, self.granting.rooms.next_wake())
         if self._dirty:
             wake = min(wake, max(self._ready_at, now))
         return wake
@@ -272,7 +284,8 @@
             restarted = (newest[grant.owner] or 0) > grant.incarnation
             if restarted or membership.is_dead(grant.owner, grant.incarnation):
                 grant.expires_at = min(grant.expires_at, self._ends_at(grant))
-            if grant.expires_at <= now:
+                grant.paused_at = None
+            if grant.expires_at <= now and grant.paused_at is None:
                 self.granting.take_back(grant)
                 out.append(Count(metric="scheduler.grants_taken_back"))
 
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -94,7 +94,11 @@
 
 
 def oldest_starts(upstream: Upstream) -> tuple[Grant | None, Grant | None]:
-    """The two oldest starts, without those that were in progress when it was taken back."""
+    """The two oldest starts, without paused ones and those from before an ejection."""
     since = upstream.health.restored_at
-    starts = (grant for grant in upstream.starts.values() if grant.granted_at >= since)
+    starts = (
+        grant
+        for grant in upstream.starts.values()
+        if grant.granted_at >= since and grant.paused_at is None
+    )
     return next(starts, None), next(starts, None)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -34,6 +34,7 @@
     SlotWithdraw,
     SpeedDigest,
     StartResult,
+    TaskControl,
     TaskSize,
     UpstreamEntry,
     UpstreamRole,
@@ -468,6 +469,53 @@
     assert len([s for s in site.sent if isinstance(s.message, SlotGrant)]) == 1
 
 
+def test_urgent_task_throttles_background_work_and_lets_it_resume():
+    """Guards against urgent work waiting behind background tasks, and against lost pauses."""
+    site = Site(config=make_workers_config(workers=1))
+    site.tell(make_ask("back", 8, pool="workers", urgency=Urgency.BACKGROUND), sender="host-2")
+    site.wait(REBUILD_GRACE_S * 2)
+    assert len(site.grants) == 8
+    sent = site.tell(make_ask("urgent", 1, pool="workers", urgency=Urgency.URGENT))
+    throttled = [m for m in sent if isinstance(m, TaskControl)]
+    assert throttled and {m.control for m in throttled} == {"throttle"}
+    paused = {(m.submission_id, m.index) for m in throttled}
+    number = next(n for n, g in site.grants.items() if g[1].submission_id == "urgent")
+    for other, (owner, grant, index, _) in list(site.grants.items()):
+        if other != number and (grant.submission_id, index) not in paused:
+            _, release = site.release(other)
+            release = SlotRelease(pool="workers", releases=release.releases)
+            sent.extend(site.tell(release, sender=owner))
+    site.wait(20.0)
+    assert site.scheduler.pools_by_name["workers"].table.by_name["worker-0"].usable
+    _, release = site.release(number)
+    release = SlotRelease(pool="workers", releases=release.releases)
+    site.tell(release)
+    site.wait(0.2)
+    controls = [s.message for s in site.sent if isinstance(s.message, TaskControl)]
+    resumed = [m for m in controls if m.control == "resume"]
+    assert {(m.submission_id, m.index) for m in resumed} == paused
+    assert len(controls) == 2 * len(paused)
+
+
+def test_waiting_gang_is_not_overtaken_for_ever():
+    """Guards against a gang that starves while small tasks fill each hole."""
+    site = Site(config=make_workers_config(workers=1))
+    site.tell(make_ask("small-0", 8, pool="workers"))
+    site.wait(REBUILD_GRACE_S * 2)
+    site.tell(make_ask("gang", 8, pool="workers", gang=True, caller="other"))
+    granted = set()
+    for round_ in range(1, 30):
+        site.wait(0.5)
+        site.tell(make_ask(f"small-{round_}", 1, pool="workers"))
+        granted = {g[1].submission_id for g in site.grants.values()}
+        if "gang" in granted:
+            break
+        number = min(site.grants)
+        _, release = site.release(number)
+        site.tell(SlotRelease(pool="workers", releases=release.releases))
+    assert "gang" in granted
+
+
 ACTIONS = st.lists(
     st.tuples(
         st.sampled_from(
