--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -10,12 +10,16 @@
 runner, which queues what exceeds its slots first in, first out. ``random by speed`` knows the true
 speeds; the others do not.
 
+``scheduler, one kind`` runs the same tasks under the name of a single kind, so the scheduler cannot
+tell long tasks from short ones; its run times spread over 50 ms to 8 s.
+
 A wasted message is one that did not move a task to a slot or free its slot: repeated asks,
 refusals, withdrawals, grants whose start was refused, and digests. The total is printed as well.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import heapq
 import itertools
 import json
@@ -26,7 +30,16 @@
 
 from absl import app, flags
 
-from bench.pool_site import DOMAINS, EPOCH, PoolSite, Task, make_runners, make_tasks, mean_work_s
+from bench.pool_site import (
+    DOMAINS,
+    EPOCH,
+    KINDS,
+    PoolSite,
+    Task,
+    make_runners,
+    make_tasks,
+    mean_work_s,
+)
 from eelgrassyard.policy import StartResult, UpstreamEntry
 
 _JSON = flags.DEFINE_bool("json", False, "Print only the JSON line.")
@@ -174,6 +187,9 @@
     rows: dict[str, dict[str, float]] = {"first end": ratios(central[0], ideal)}
     for name, choose in baselines(entries, speeds).items():
         rows[name] = ratios(measure(run_baseline(tasks, entries, speeds, choose)), ideal)
+    one_kind = [dataclasses.replace(task, kind=KINDS[1].name) for task in tasks]
+    times, _ = run_scheduler(one_kind, entries, speeds)
+    rows["scheduler, one kind"] = ratios(measure(times), ideal)
     times, site = run_scheduler(tasks, entries, speeds)
     rows["scheduler"] = ratios(measure(times), ideal)
     count = len(tasks)
