--- a/bench/bench_routing.py
+++ b/bench/bench_routing.py
@@ -12,6 +12,8 @@
 
 ``scheduler, one kind`` runs the same tasks under the name of a single kind, so the scheduler cannot
 tell long tasks from short ones; its run times spread over 50 ms to 8 s.
+``central, run times unknown`` is a bound for that: the central queue without latency, but taking
+every task to have the mean run time.
 
 A wasted message is one that did not move a task to a slot or free its slot: repeated asks,
 refusals, withdrawals, grants whose start was refused, and digests. The total is printed as well.
@@ -48,6 +50,7 @@
 HOSTS = 9
 LOADS = (0.5, 0.8, 0.95)
 WAIT_WEIGHTS = (1.0, 2.0, 5.0, 10.0, 100.0)
+BLIND_WEIGHT = 10.0
 WARM_UP_S = 20.0
 SECONDS = 80.0
 SEED = 20
@@ -72,19 +75,24 @@
     entries: Sequence[UpstreamEntry],
     speeds: dict[str, float],
     weight: float,
+    assumed_s: float | None = None,
 ) -> list[float]:
-    """Response times of a central queue that knows everything, at one weight of waiting."""
+    """Response times of a central queue that knows everything, at one weight of waiting.
+
+    :param assumed_s: run time that it takes every task to have, if it cannot know it.
+    """
     free_at = {e.name: [EPOCH] * e.slots for e in entries}
     ordered = sorted(entries, key=lambda e: -speeds[e.name])
     times = []
     for task in tasks:
         best, best_end, best_cost = "", 0.0, float("inf")
         for entry in ordered:
-            run_s = task.work_s / speeds[entry.name]
+            run_s = (assumed_s or task.work_s) / speeds[entry.name]
             wait_s = max(0.0, free_at[entry.name][0] - task.at)
             if weight * wait_s + run_s < best_cost:
                 best_cost = weight * wait_s + run_s
-                best, best_end = entry.name, task.at + wait_s + run_s
+                best = entry.name
+                best_end = task.at + wait_s + task.work_s / speeds[entry.name]
         heapq.heapreplace(free_at[best], best_end)
         if task.at >= EPOCH + WARM_UP_S:
             times.append(best_end - task.at)
@@ -187,6 +195,8 @@
     rows: dict[str, dict[str, float]] = {"first end": ratios(central[0], ideal)}
     for name, choose in baselines(entries, speeds).items():
         rows[name] = ratios(measure(run_baseline(tasks, entries, speeds, choose)), ideal)
+    blind = run_central(tasks, entries, speeds, BLIND_WEIGHT, mean_work_s())
+    rows["central, run times unknown"] = ratios(measure(blind), ideal)
     one_kind = [dataclasses.replace(task, kind=KINDS[1].name) for task in tasks]
     times, _ = run_scheduler(one_kind, entries, speeds)
     rows["scheduler, one kind"] = ratios(measure(times), ideal)
@@ -213,10 +223,10 @@
 
 def print_table(results: Sequence[dict]) -> None:
     """Print what :func:`run_load` returned."""
-    print(f"{'load':>5} {'policy':<22} {'mean/ideal':>10} {'p99/ideal':>10}")
+    print(f"{'load':>5} {'policy':<27} {'mean/ideal':>10} {'p99/ideal':>10}")
     for result in results:
         for name, row in result["rows"].items():
-            print(f"{result['load']:>5} {name:<22} {row['mean']:>10.3f} {row['p99']:>10.3f}")
+            print(f"{result['load']:>5} {name:<27} {row['mean']:>10.3f} {row['p99']:>10.3f}")
     for result in results:
         by_type = ", ".join(f"{k} {v:.3f}" for k, v in result["messages_per_task"].items())
         print(
--- a/src/eelgrassyard/policy/_speeds.py
+++ b/src/eelgrassyard/policy/_speeds.py
@@ -27,8 +27,10 @@
 """Part of the weight that earlier runs keep after some seconds without work or a surprise."""
 
 SURPRISE_RATIO = 4.0
-"""A run this much longer or shorter than expected makes the runs before it count less: the speed
-has probably changed. It happens by chance to about one run in a hundred."""
+SURPRISES = 3
+"""So many runs in a row that are this much longer, or all shorter, than expected make the runs
+before them count less: the speed has probably changed. A single one is common in a kind whose run
+times spread widely."""
 
 MIN_WORK_S = 1e-4
 
@@ -60,9 +62,14 @@
 
 @dataclass(slots=True)
 class UpstreamSpeed:
-    """Slowness (run time over the kind's mean work) of one upstream, overall and by kind."""
+    """Slowness (run time over the kind's mean work) of one upstream, overall and by kind.
+
+    :param surprises: latest runs in a row that were far longer (or, if negative, far shorter) than
+        expected.
+    """
 
     prior: float = 1.0
+    surprises: int = 0
     overall: _Average = field(default_factory=_Average)
     slowness_by_kind: dict[str, _Average] = field(default_factory=dict)
 
@@ -83,15 +90,23 @@
 
     def add(self, kind: str, slowness: float) -> None:
         """Learn from one successful run."""
-        change = slowness * self.speed(kind)
-        if not 1.0 / SURPRISE_RATIO < change < SURPRISE_RATIO:
-            self.age()
+        self._note_surprise(slowness * self.speed(kind))
         self.overall.add(slowness, UPSTREAM_WINDOW)
         average = self.slowness_by_kind.get(kind)
         if average is None:
             average = self.slowness_by_kind[kind] = _Average()
         average.add(slowness, UPSTREAM_WINDOW)
 
+    def _note_surprise(self, change: float) -> None:
+        if change >= SURPRISE_RATIO:
+            self.surprises = max(self.surprises, 0) + 1
+        elif change <= 1.0 / SURPRISE_RATIO:
+            self.surprises = min(self.surprises, 0) - 1
+        else:
+            self.surprises = 0
+        if abs(self.surprises) >= SURPRISES:
+            self.age()
+
     def age(self) -> None:
         """Give the next runs more weight, as earlier ones may no longer hold."""
         self.prior = max(MIN_SPEED, 1.0 / self.slowness())
