--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,7 +3,6 @@
 import re
 
 import pytest
-
 from bench.capacity import PAGE, SECTIONS, TABLES, fill_page
 from bench.capacity_series import load, save, series
 from bench.capacity_sizes import LARGE
