--- a/src/eelgrassyard/policy/_fits.py
+++ b/src/eelgrassyard/policy/_fits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 
 from ._rooms import TOLERANCE, Need, SizeKey
 
@@ -36,3 +37,13 @@
         if need > total + TOLERANCE:
             return f"the gang needs {need:g} {what} at once; all workers have {total:g}"
     return None
+
+
+def growing_counts(limit: int) -> Iterator[int]:
+    """Counts from 1 to ``limit`` in steps that grow by a quarter."""
+    count = 1
+    while count < limit:
+        yield count
+        count += max(1, count // 4)
+    if limit:
+        yield limit
--- a/src/eelgrassyard/policy/_placement.py
+++ b/src/eelgrassyard/policy/_placement.py
@@ -9,7 +9,7 @@
 
 from ._config import UpstreamEntry
 from ._events import UsageReported
-from ._fits import gang_too_large, holds, task_too_large
+from ._fits import gang_too_large, growing_counts, holds, task_too_large
 from ._messages import TaskSize
 from ._rooms import TOLERANCE, HeldGroup, Hold, Need, Room, RoomIndex, SizeKey, size_key
 from ._usage import LearnedSizes, group_by_kind
@@ -218,7 +218,7 @@
         rooms.sort(key=lambda room: (-room.cores, room.entry.name))
         trial = WorkerPlacement()
         trial._learned = self._learned
-        for count in _growing(len(rooms)):
+        for count in growing_counts(len(rooms)):
             trial.set_workers(room.entry for room in rooms[:count])
             if trial._fits_in(kind, sizes):
                 self._set_reserved(frozenset(room.entry.name for room in rooms[:count]))
@@ -399,12 +399,3 @@
                 self._reindex(self._room_by_name[name])
             else:
                 self._parked[name] = None
-
-
-def _growing(limit: int) -> Iterator[int]:
-    count = 1
-    while count < limit:
-        yield count
-        count += max(1, count // 4)
-    if limit:
-        yield limit
