--- a/bench/daemon_site.py
+++ b/bench/daemon_site.py
@@ -129,7 +129,7 @@
                 "peer": {"address": "127.0.0.1", "port": entry.port},
                 "store": {"url": store_url, "key": STORE_KEY},
                 "host_list": {"url": f"http://127.0.0.1:{list_port}"},
-                "log_level": "error",
+                "log_level": "warning",
             }
             path = directory / f"{name}.jsonc"
             path.write_text(json.dumps(settings))
