Log a fault of the decision core before the process ends

Cause: a fault of the core looked like a silent end, because the process was ended with SIGTERM before the trace was printed. Change: one log line with the trace when it happens. Conclusion: such an end is visible at once.

--- a/src/eelgrassyard/daemon/_loop.py
+++ b/src/eelgrassyard/daemon/_loop.py
@@ -9,6 +9,7 @@
 
 from ..policy import Action, ConfigView, Event
 from ._clock import Clock
+from ._logs import logger
 from ._metrics import Metrics
 
 LONGEST_WAIT_S = 1.0
@@ -59,7 +60,14 @@
         inbox, self._inbox = self._inbox, []
         self._arrived = anyio.Event()
         now = self._clock.now()
-        actions = self._core.tick(now, inbox)
+        try:
+            actions = self._core.tick(now, inbox)
+        except Exception:
+            # Logged here, because a supervisor may end the process before the trace is printed.
+            logger.exception(
+                "the decision core failed; the process ends", extra={"step": "core", "peer": ""}
+            )
+            raise
         self._metrics.count("loop.ticks")
         if inbox:
             self._metrics.count("loop.events", len(inbox))
--- a/tests/test_daemon_host.py
+++ b/tests/test_daemon_host.py
@@ -376,3 +376,21 @@
     assert metrics.total_by_name["host_list.bad_entry"] == 3
     for body in (b"", b"[]", b"{}", b'{"hosts": 1}'):
         assert read_host_list(body, metrics) is None
+
+
+def test_fault_of_the_core_is_logged_and_ends_the_loop(caplog):
+    """Guards against going on with tables that were changed halfway, and against a silent end."""
+
+    class Failing(ScriptedCore):
+        def tick(self, now, inbox):
+            raise ZeroDivisionError
+
+    async def run():
+        loop = CoreLoop(
+            core=Failing(), clock=Clock(), metrics=Metrics(), carry_out=lambda now, actions: None
+        )
+        with pytest.raises(ZeroDivisionError):
+            await loop.run()
+
+    anyio.run(run)
+    assert "the decision core failed" in caplog.text
