--- a/src/eelgrassyard/policy/_flows.py
+++ b/src/eelgrassyard/policy/_flows.py
@@ -126,7 +126,10 @@
     @property
     def urgency(self) -> int:
         """Urgency of the ask that is next."""
-        return next((u for u, asks in enumerate(self.asks_by_urgency) if asks), len(Urgency))
+        for urgency, asks in enumerate(self.asks_by_urgency):
+            if asks:
+                return urgency
+        return len(Urgency)
 
     def head(self, urgency: int | None = None) -> QueuedAsk:
         """First ask of an urgency, by default of the most urgent one."""
@@ -220,6 +223,12 @@
         self._virtual += cost_s / self.active_weight
         self.rank(flow)
 
+    def charge_idle(self, flow: Flow, cost_s: float) -> None:
+        """Count served cost as if the flow were the only one with work waiting."""
+        cost = cost_s / flow.weight
+        flow.start = max(flow.start, self._virtual) + cost
+        self._virtual += cost
+
     def correct(self, flow: Flow, delta_s: float) -> None:
         """Change what a flow was charged."""
         flow.start += delta_s / flow.weight
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -58,7 +58,12 @@
     @property
     def has_room(self) -> bool:
         """Whether it may get ordinary work now."""
-        return self.usable and len(self.starts) < self.limit and self.blocked_until == -math.inf
+        return (
+            len(self.starts) < self.limit
+            and self.state is UpstreamState.LIVE
+            and not self.cut_off
+            and self.blocked_until == -math.inf
+        )
 
 
 def slots_of(entry: UpstreamEntry) -> int:
@@ -89,7 +94,11 @@
 
 
 def oldest_starts(upstream: Upstream) -> tuple[Grant | None, Grant | None]:
-    """The two oldest starts, without those that were in progress when it was taken back."""
+    """The two oldest starts, without paused ones and those from before an ejection."""
     since = upstream.health.restored_at
-    starts = (grant for grant in upstream.starts.values() if grant.granted_at >= since)
+    starts = (
+        grant
+        for grant in upstream.starts.values()
+        if grant.granted_at >= since and grant.paused_at is None
+    )
     return next(starts, None), next(starts, None)
