Free the places of lost owners after a worker lease

Cause: is_dead is true only for an incarnation that said goodbye or was followed by a newer one, so the places of an owner that failed and never restarted were kept until their expiry, which is at least the deadline.

Change: the pool notes since when the owner of a grant has not been alive and takes the grant back after Limits.lease_s. An owner that is alive in between starts from zero. A grant taken back this way is not remembered as released, so an owner that returns may report it again in SlotHeld.

Conclusion: for workers the tasks have been stopped by then, if the owner is really gone; for runners the slot limit of the upstream protects.

--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -325,9 +325,12 @@
         self._announce(grant)
         return True
 
-    def take_back(self, grant: Grant) -> None:
-        """Free the place of a grant that was not released."""
-        self.grants.remove(grant.number)
+    def take_back(self, grant: Grant, *, remember: bool = True) -> None:
+        """Free the place of a grant that was not released.
+
+        :param remember: ignore later reports that the place is in use.
+        """
+        self.grants.remove(grant.number, remember=remember)
         self._table.give_back(grant)
         self._give_room_back(grant)
 
--- a/src/eelgrassyard/policy/_grants.py
+++ b/src/eelgrassyard/policy/_grants.py
@@ -67,9 +67,10 @@
         self._number_by_task[grant.task] = grant.number
         self._numbers_by_owner.setdefault(grant.owner, set()).add(grant.number)
 
-    def remove(self, number: int) -> Grant | None:
+    def remove(self, number: int, *, remember: bool = True) -> Grant | None:
         """Drop a grant, or remember the number if it is unknown; returns the grant."""
-        self._released[number] = None
+        if remember:
+            self._released[number] = None
         if len(self._released) > RELEASED_MEMORY:
             self._released.popitem(last=False)
         grant = self.by_number.pop(number, None)
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -5,8 +5,9 @@
 import math
 from collections import OrderedDict
 
+from ._absence import AbsentOwners
 from ._actions import Action, Count, Send, StateChanged
-from ._config import Urgency
+from ._config import Limits, Urgency
 from ._fairqueue import QueuedAsk
 from ._granting import LIFETIME_MARGIN_S, Granting, PoolContext
 from ._grants import Grant
@@ -59,6 +60,7 @@
         )
         self.has_news = False
         self._context = context
+        self._absent = AbsentOwners(membership=context.membership)
         self._new_asks: list[tuple[str, int, SlotAsk]] = []
         self._seen: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._reported: set[str] = set()
@@ -280,22 +282,32 @@
         membership = self._context.membership
         grants = self.granting.grants
         newest = {owner: membership.incarnation_of(owner) for owner in grants.owners()}
+        self._absent.refresh(now, {(grant.owner, grant.incarnation) for grant in grants})
+        lost = self._absent.longer_than(now, self._lease_s())
         for grant in list(grants):
             restarted = (newest[grant.owner] or 0) > grant.incarnation
             if restarted or membership.is_dead(grant.owner, grant.incarnation):
                 grant.expires_at = min(grant.expires_at, self._ends_at(grant))
                 grant.paused_at = None
-            if grant.expires_at <= now and grant.paused_at is None:
+            if (grant.owner, grant.incarnation) in lost:
+                # The owner may come back with the start and report it in SlotHeld.
+                self.granting.take_back(grant, remember=False)
+                out.append(Count(metric="scheduler.grants_taken_back"))
+            elif grant.expires_at <= now and grant.paused_at is None:
                 self.granting.take_back(grant)
                 out.append(Count(metric="scheduler.grants_taken_back"))
 
     def _ends_at(self, grant: Grant) -> float:
         """Time by which a start whose owner died has probably ended at the upstream."""
-        current = self._context.config.current
-        if self.placement is not None and current is not None:
-            return grant.granted_at + current.limits.lease_s
+        if self.placement is not None:
+            return grant.granted_at + self._lease_s()
         return grant.granted_at + 2.0 * grant.expected_s
 
+    def _lease_s(self) -> float:
+        """Seconds after which a worker stops the tasks of an owner that no longer renews."""
+        current = self._context.config.current
+        return (Limits() if current is None else current.limits).lease_s
+
     def _follow_scheduler(self, now: float) -> None:
         """Drop the queue some time after another host took the pool over."""
         scheduler = self._context.membership.scheduler_for(self.name, self.scope.failure_domain)
--- /dev/null
+++ b/tests/test_worker_scheduling.py
@@ -0,0 +1,90 @@
+"""Places on guarded workers: lost owners, gangs, waits and state, through the scheduler."""
+
+import pytest
+from bench.pool_site import POOL, FixedMembership
+
+from eelgrassyard.policy import HeldPlace, SlotHeld, TaskSize
+from test_scheduler import REBUILD_GRACE_S, Site, make_ask, make_workers_config
+
+WORKERS = "workers"
+
+
+class LossyMembership(FixedMembership):
+    """Hosts that may stop answering without being known to have ended."""
+
+    def __init__(self, hosts) -> None:
+        super().__init__(hosts)
+        self.lost: set[str] = set()
+
+    def is_alive(self, host, incarnation=None) -> bool:
+        return host not in self.lost and super().is_alive(host, incarnation)
+
+
+class LossySite(Site):
+    """A site whose owners can be lost."""
+
+    def __init__(self, **fields) -> None:
+        super().__init__(**fields)
+        lossy = LossyMembership(self.membership.hosts)
+        self.membership = lossy
+        self.scheduler._membership = lossy
+        self.scheduler._context.membership = lossy
+
+    @property
+    def lease_s(self) -> float:
+        return self.config.limits.lease_s
+
+
+@pytest.mark.parametrize("pool", [POOL, WORKERS])
+def test_places_of_a_lost_owner_are_freed_after_a_lease(pool):
+    """Guards against places that a failed owner keeps until the deadline of its submissions."""
+    config = make_workers_config(workers=1) if pool == WORKERS else None
+    site = LossySite(runners=1, slots=8, config=config)
+    site.tell(make_ask("a", 8, pool=pool, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    assert len(site.grants) == 8
+    site.grants.clear()
+    site.membership.lost.add("host-1")
+    site.tell(make_ask("b", pool=pool, deadline_s=3600.0), sender="host-2")
+    site.wait(site.lease_s - 0.5)
+    assert not site.grants
+    site.wait(1.0)
+    assert [g[0] for g in site.grants.values()] == ["host-2"]
+
+
+def test_owner_that_returns_within_a_lease_keeps_its_places():
+    """Guards against short losses that add up to a lease, and so place two tasks in one room."""
+    site = LossySite(config=make_workers_config(workers=1))
+    site.tell(make_ask("a", 8, pool=WORKERS, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    for _ in range(5):
+        site.membership.lost.add("host-1")
+        site.wait(0.6 * site.lease_s)
+        site.membership.lost.clear()
+        site.wait(1.0)
+    assert len(site.scheduler.pools_by_name[WORKERS].granting.grants) == 8
+
+
+def test_owner_that_returns_after_a_lease_reports_its_places_again():
+    """Guards against places of a returned owner that are in use and count as free."""
+    site = LossySite(config=make_workers_config(workers=1))
+    site.tell(make_ask("a", 1, pool=WORKERS, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    ((number, (_, _, index, upstream)),) = site.grants.items()
+    site.membership.lost.add("host-1")
+    site.wait(site.lease_s + 1.0)
+    grants = site.scheduler.pools_by_name[WORKERS].granting.grants
+    assert not len(grants)
+    site.membership.lost.clear()
+    place = HeldPlace(
+        grant=number,
+        submission_id="a",
+        caller="caller",
+        team="team",
+        kind=make_ask("a").kind,
+        size=TaskSize(index=index),
+        upstream=upstream,
+        running_s=site.lease_s,
+    )
+    site.tell(SlotHeld(pool=WORKERS, places=(place,)))
+    assert number in grants.by_number
