Know the waits of a pool before a rate is measured

Cause: FairQueue.set_capacity was never called, so until 0.5 s of waiting work had been measured every expected wait was 0 and work that could not meet its deadline was accepted.

Change: the pool sets the capacity in its maintenance every 0.1 s, from the slot limits of the runners or the cores of the workers in use.

Figures: with 100 tasks queued for 4 slots the expected wait was 0 s before; now it is that of 101 tasks over 4 slots (test bound 10 %), and an ask with half of that as its deadline is refused in the same tick.

Conclusion: a core counts as one task; tasks that declare more make the first estimate too short, until the measured rate replaces it.

--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -15,6 +15,7 @@
 from ._outcomes import Reason
 from ._placement import WorkerPlacement
 from ._pools import PoolScope
+from ._upstream import tasks_at_once
 from ._upstreams import UpstreamTable
 
 MAINTAIN_INTERVAL_S = 0.1
@@ -263,6 +264,7 @@
         self._expire(now, out)
         self._free_lost_grants(now, out)
         self._follow_scheduler(now)
+        self.granting.queue.set_capacity(tasks_at_once(self.table.by_name.values()))
         if self._is_ready(now):
             self.granting.try_parked(now, len(self.granting.parked))
         self._dirty = self.granting.has_asks
--- a/src/eelgrassyard/policy/_upstream.py
+++ b/src/eelgrassyard/policy/_upstream.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from ._config import UpstreamEntry
+from ._config import UpstreamEntry, UpstreamRole
 from ._grants import Grant
 from ._health import Health, UpstreamState
 from ._speeds import UpstreamSpeed
@@ -71,6 +72,17 @@
     return entry.slots or max(1, int(entry.cores * WORKER_SLOTS_PER_CORE))
 
 
+def tasks_at_once(upstreams: Iterable[Upstream]) -> float:
+    """Starts that the upstreams in use run at once, with one core for a task on a worker."""
+    total = 0.0
+    for upstream in upstreams:
+        if upstream.usable:
+            is_worker = upstream.entry.role is UpstreamRole.WORKER
+            most = upstream.entry.cores if is_worker else upstream.limit
+            total += min(upstream.limit, most)
+    return total
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StateChange:
     """A change of an upstream's state, for the log."""
--- a/tests/test_worker_scheduling.py
+++ b/tests/test_worker_scheduling.py
@@ -3,8 +3,8 @@
 import pytest
 from bench.pool_site import POOL, FixedMembership
 
-from eelgrassyard.policy import HeldPlace, SlotHeld, TaskSize
-from test_scheduler import REBUILD_GRACE_S, Site, make_ask, make_workers_config
+from eelgrassyard.policy import HeldPlace, Reason, SlotHeld, TaskSize
+from test_scheduler import KIND, REBUILD_GRACE_S, Site, make_ask, make_workers_config
 
 WORKERS = "workers"
 
@@ -88,3 +88,31 @@
     )
     site.tell(SlotHeld(pool=WORKERS, places=(place,)))
     assert number in grants.by_number
+
+
+@pytest.mark.parametrize(("pool", "places"), [(POOL, 4), (WORKERS, 16)])
+def test_wait_is_known_from_the_first_task_on(pool, places):
+    """Guards against work accepted in the first half second that cannot meet its deadline."""
+    config = make_workers_config(workers=2) if pool == WORKERS else None
+    site = LossySite(runners=2, slots=2, config=config)
+    cost_s = site.config.kinds_by_name[KIND].typical_s
+    site.tell(make_ask("a", 100 + places, pool=pool, deadline_s=1000.0))
+    site.wait(REBUILD_GRACE_S + 0.01)
+    assert len(site.grants) == places
+    queue = site.scheduler.pools_by_name[pool].granting.queue
+    wait_s = queue.expected_wait(site.now, ("caller", KIND))
+    assert wait_s == pytest.approx(101 * cost_s / places, rel=0.1)
+    site.tell(make_ask("b", pool=pool, deadline_s=0.5 * wait_s))
+    assert [(r.submission_id, r.reason) for _, r in site.refusals] == [("b", Reason.DEADLINE)]
+
+
+def test_wait_grows_when_an_upstream_goes_out_of_use():
+    """Guards against waits that count the slots of upstreams that get no work."""
+    site = LossySite(runners=2, slots=2)
+    site.open()
+    site.tell(make_ask("a", 100, deadline_s=1000.0))
+    before = site.pool.granting.queue.expected_wait(site.now, ("caller", KIND))
+    site.membership.cut_off.add(site.pool.table.by_name["runner-0"].entry.failure_domain)
+    site.wait(0.2)
+    after = site.pool.granting.queue.expected_wait(site.now, ("caller", KIND))
+    assert 0.0 < before < after
