Show the queue and the room of workers in the scheduler's state

Cause: queue.dump() and placement.dump() existed but were not in the state of the scheduler, so it did not tell why a job waits.

Change: the page of a pool has "queue" and, for workers, "placement". Numbers in both are rounded so that a page of a small site stays short.

Conclusion: larger sites rely on the daemon's shortening of long tables.

--- a/src/eelgrassyard/policy/_fairqueue.py
+++ b/src/eelgrassyard/policy/_fairqueue.py
@@ -161,9 +161,13 @@
         """Queued tasks and shares by kind, and by flow for those with work waiting."""
         return {
             "queued": self._queued,
-            "served_per_s": self._waits.rate(),
+            "served_per_s": round(self._waits.rate(), 3),
             "kinds": {
-                name: {"queued": kind.queued, "share": kind.share, "cost_s": kind.cost_s}
+                name: {
+                    "queued": kind.queued,
+                    "share": round(kind.share, 3),
+                    "cost_s": round(kind.cost_s, 3),
+                }
                 for name, kind in self._kind_by_name.items()
             },
             "flows": {
--- a/src/eelgrassyard/policy/_placement.py
+++ b/src/eelgrassyard/policy/_placement.py
@@ -233,8 +233,8 @@
         return {
             "workers": {
                 name: {
-                    "cores": room.cores,
-                    "memory_mb": room.memory_mb,
+                    "cores": round(room.cores, 3),
+                    "memory_mb": round(room.memory_mb),
                     "accelerators": room.accelerators,
                 }
                 for name, room in self._room_by_name.items()
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -331,11 +331,15 @@
 
     def dump(self) -> dict[str, object]:
         """The pool as JSON values."""
-        return {
+        page: dict[str, object] = {
             "queued": len(self.granting.queue),
+            "queue": self.granting.queue.dump(),
             "parked": len(self.granting.parked),
             "grants": len(self.granting.grants),
             "mine": self._mine,
             "work_s": self.table.speeds.work.as_dict(),
             "upstreams": self.table.dump(),
         }
+        if self.placement is not None:
+            page["placement"] = self.placement.dump()
+        return page
--- a/src/eelgrassyard/policy/_usage.py
+++ b/src/eelgrassyard/policy/_usage.py
@@ -92,7 +92,7 @@
     def dump(self) -> dict[str, object]:
         """Factors by kind."""
         return {
-            kind: {"cores": found.cores.value, "memory": found.memory.value}
+            kind: {"cores": round(found.cores.value, 3), "memory": round(found.memory.value, 3)}
             for kind, found in self._factors_by_kind.items()
         }
 
--- a/tests/test_worker_scheduling.py
+++ b/tests/test_worker_scheduling.py
@@ -1,5 +1,8 @@
 """Places on guarded workers: lost owners, gangs, waits and state, through the scheduler."""
 
+import dataclasses
+import json
+
 import pytest
 from bench.pool_site import POOL, FixedMembership
 
@@ -116,3 +119,33 @@
     site.wait(0.2)
     after = site.pool.granting.queue.expected_wait(site.now, ("caller", KIND))
     assert 0.0 < before < after
+
+
+SCREEN = 80 * 50
+"""Characters on one screen of a terminal."""
+
+
+def test_state_shows_the_queue_and_the_room_of_workers():
+    """Guards against a state page that does not tell why a job waits, or fills many screens."""
+    site = LossySite(config=make_workers_config(workers=6))
+    third = tuple(TaskSize(index=i, cores=1 / 3) for i in range(7))
+    site.tell(dataclasses.replace(make_ask("a", pool=WORKERS), tasks=third))
+    site.wait(REBUILD_GRACE_S * 2)
+    site.tell(make_ask("b", 60, pool=WORKERS))
+    page = site.scheduler.dump()[WORKERS]
+    used = 48 - sum(room["cores"] for room in page["placement"]["workers"].values())
+    assert used == pytest.approx(47.333, abs=0.01)
+    waiting = page["queued"]
+    assert waiting == 60 - 45
+    assert page["queue"]["flows"] == {f"caller/{KIND}": waiting}
+    assert page["queue"]["kinds"][KIND]["queued"] == waiting
+    assert len(json.dumps(page)) < SCREEN
+
+
+def test_state_of_runners_has_no_placement():
+    """Guards against a page of runners that lists rooms which they do not have."""
+    site = Site()
+    site.open()
+    page = site.scheduler.dump()[POOL]
+    assert "placement" not in page
+    assert page["queue"]["flows"] == {}
