Start gangs above their team's burst, and reserve workers for them after 5 s

Cause: the scheduler asked Quotas.allowed without gang=True, so a gang of more tasks than one second of its team's share never started. Workers were set aside after 1 s, also for gangs that would have found room by themselves. A scheduler that lost the pool kept its reservation, for ever if the gang was placed by the new scheduler.

Change: dispatch passes the gang flag, GANG_PATIENCE_S is 5 s, and dropping all asks ends the reservation.

Figures: at 6 starts a second a gang of 12 never started before; it starts at once now and the next task of the team waits for the debt of 6 starts (granted between 0.5 s and 1.5 s). The four new tests fail before and pass after; test_waiting_gang_is_not_overtaken_for_ever still passes.

Conclusion: a gang of a team whose single tasks use every token still waits until the bucket is full.

--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -99,6 +99,8 @@
         """Forget all tasks that have no place."""
         self.parked.clear()
         self._entry_by_key.clear()
+        if self.rooms is not None:
+            self.rooms.forget_asks()
         self.queue = FairQueue(config=self._context.config)
 
     def note_queued(self, entry: QueuedAsk, incarnation: int) -> None:
@@ -184,7 +186,9 @@
             if entry is None:
                 return
             ask = entry.ask
-            allowed = self._context.quotas.allowed(now, ask.team, len(entry.remaining))
+            allowed = self._context.quotas.allowed(
+                now, ask.team, len(entry.remaining), gang=ask.gang
+            )
             if allowed <= 0:
                 again = self._context.quotas.next_allowed(now, ask.team)
                 self.quota_at = min(self.quota_at, max(again, now + QUOTA_MIN_WAIT_S))
--- a/src/eelgrassyard/policy/_workers.py
+++ b/src/eelgrassyard/policy/_workers.py
@@ -13,9 +13,10 @@
 from ._placement import WorkerPlacement
 from ._preemption import BackgroundTask, Preemption, PreemptionStep
 
-GANG_PATIENCE_S = 1.0
+GANG_PATIENCE_S = 5.0
 """A gang that found no room for this long has workers set aside, so smaller work cannot keep it
-waiting for ever."""
+waiting for ever. Workers set aside run empty until the last task on them ends, so a gang that would
+soon find room anyway does not have any."""
 
 AskKey = tuple[str, str]
 """Owner and submission id."""
@@ -99,6 +100,11 @@
             self._reserved_for = None
             self.placement.cancel_reservation()
 
+    def forget_asks(self) -> None:
+        """Note that all asks are gone."""
+        if self._reserved_for is not None:
+            self.forget_ask(self._reserved_for)
+
     # What grants hold
 
     def add(self, grant: Grant) -> None:
--- a/tests/test_worker_scheduling.py
+++ b/tests/test_worker_scheduling.py
@@ -6,7 +6,8 @@
 import pytest
 from bench.pool_site import POOL, FixedMembership
 
-from eelgrassyard.policy import HeldPlace, Reason, SlotHeld, TaskSize
+from eelgrassyard.policy import HeldPlace, Reason, SlotHeld, TaskSize, TeamEntry
+from eelgrassyard.policy._pool import MAINTAIN_INTERVAL_S, MOVED_GRACE_S
 from test_scheduler import KIND, REBUILD_GRACE_S, Site, make_ask, make_workers_config
 
 WORKERS = "workers"
@@ -149,3 +150,77 @@
     page = site.scheduler.dump()[POOL]
     assert "placement" not in page
     assert page["queue"]["flows"] == {}
+
+
+def fill_with_small_tasks(site: Site) -> None:
+    site.tell(make_ask("small", 8, pool=WORKERS, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    assert len(site.grants) == 8
+
+
+def reserved(site: Site) -> list[str]:
+    return site.scheduler.dump()[WORKERS]["placement"]["reserved"]
+
+
+def test_workers_are_set_aside_for_a_gang_after_its_patience():
+    """Guards against workers that run empty for a gang which has only just come."""
+    site = LossySite(config=make_workers_config(workers=1))
+    fill_with_small_tasks(site)
+    site.tell(make_ask("gang", 4, pool=WORKERS, gang=True, caller="other", deadline_s=3600.0))
+    site.wait(4.5)
+    assert reserved(site) == []
+    site.wait(1.0)
+    assert reserved(site) == ["worker-0"]
+
+
+def test_reservation_ends_when_another_host_schedules():
+    """Guards against workers set aside for ever for a gang that another scheduler has placed."""
+    site = LossySite(config=make_workers_config(workers=1))
+    fill_with_small_tasks(site)
+    site.tell(make_ask("gang", 4, pool=WORKERS, gang=True, caller="other", deadline_s=3600.0))
+    site.wait(6.0)
+    assert reserved(site) == ["worker-0"]
+    site.membership.scheduler = "host-1"
+    site.wait(MOVED_GRACE_S + 1.0)
+    assert reserved(site) == []
+
+
+def make_quota_site(starts_per_s: float) -> LossySite:
+    config = make_workers_config(workers=2)
+    team = TeamEntry(name="team", starts_per_s=starts_per_s)
+    return LossySite(config=dataclasses.replace(config, teams_by_name={"team": team}))
+
+
+def test_gang_above_the_burst_of_its_team_starts_and_is_paid_for():
+    """Guards against a gang larger than a second's quota that never starts."""
+    share = 6.0  # The configuration lists no other hosts to divide the quota with.
+    site = make_quota_site(share)
+    site.tell(make_ask("gang", 12, pool=WORKERS, gang=True, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    assert {g[2] for g in site.grants.values()} == set(range(12))
+    site.grants.clear()
+    site.tell(make_ask("next", pool=WORKERS, deadline_s=3600.0))
+    site.wait((12 - share) / share - 0.5)
+    assert not site.grants
+    site.wait(1.0)
+    assert [g[1].submission_id for g in site.grants.values()] == ["next"]
+
+
+def test_gang_that_waits_for_quota_does_not_keep_the_scheduler_busy():
+    """Guards against a wake-up every millisecond until the bucket of the team is full."""
+    site = make_quota_site(6.0)
+    site.tell(make_ask("gang", 12, pool=WORKERS, gang=True, deadline_s=3600.0))
+    site.wait(REBUILD_GRACE_S * 2)
+    site.tell(make_ask("second", 4, pool=WORKERS, gang=True, deadline_s=3600.0))
+    ticks = 0
+    tick = site.tick
+
+    def counted(events=()):
+        nonlocal ticks
+        ticks += 1
+        return tick(events)
+
+    site.tick = counted
+    site.wait(10.0)
+    assert {g[1].submission_id for g in site.grants.values()} == {"gang", "second"}
+    assert ticks <= 2 * 10.0 / MAINTAIN_INTERVAL_S
