Resume paused tasks after short urgent work and while larger work waits

Cause: the scheduler already added, removed, paused and resumed background tasks, but looked for tasks to resume only on another event, and only with an empty queue or new background work. A task paused for urgent work shorter than MIN_PAUSE_S stayed paused, and a queued task that needed the whole worker kept paused the tasks that it waited for.

Change: the pool looks again at its timer while any task is paused, and resumes at the end of every dispatch, unless a task is being checkpointed, whose room is meant for another ask.

--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -90,6 +90,11 @@
         """Whether any task has no place yet."""
         return len(self.parked) > 0 or len(self.queue) > 0
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether any task is throttled or checkpointed."""
+        return self.rooms is not None and self.rooms.has_paused
+
     @property
     def has_news(self) -> bool:
         """Whether grants wait to be sent."""
@@ -178,13 +183,11 @@
     def dispatch(self, now: float) -> None:
         """Grant what the free slots, quotas and waits for faster slots allow."""
         self._try_freed(now)
-        if self.rooms is not None and not len(self.queue):
-            self.rooms.resume(now, self._table.speeds.names_with_room)
         skip: set[FlowKey] = set()
         while len(self.queue):
             entry = self.queue.select(now, skip=skip)
             if entry is None:
-                return
+                break
             ask = entry.ask
             allowed = self._context.quotas.allowed(
                 now, ask.team, len(entry.remaining), gang=ask.gang
@@ -200,6 +203,9 @@
                 if not ask.avoid:
                     return
                 skip.add(entry.flow)
+        if self.rooms is not None:
+            # Work that waits for paused tasks to end must not be what keeps them paused.
+            self.rooms.resume(now, self._table.speeds.names_with_room)
 
     def try_parked(self, now: float, tries: int) -> None:
         """Grant parked tasks for which a slot that is free now is good enough."""
--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -267,7 +267,7 @@
         self.granting.queue.set_capacity(tasks_at_once(self.table.by_name.values()))
         if self._is_ready(now):
             self.granting.try_parked(now, len(self.granting.parked))
-        self._dirty = self.granting.has_asks
+        self._dirty = self.granting.has_asks or self.granting.has_paused
 
     def _expire(self, now: float, out: list[Action]) -> None:
         refused = set()
--- a/src/eelgrassyard/policy/_workers.py
+++ b/src/eelgrassyard/policy/_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -152,9 +153,17 @@
         """Time of the next change by :meth:`advance`."""
         return self._preemption.next_wake()
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether any task is throttled or checkpointed."""
+        return self._preemption.paused > 0
+
     def resume(self, now: float, usable: Collection[str]) -> None:
-        """Resume paused tasks whose workers have room again."""
-        if self._preemption.paused:
+        """Resume paused tasks whose workers have room again.
+
+        While a task is being checkpointed, the free room counts for the ask that it makes room for.
+        """
+        if self.has_paused and self._preemption.next_wake() == math.inf:
             self._take_steps(now, self._preemption.resume(now, usable=usable))
 
     def _take_steps(self, now: float, steps: tuple[PreemptionStep, ...]) -> None:
--- a/tests/test_worker_scheduling.py
+++ b/tests/test_worker_scheduling.py
@@ -4,11 +4,31 @@
 import json
 
 import pytest
-from bench.pool_site import POOL, FixedMembership
-
-from eelgrassyard.policy import HeldPlace, Reason, SlotHeld, TaskSize, TeamEntry
+from bench.pool_site import DOMAINS, POOL, FixedMembership
+from bench.virtual import EPOCH, VirtualSite
+
+from eelgrassyard.policy import (
+    CallerEntry,
+    ControlTask,
+    HeldPlace,
+    HostEntry,
+    KindEntry,
+    OutcomeKind,
+    Reason,
+    RenewLeases,
+    SlotHeld,
+    SlotRelease,
+    StartResult,
+    SubmissionBody,
+    TaskControl,
+    TaskSize,
+    TaskSpec,
+    TeamEntry,
+    Urgency,
+)
 from eelgrassyard.policy._pool import MAINTAIN_INTERVAL_S, MOVED_GRACE_S
-from test_scheduler import KIND, REBUILD_GRACE_S, Site, make_ask, make_workers_config
+from eelgrassyard.policy._preemption import MIN_PAUSE_S
+from test_scheduler import HOSTS, KIND, REBUILD_GRACE_S, Site, make_ask, make_workers_config
 
 WORKERS = "workers"
 
@@ -224,3 +244,124 @@
     site.wait(10.0)
     assert {g[1].submission_id for g in site.grants.values()} == {"gang", "second"}
     assert ticks <= 2 * 10.0 / MAINTAIN_INTERVAL_S
+
+
+def throttle_for_urgent_task(site: Site) -> set[tuple[str, int]]:
+    """Fill the worker with background tasks and let an urgent one in; returns the paused tasks."""
+    back = make_ask("back", 8, pool=WORKERS, urgency=Urgency.BACKGROUND, deadline_s=3600.0)
+    site.tell(back, sender="host-2")
+    site.wait(REBUILD_GRACE_S * 2)
+    sent = site.tell(make_ask("urgent", pool=WORKERS, urgency=Urgency.URGENT))
+    return {(m.submission_id, m.index) for m in sent if isinstance(m, TaskControl)}
+
+
+def release_urgent(site: Site) -> None:
+    number = next(n for n, g in site.grants.items() if g[1].submission_id == "urgent")
+    _, release = site.release(number)
+    site.tell(SlotRelease(pool=WORKERS, releases=release.releases))
+
+
+def resumed(site: Site) -> set[tuple[str, int]]:
+    controls = [s.message for s in site.sent if isinstance(s.message, TaskControl)]
+    return {(m.submission_id, m.index) for m in controls if m.control == "resume"}
+
+
+def test_paused_task_resumes_without_any_other_event():
+    """Guards against tasks that stay paused after an urgent task shorter than the least pause."""
+    site = LossySite(config=make_workers_config(workers=1))
+    paused = throttle_for_urgent_task(site)
+    assert paused
+    site.wait(0.3)
+    release_urgent(site)
+    site.wait(2.0 * MIN_PAUSE_S)
+    assert resumed(site) == paused
+
+
+def test_large_task_that_waits_does_not_keep_tasks_paused():
+    """Guards against a task that waits for the whole worker and paused tasks that wait for it."""
+    site = LossySite(config=make_workers_config(workers=1))
+    paused = throttle_for_urgent_task(site)
+    assert paused
+    large = (TaskSize(index=0, cores=8.0),)
+    site.tell(dataclasses.replace(make_ask("large", pool=WORKERS), tasks=large))
+    site.wait(2.0 * MIN_PAUSE_S)
+    release_urgent(site)
+    site.wait(1.0)
+    assert resumed(site) == paused
+
+
+class PausingSite(VirtualSite):
+    """A virtual site whose workers give up cores while a task is paused."""
+
+    def __init__(self, **fields) -> None:
+        super().__init__(**fields)
+        self.controls: list[tuple[float, str]] = []
+        self._given_up: dict[tuple[str, int], float] = {}
+
+    def _stop_task(self, host, action: ControlTask) -> None:
+        self.controls.append((self.now, action.control))
+        upstream = self.upstream_by_name[action.upstream]
+        key = (host.entry.name, action.start)
+        upstream.used += self._given_up.pop(key, 0.0)
+        if action.control != "resume":
+            part = 0.9 if action.control == "throttle" else 1.0
+            held = upstream.running_by_start[host.entry.name, host.generation, action.start]
+            self._given_up[key] = part * held
+            upstream.used -= part * held
+
+
+@pytest.mark.parametrize(("memory_mb", "control"), [(256, "throttle"), (1024, "checkpoint")])
+def test_cores_pause_background_tasks_under_their_lease(memory_mb, control):
+    """Guards against a paused task whose lease lapses, that is reported lost, or starts twice."""
+    config = dataclasses.replace(
+        make_workers_config(workers=1),
+        failure_domains=DOMAINS[:1],
+        hosts_by_name={
+            name: HostEntry(name=name, address="127.0.0.1", port=port, failure_domain=DOMAINS[0])
+            for port, name in enumerate(HOSTS, start=1)
+        },
+        kinds_by_name={
+            "back": KindEntry(name="back", longest_s=100.0),
+            "quick": KindEntry(name="quick"),
+        },
+        callers_by_name={"caller": CallerEntry(name="caller", team="team")},
+    )
+    run_s = {"back": 60.0, "quick": 30.0}
+    site = PausingSite(
+        config=config, seed=5, run_time=lambda action, _: (run_s[action.kind], StartResult.OK)
+    )
+    outcomes = {}
+
+    def submit(host: str, kind: str, tasks: int, urgency: Urgency) -> None:
+        spec = TaskSpec(payload=b"1", cores=8.0 / 4, memory_mb=memory_mb)
+        body = SubmissionBody(kind=kind, tasks=(spec,) * tasks, urgency=urgency, deadline_s=200.0)
+
+        def keep(_: str, reply) -> None:
+            if getattr(reply, "outcome", None) is not None:
+                outcomes[kind] = (site.now, reply.outcome.kind)
+
+        site.submit(host, "caller", body, keep, wait_s=300.0)
+
+    site.start_all()
+    site.run_until(EPOCH + 3.0)
+    submit(HOSTS[0], "back", 4, Urgency.BACKGROUND)
+    site.run_until(EPOCH + 10.0)
+    submit(HOSTS[1], "quick", 1, Urgency.URGENT)
+    site.run_until(EPOCH + 120.0)
+    assert {c for _, c in site.controls} == {control, "resume"}
+    paused_at = min(t for t, _ in site.controls)
+    resumed_at = max(t for t, _ in site.controls)
+    assert resumed_at - paused_at > 2 * config.limits.lease_s
+    assert outcomes["quick"][0] < EPOCH + 10.0 + run_s["quick"] + 2.0
+    assert {kind: outcome for kind, (_, outcome) in outcomes.items()} == {
+        "back": OutcomeKind.COMPLETE,
+        "quick": OutcomeKind.COMPLETE,
+    }
+    assert set(site.starts_by_task.values()) == {1}
+    renewals = [
+        (when, action.tasks)
+        for when, _, action in site.other_actions
+        if isinstance(action, RenewLeases) and paused_at < when < resumed_at
+    ]
+    whole = [when for when, tasks in renewals if len(tasks) == 4]
+    assert len(whole) >= (resumed_at - paused_at) / config.limits.lease_s
