--- a/src/eelgrassyard/policy/_granting.py
+++ b/src/eelgrassyard/policy/_granting.py
@@ -90,6 +90,11 @@
         """Whether any task has no place yet."""
         return len(self.parked) > 0 or len(self.queue) > 0
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether any task is throttled or checkpointed."""
+        return self.rooms is not None and self.rooms.has_paused
+
     @property
     def has_news(self) -> bool:
         """Whether grants wait to be sent."""
@@ -99,6 +104,8 @@
         """Forget all tasks that have no place."""
         self.parked.clear()
         self._entry_by_key.clear()
+        if self.rooms is not None:
+            self.rooms.forget_asks()
         self.queue = FairQueue(config=self._context.config)
 
     def note_queued(self, entry: QueuedAsk, incarnation: int) -> None:
@@ -176,15 +183,15 @@
     def dispatch(self, now: float) -> None:
         """Grant what the free slots, quotas and waits for faster slots allow."""
         self._try_freed(now)
-        if self.rooms is not None and not len(self.queue):
-            self.rooms.resume(now, self._table.speeds.names_with_room)
         skip: set[FlowKey] = set()
         while len(self.queue):
             entry = self.queue.select(now, skip=skip)
             if entry is None:
-                return
+                break
             ask = entry.ask
-            allowed = self._context.quotas.allowed(now, ask.team, len(entry.remaining))
+            allowed = self._context.quotas.allowed(
+                now, ask.team, len(entry.remaining), gang=ask.gang
+            )
             if allowed <= 0:
                 again = self._context.quotas.next_allowed(now, ask.team)
                 self.quota_at = min(self.quota_at, max(again, now + QUOTA_MIN_WAIT_S))
@@ -196,6 +203,9 @@
                 if not ask.avoid:
                     return
                 skip.add(entry.flow)
+        if self.rooms is not None:
+            # Work that waits for paused tasks to end must not be what keeps them paused.
+            self.rooms.resume(now, self._table.speeds.names_with_room)
 
     def try_parked(self, now: float, tries: int) -> None:
         """Grant parked tasks for which a slot that is free now is good enough."""
@@ -325,9 +335,12 @@
         self._announce(grant)
         return True
 
-    def take_back(self, grant: Grant) -> None:
-        """Free the place of a grant that was not released."""
-        self.grants.remove(grant.number)
+    def take_back(self, grant: Grant, *, remember: bool = True) -> None:
+        """Free the place of a grant that was not released.
+
+        :param remember: ignore later reports that the place is in use.
+        """
+        self.grants.remove(grant.number, remember=remember)
         self._table.give_back(grant)
         self._give_room_back(grant)
 
--- a/src/eelgrassyard/policy/_workers.py
+++ b/src/eelgrassyard/policy/_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 
@@ -13,9 +14,10 @@
 from ._placement import WorkerPlacement
 from ._preemption import BackgroundTask, Preemption, PreemptionStep
 
-GANG_PATIENCE_S = 1.0
+GANG_PATIENCE_S = 5.0
 """A gang that found no room for this long has workers set aside, so smaller work cannot keep it
-waiting for ever."""
+waiting for ever. Workers set aside run empty until the last task on them ends, so a gang that would
+soon find room anyway does not have any."""
 
 AskKey = tuple[str, str]
 """Owner and submission id."""
@@ -99,6 +101,11 @@
             self._reserved_for = None
             self.placement.cancel_reservation()
 
+    def forget_asks(self) -> None:
+        """Note that all asks are gone."""
+        if self._reserved_for is not None:
+            self.forget_ask(self._reserved_for)
+
     # What grants hold
 
     def add(self, grant: Grant) -> None:
@@ -146,9 +153,17 @@
         """Time of the next change by :meth:`advance`."""
         return self._preemption.next_wake()
 
+    @property
+    def has_paused(self) -> bool:
+        """Whether any task is throttled or checkpointed."""
+        return self._preemption.paused > 0
+
     def resume(self, now: float, usable: Collection[str]) -> None:
-        """Resume paused tasks whose workers have room again."""
-        if self._preemption.paused:
+        """Resume paused tasks whose workers have room again.
+
+        While a task is being checkpointed, the free room counts for the ask that it makes room for.
+        """
+        if self.has_paused and self._preemption.next_wake() == math.inf:
             self._take_steps(now, self._preemption.resume(now, usable=usable))
 
     def _take_steps(self, now: float, steps: tuple[PreemptionStep, ...]) -> None:
