--- a/src/eelgrassyard/policy/_pool.py
+++ b/src/eelgrassyard/policy/_pool.py
@@ -5,8 +5,9 @@
 import math
 from collections import OrderedDict
 
+from ._absence import AbsentOwners
 from ._actions import Action, Count, Send, StateChanged
-from ._config import Urgency
+from ._config import Limits, Urgency
 from ._fairqueue import QueuedAsk
 from ._granting import LIFETIME_MARGIN_S, Granting, PoolContext
 from ._grants import Grant
@@ -14,6 +15,7 @@
 from ._outcomes import Reason
 from ._placement import WorkerPlacement
 from ._pools import PoolScope
+from ._upstream import tasks_at_once
 from ._upstreams import UpstreamTable
 
 MAINTAIN_INTERVAL_S = 0.1
@@ -59,6 +61,7 @@
         )
         self.has_news = False
         self._context = context
+        self._absent = AbsentOwners(membership=context.membership)
         self._new_asks: list[tuple[str, int, SlotAsk]] = []
         self._seen: OrderedDict[tuple[str, str], int] = OrderedDict()
         self._reported: set[str] = set()
@@ -261,9 +264,10 @@
         self._expire(now, out)
         self._free_lost_grants(now, out)
         self._follow_scheduler(now)
+        self.granting.queue.set_capacity(tasks_at_once(self.table.by_name.values()))
         if self._is_ready(now):
             self.granting.try_parked(now, len(self.granting.parked))
-        self._dirty = self.granting.has_asks
+        self._dirty = self.granting.has_asks or self.granting.has_paused
 
     def _expire(self, now: float, out: list[Action]) -> None:
         refused = set()
@@ -280,22 +284,32 @@
         membership = self._context.membership
         grants = self.granting.grants
         newest = {owner: membership.incarnation_of(owner) for owner in grants.owners()}
+        self._absent.refresh(now, {(grant.owner, grant.incarnation) for grant in grants})
+        lost = self._absent.longer_than(now, self._lease_s())
         for grant in list(grants):
             restarted = (newest[grant.owner] or 0) > grant.incarnation
             if restarted or membership.is_dead(grant.owner, grant.incarnation):
                 grant.expires_at = min(grant.expires_at, self._ends_at(grant))
                 grant.paused_at = None
-            if grant.expires_at <= now and grant.paused_at is None:
+            if (grant.owner, grant.incarnation) in lost:
+                # The owner may come back with the start and report it in SlotHeld.
+                self.granting.take_back(grant, remember=False)
+                out.append(Count(metric="scheduler.grants_taken_back"))
+            elif grant.expires_at <= now and grant.paused_at is None:
                 self.granting.take_back(grant)
                 out.append(Count(metric="scheduler.grants_taken_back"))
 
     def _ends_at(self, grant: Grant) -> float:
         """Time by which a start whose owner died has probably ended at the upstream."""
-        current = self._context.config.current
-        if self.placement is not None and current is not None:
-            return grant.granted_at + current.limits.lease_s
+        if self.placement is not None:
+            return grant.granted_at + self._lease_s()
         return grant.granted_at + 2.0 * grant.expected_s
 
+    def _lease_s(self) -> float:
+        """Seconds after which a worker stops the tasks of an owner that no longer renews."""
+        current = self._context.config.current
+        return (Limits() if current is None else current.limits).lease_s
+
     def _follow_scheduler(self, now: float) -> None:
         """Drop the queue some time after another host took the pool over."""
         scheduler = self._context.membership.scheduler_for(self.name, self.scope.failure_domain)
@@ -317,11 +331,15 @@
 
     def dump(self) -> dict[str, object]:
         """The pool as JSON values."""
-        return {
+        page: dict[str, object] = {
             "queued": len(self.granting.queue),
+            "queue": self.granting.queue.dump(),
             "parked": len(self.granting.parked),
             "grants": len(self.granting.grants),
             "mine": self._mine,
             "work_s": self.table.speeds.work.as_dict(),
             "upstreams": self.table.dump(),
         }
+        if self.placement is not None:
+            page["placement"] = self.placement.dump()
+        return page
