Poll the host list by entity tag; give a busy witness more time

Change: If-None-Match towards the host list; records are sized for one host; a record is asked for every 0.4 s, and given up after two requests if the witness answers no probes, else after four.

--- a/src/eelgrassyard/config/_limits.py
+++ b/src/eelgrassyard/config/_limits.py
@@ -91,7 +91,7 @@
         "witness_records",
         _witness_records(answers, rates, lifetime_s),
         ("callers",),
-        f"{WITNESS_HEADROOM:g} times the submissions of an id's lifetime, divided over the hosts",
+        f"{WITNESS_HEADROOM:g} times the submissions of an id's lifetime, all at one host",
     )
     put("id_lifetime_s", lifetime_s, lifetime_path, "twice the longest answer_within_s, from 600 s")
     put("lease_s", priority.lease_s, matters, "from what matters most")
@@ -165,5 +165,6 @@
 
 def _witness_records(answers: Answers, rates: Rates, lifetime_s: float) -> int:
     kept = rates.submissions_per_s * (lifetime_s + CLOCK_SKEW_S)
-    records = math.ceil(WITNESS_HEADROOM * kept / len(answers.hosts))
+    # One host is the witness of all ids that name the kinds of the pool that it schedules.
+    records = math.ceil(WITNESS_HEADROOM * kept)
     return min(max(records, LEAST_WITNESS_RECORDS), MOST_WITNESS_RECORDS)
--- a/src/eelgrassyard/daemon/_platform.py
+++ b/src/eelgrassyard/daemon/_platform.py
@@ -61,14 +61,18 @@
         self._metrics = metrics
         self._backoff = backoff
 
-    async def get(self, path: str, timeout_s: float) -> HttpReply | None:
-        """Call the service; None if there is no answer. 404 and 204 are answers."""
+    async def get(self, path: str, timeout_s: float, *, etag: str = "") -> HttpReply | None:
+        """Call the service; None if there is no answer. 204, 304 and 404 are answers.
+
+        :param etag: entity tag of the answer that is known; an unchanged one is then 304.
+        """
         self._metrics.count(f"{self._name}.calls")
         problem = "no answer in time"
         with anyio.move_on_after(timeout_s):
             try:
-                reply = await self._connections.request("GET", path)
-                if reply.status in (200, 204, 404):
+                headers = {"if-none-match": etag} if etag else None
+                reply = await self._connections.request("GET", path, headers=headers)
+                if reply.status in (200, 204, 304, 404):
                     self._note_answer()
                     return reply
                 problem = f"status {reply.status}"
@@ -172,7 +176,11 @@
 
 
 class HostListPoller:
-    """Reads the host list at an interval; the last list stays in force while there is none."""
+    """Reads the host list at an interval; the last list stays in force while there is none.
+
+    A service that sends entity tags (RFC 9110) is asked with ``If-None-Match``, because the whole
+    list once a second is more than all other control traffic of a host.
+    """
 
     def __init__(
         self,
@@ -191,12 +199,14 @@
         )
         self._rng = rng
         self._digest = 0
+        self._etag = ""
+        self._known: HostListRead | None = None
         self._passed_on_at = -REPEAT_LIST_S
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            reply = await self._client.get("/hosts", CALL_TIMEOUT_S)
+            reply = await self._client.get("/hosts", CALL_TIMEOUT_S, etag=self._etag)
             if reply is None:
                 await self._client.wait_after_failure()
                 continue
@@ -204,17 +214,29 @@
             await anyio.sleep(self._settings.poll_s * self._rng.uniform(0.9, 1.1))
 
     def _take(self, reply: HttpReply) -> None:
-        if reply.status != 200:
-            return
-        now = anyio.current_time()
+        if reply.status == 304:
+            self._pass_on(changed=False)
+        elif reply.status == 200:
+            self._read(reply)
+
+    def _read(self, reply: HttpReply) -> None:
         digest = xxhash.xxh64_intdigest(reply.body)
-        if digest == self._digest and now - self._passed_on_at < REPEAT_LIST_S:
-            return
-        listed = read_host_list(reply.body, self._metrics)
-        if listed is not None:
+        changed = digest != self._digest
+        if changed:
+            listed = read_host_list(reply.body, self._metrics)
+            if listed is None:
+                return
             self._digest = digest
+            self._known = listed
+        self._etag = reply.headers.get("etag", "")
+        self._pass_on(changed=changed)
+
+    def _pass_on(self, *, changed: bool) -> None:
+        now = anyio.current_time()
+        due = changed or now - self._passed_on_at >= REPEAT_LIST_S
+        if self._known is not None and due:
             self._passed_on_at = now
-            self._found(listed)
+            self._found(self._known)
 
 
 def read_host_list(body: bytes, metrics: Metrics) -> HostListRead | None:
--- a/src/eelgrassyard/policy/_recording.py
+++ b/src/eelgrassyard/policy/_recording.py
@@ -14,12 +14,18 @@
 from ._system import MembershipView
 from ._timers import TimerQueue
 
-RECORD_TIMEOUT_S = 0.2
-"""Many round trips to a witness; the first start of a submission waits for the record."""
+RECORD_TIMEOUT_S = 0.4
+"""Many round trips to a witness, and longer than the loop of a busy host takes for a large job."""
+
+ASKED_TIMEOUT_S = 1.0
+"""Time between looks at a submission whose ask waits in the queue of its witness."""
 
 MAX_TRIES = 4
 """Unanswered requests for a record after which the witness counts as lost."""
 
+MIN_TRIES = 2
+"""The same for a witness that does not answer probes either; one late answer proves nothing."""
+
 OnRecorded = Callable[[float, Submission, list[Action]], None]
 OnLost = Callable[[float, Submission, Reason, str, list[Action], float], None]
 
@@ -111,17 +117,15 @@
                 continue
             witness = submission.fields.witness
             assert witness is not None
-            self._membership.doubt(witness)
-            if (
-                tries >= MAX_TRIES
-                or not self._membership.is_prompt(witness)
-                or not self.is_possible(submission)
-            ):
+            prompt = self._membership.is_prompt(witness)
+            most_tries = MAX_TRIES if prompt else MIN_TRIES
+            if tries >= most_tries or not self.is_possible(submission):
                 message = "the witness did not acknowledge the record"
                 self._on_lost(now, submission, Reason.WITNESS_LOST, message, out, RETRY_SOON_S)
-            elif tries == 0 and self._is_asked(now, submission, out):
-                self._set_timer(now, submission)
+            elif tries == 0 and prompt and self._is_asked(now, submission, out):
+                self._set_timer(now, submission, ASKED_TIMEOUT_S)
             else:
+                self._membership.doubt(witness)
                 self.request(now, submission, out)
 
     def next_wake(self) -> float:
@@ -134,5 +138,7 @@
         fields = submission.fields
         return (link.scheduler, link.incarnation) == (fields.witness, fields.witness_incarnation)
 
-    def _set_timer(self, now: float, submission: Submission) -> None:
-        self._timers.add(now + RECORD_TIMEOUT_S, (submission, submission.record_tries))
+    def _set_timer(
+        self, now: float, submission: Submission, timeout_s: float = RECORD_TIMEOUT_S
+    ) -> None:
+        self._timers.add(now + timeout_s, (submission, submission.record_tries))
--- a/src/eelgrassyard/standins/_hostlist.py
+++ b/src/eelgrassyard/standins/_hostlist.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ._asgi import JsonApplication, Request, Response
+from ._work import digest
 
 
 class HostListStandIn(JsonApplication):
@@ -30,6 +31,7 @@
         self._entry_by_name = {str(host["name"]): dict(host) for host in hosts}
         self._versions = [(-lag_s, copy.deepcopy(self._entry_by_name))]
         self.down = False
+        self.lists_sent = 0
         self.route("GET", r"/hosts", self._list)
         self.route("PUT", r"/hosts/(?P<name>[^/]+)", self._put)
         self.route("DELETE", r"/hosts/(?P<name>[^/]+)", self._delete)
@@ -41,7 +43,12 @@
         visible_at = self._clock() - self._lag_s
         while len(self._versions) > 1 and self._versions[1][0] <= visible_at:
             self._versions.pop(0)
-        return Response(content={"hosts": list(self._versions[0][1].values())})
+        content = {"hosts": list(self._versions[0][1].values())}
+        etag = f'"{digest(content)}"'
+        if request.headers.get("if-none-match") == etag:
+            return Response(status=304, headers={"ETag": etag})
+        self.lists_sent += 1
+        return Response(content=content, headers={"ETag": etag})
 
     async def _put(self, request: Request) -> Response:
         name = request.groups["name"]
