Share the command line of measurement programs, host identities and the demo's apply

Cause: the same tail stood in three programs, the same identity in two places, the same call in two. Change: bench/report.py, bench.virtual.identity_of, DemoSite.apply.

--- a/bench/bench_floods.py
+++ b/bench/bench_floods.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import pathlib
 import random
@@ -15,6 +14,7 @@
 from bench.flood_loop import DEADLINE_S, KINDS, Job, Loop, Outcome, flood_jobs, quiet_jobs
 from bench.flood_sites import measure_costs, run_whole_cores
 from bench.queue_cost import queue_cost
+from bench.report import run_program
 from eelgrassyard.policy import RetryBudget, Urgency
 
 SEED = 20
@@ -167,18 +167,11 @@
     figure.savefig(path)
 
 
-def main() -> int:
-    """Run, print, plot."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print only the JSON line")
-    args = parser.parse_args()
-    result = measure()
-    if not args.json:
-        print_table(result)
-        plot(result, pathlib.Path("out/floods.png"))
-    print(json.dumps(result))
-    return 0
+def show(result: dict[str, object]) -> None:
+    """Print the table and write the plot."""
+    print_table(result)
+    plot(result, pathlib.Path("out/floods.png"))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_program(__doc__, measure, show))
--- a/bench/bench_placement.py
+++ b/bench/bench_placement.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import math
 import pathlib
@@ -15,6 +14,7 @@
 import sys
 import time
 
+from bench.report import run_program
 from bench.worker_loop import Job, Loop, make_jobs, make_workers
 from eelgrassyard.policy import TaskSize
 from eelgrassyard.policy._placement import WorkerPlacement
@@ -229,18 +229,11 @@
     figure.savefig(path)
 
 
-def main() -> int:
-    """Run, print, plot."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print only the JSON line")
-    args = parser.parse_args()
-    result = measure()
-    if not args.json:
-        print_table(result)
-        plot(result, pathlib.Path("out/placement.png"))
-    print(json.dumps(result))
-    return 0
+def show(result: dict[str, object]) -> None:
+    """Print the table and write the plot."""
+    print_table(result)
+    plot(result, pathlib.Path("out/placement.png"))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_program(__doc__, measure, show))
--- a/bench/bench_quotas.py
+++ b/bench/bench_quotas.py
@@ -7,18 +7,17 @@
 
 from __future__ import annotations
 
-import argparse
 import heapq
 import itertools
-import json
 import pathlib
 import random
 import sys
 from collections import defaultdict
 
+from bench.report import run_program
+from bench.virtual import identity_of
 from eelgrassyard.policy import (
     HostEntry,
-    HostIdentity,
     PeerReceived,
     QuotaDigest,
     Send,
@@ -88,14 +87,7 @@
         membership = Membership(self.site)
         self.quotas_by_host = {
             name: Quotas(
-                identity=HostIdentity(
-                    name=name,
-                    address="127.0.0.1",
-                    port=1,
-                    failure_domain=host.failure_domain,
-                    incarnation=1,
-                    id_key=b"k" * 32,
-                ),
+                identity=identity_of(host, 1),
                 config=FixedConfig(self.site),
                 membership=membership,
             )
@@ -363,21 +355,14 @@
     figure.savefig(path)
 
 
-def main() -> int:
-    """Run, print, plot."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--json", action="store_true", help="print only the JSON line")
-    args = parser.parse_args()
-    result = measure()
-    if not args.json:
-        for name, figures in result.items():
-            if isinstance(figures, dict):
-                for key, value in figures.items():
-                    print(f"{name:16} {key:28} {value:9.3f}")
-        plot(pathlib.Path("out/quotas.png"))
-    print(json.dumps(result))
-    return 0
+def show(result: dict[str, object]) -> None:
+    """Print the table and write the plot."""
+    for name, figures in result.items():
+        if isinstance(figures, dict):
+            for key, value in figures.items():
+                print(f"{name:16} {key:28} {value:9.3f}")
+    plot(pathlib.Path("out/quotas.png"))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_program(__doc__, measure, show))
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -49,6 +49,20 @@
 RunTime = Callable[[StartTask, UpstreamEntry], tuple[float, StartResult]]
 
 
+def identity_of(entry: HostEntry, incarnation: int) -> HostIdentity:
+    """Identity of a configured host in one incarnation."""
+    return HostIdentity(
+        name=entry.name,
+        address=entry.address,
+        port=entry.port,
+        failure_domain=entry.failure_domain,
+        region=entry.region,
+        weight=entry.weight,
+        incarnation=incarnation,
+        id_key=ID_KEY,
+    )
+
+
 @dataclass(kw_only=True)
 class VirtualHost:
     """A host of the virtual site; ``core`` is None while it is down."""
@@ -150,16 +164,7 @@
         host.frozen_until = 0.0
         host.backlog.clear()
         host.wake_at = float("inf")
-        identity = HostIdentity(
-            name=name,
-            address=host.entry.address,
-            port=host.entry.port,
-            failure_domain=host.entry.failure_domain,
-            region=host.entry.region,
-            weight=host.entry.weight,
-            incarnation=int(self.now * 1e6),
-            id_key=ID_KEY,
-        )
+        identity = identity_of(host.entry, int(self.now * 1e6))
         host.core = Core(identity=identity, seed=self.random.randrange(2**32))
         self.deliver(name, self.host_list())
         if with_config:
--- a/demo/faults.py
+++ b/demo/faults.py
@@ -203,13 +203,7 @@
     """Start the site, run load and faults together, wait, and check that all hosts agree."""
     site.start_standins()
     site.start_hosts()
-    applied = site.run_tool(
-        "apply",
-        str(site.document),
-        f"--store={site.store_url}",
-        f"--config_key={STORE_KEY}",
-        key=site.operator,
-    )
+    applied = site.apply()
     report.require(applied.returncode == 0, f"the first apply succeeds: {applied.stderr}")
     await wait_ready(site)
     load = Load(site=site, report=report, seed=FLAGS.seed)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -108,6 +108,16 @@
             command.append(f"--key_file={self.folder / key}.key")
         return subprocess.run(command, capture_output=True, text=True, timeout=100, check=False)
 
+    def apply(self) -> subprocess.CompletedProcess[str]:
+        """Apply the configuration through the tool, as an operator would."""
+        return self.run_tool(
+            "apply",
+            str(self.document),
+            f"--store={self.store_url}",
+            f"--config_key={STORE_KEY}",
+            key=self.operator,
+        )
+
     def stop(self) -> list[str]:
         """End every process that was started; returns the names of those that had to be killed."""
         started = [(host.name, host.process) for host in self.hosts if host.process is not None]
--- a/demo/run.py
+++ b/demo/run.py
@@ -22,7 +22,7 @@
 from eelgrassyard.standins import digest
 
 from .checks import Report, Run
-from .processes import RUNNER_SPEEDS, STORE_KEY, WORKER_SPEEDS, DemoHostProcess, DemoSite
+from .processes import RUNNER_SPEEDS, WORKER_SPEEDS, DemoHostProcess, DemoSite
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum("site", "bagmati", ["bagmati", "savannah"], "Site to run.")
@@ -225,13 +225,7 @@
     """All steps of the demo; returns the starts of each task."""
     site.start_standins()
     site.start_hosts()
-    applied = site.run_tool(
-        "apply",
-        str(site.document),
-        f"--store={site.store_url}",
-        f"--config_key={STORE_KEY}",
-        key=site.operator,
-    )
+    applied = site.apply()
     say((applied.stdout + applied.stderr).strip())
     report.require(applied.returncode == 0, "the configuration is in force on every host")
     await wait_ready(site)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,12 +6,12 @@
 import itertools
 
 import pytest
+from bench.virtual import identity_of
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from eelgrassyard.policy import (
     HostEntry,
-    HostIdentity,
     PeerReceived,
     QuotaDigest,
     Send,
@@ -76,14 +76,7 @@
         membership = FixedMembership(self.site)
         self.quota_by_host = {
             name: Quotas(
-                identity=HostIdentity(
-                    name=name,
-                    address="127.0.0.1",
-                    port=1,
-                    failure_domain=host.failure_domain,
-                    incarnation=1,
-                    id_key=b"k" * 32,
-                ),
+                identity=identity_of(host, 1),
                 config=FixedConfig(self.site),
                 membership=membership,
             )
