Refuse at the host by the scheduler's margin again; measure the capacity page anew

Cause: a margin of 1.15 at the host made the admission test fail, and the test had been changed to follow the margin, which loosened its bound. The capacity page still counted whole host lists and records spread over all hosts.

--- a/bench/capacity_formulas.py
+++ b/bench/capacity_formulas.py
@@ -49,7 +49,7 @@
 
 def record_ratio(r: Reader, s: SiteSize) -> float:
     """These records as a part of what the generated configuration lets a host keep."""
-    allowed = WITNESS_HEADROOM * s.jobs_per_s * RECORD_S / s.hosts
+    allowed = WITNESS_HEADROOM * s.jobs_per_s * RECORD_S
     return record_count(s) / max(allowed, LEAST_WITNESS_RECORDS)
 
 
@@ -96,10 +96,19 @@
     return r.at("list.bytes", s.upstreams + s.hosts)
 
 
+def list_received(r: Reader, s: SiteSize) -> float:
+    """Bytes a second: the whole list after each change, else an unchanged answer each second.
+
+    A restart or replacement changes the list twice, to leaving or gone and back to live.
+    """
+    changes_per_s = 2 * s.restarts_per_day / DAY_S
+    return list_bytes(r, s) * changes_per_s + r.at("list.unchanged_bytes", s.upstreams + s.hosts)
+
+
 def list_cpu(r: Reader, s: SiteSize) -> float:
-    """Processor time to read the host list, without usage polls."""
+    """Processor time to read the host list, without usage polls; 0 if it drowns in the noise."""
     grown = r.at("idle.upstreams", MANY) - r.at("idle.upstreams", FEW)
-    return grown / (MANY - FEW) * (s.upstreams + s.hosts)
+    return max(0.0, grown / (MANY - FEW) * (s.upstreams + s.hosts))
 
 
 def poll_cpu(r: Reader, s: SiteSize) -> float:
--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -48,16 +48,16 @@
     """Resident memory by what has been loaded, and its growth with named upstreams."""
     bare = _memory_after("")
     imports = _memory_after("import eelgrassyard.daemon._main; ")
-    memory, cpu, document, listed = [], [], [], []
+    memory, cpu, document, listed, unchanged = [], [], [], [], []
     for count in PADDED:
         named = padding(count)
         with running_site(hosts=1, runners=1, workers=1, padding=named) as site:
             time.sleep(SETTLE_S)
             cpu.append((count, _cpu_ms_per_s(site.hosts)))
             memory.append((count, site.hosts[0].memory_mb()))
-            listed.append(
-                (count, len(httpx.get(site.list_url + "/hosts", trust_env=False).content))
-            )
+            full, same = _host_list_bytes(site.list_url + "/hosts")
+            listed.append((count, full))
+            unchanged.append((count, same))
             document.append((len(render_document(site.config, author="bench")), memory[-1][1]))
     return [
         series("memory", "memory.bare", "MB", [(0, bare)]),
@@ -66,9 +66,20 @@
         series("memory", "memory.document", "MB", document, "bytes of the document"),
         series("memory", "idle.upstreams", "ms/s", cpu, "upstreams"),
         series("memory", "list.bytes", "B", listed, "upstreams"),
+        series("memory", "list.unchanged_bytes", "B", unchanged, "upstreams"),
     ]
 
 
+def _host_list_bytes(url: str) -> tuple[int, int]:
+    """Bytes of the host list, and of the whole answer to a conditional poll of the same list."""
+    full = httpx.get(url, trust_env=False)
+    same = httpx.get(url, headers={"if-none-match": full.headers["etag"]}, trust_env=False)
+    if same.status_code != httpx.codes.NOT_MODIFIED:
+        raise RuntimeError(f"the host list answered a conditional poll with {same.status_code}")
+    head = sum(len(name) + len(value) + 4 for name, value in same.headers.raw)
+    return len(full.content), len("HTTP/1.1 304 \r\n\r\n") + head
+
+
 def _memory_after(statements: str) -> float:
     """Resident memory in MB of an interpreter after some statements."""
     command = [sys.executable, "-c", statements + READ_OWN_MEMORY]
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -11,6 +11,7 @@
     idle_cpu,
     list_bytes,
     list_cpu,
+    list_received,
     owner_ms,
     parse_cpu,
     poll_cpu,
@@ -230,7 +231,7 @@
     Row(
         what="host list: received",
         unit="B/s and host",
-        formula=list_bytes,
+        formula=list_received,
     ),
     Row(
         what="host list: processor time",
@@ -270,7 +271,7 @@
         formula=scheduler_bytes,
         bound=5_000,
     ),
-    Row(what="host list received", unit="B/s", formula=list_bytes, bound=5_000),
+    Row(what="host list received", unit="B/s", formula=list_received, bound=5_000),
     Row(what="store reads and watches", unit="a second", formula=watches_per_s, bound=2_000),
     Row(
         what="store writes",
--- a/src/eelgrassyard/policy/_admission.py
+++ b/src/eelgrassyard/policy/_admission.py
@@ -7,14 +7,10 @@
 from dataclasses import dataclass, field
 
 from ._config import Urgency
-from ._fairqueue import FlowKey, QueueRefusal
+from ._fairqueue import WAIT_MARGIN, FlowKey, QueueRefusal
 from ._outcomes import Reason, SubmissionBody
 from ._system import ConfigView
 
-WAIT_MARGIN_HERE = 1.15
-"""Factor on expected waits; above that of the scheduler, so that work at the limit is refused here
-rather than after a round trip."""
-
 MIN_RETRY_S = 0.1
 
 REFUSAL_HOLD_S = 0.25
@@ -140,7 +136,7 @@
             return _refusal(Reason.FLOW_LIMIT, message, wait_s)
         if news is None:
             return None
-        over_s = wait_s - deadline_s / WAIT_MARGIN_HERE
+        over_s = wait_s - deadline_s / WAIT_MARGIN
         if over_s > 0.0:
             message = f"the expected wait is {wait_s:.1f} s, the deadline {deadline_s:.1f} s"
             return _refusal(Reason.DEADLINE, message, news.book(now, over_s, tasks))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,12 +9,7 @@
 from hypothesis import strategies as st
 
 from eelgrassyard.policy import Limits, Reason, SiteConfig, SubmissionBody, TaskSpec, Urgency
-from eelgrassyard.policy._admission import (
-    REFUSAL_HOLD_S,
-    WAIT_MARGIN_HERE,
-    Admission,
-    RetryBudget,
-)
+from eelgrassyard.policy._admission import REFUSAL_HOLD_S, Admission, RetryBudget
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=60)
 FLOW = ("c", "k")
@@ -46,7 +41,7 @@
     refusal = admission.check(1.0, "c", make_body())
     assert refusal.reason is Reason.DEADLINE
     assert 3.0 <= refusal.retry_after_s <= 13.0
-    assert admission.check(14.1 - 10.0 / WAIT_MARGIN_HERE, "c", make_body()) is None
+    assert admission.check(5.0, "c", make_body()) is None
     assert admission.check(1.0, "c", make_body(deadline_s=20.0)) is None
 
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 from collections import defaultdict
 
@@ -52,7 +51,7 @@
     "stamp": KindEntry(name="stamp", service="stamper", longest_s=0.5),
     "rule": KindEntry(name="rule", longest_s=0.5),
 }
-EXAMPLES = int(os.environ.get("EX", "45"))
+EXAMPLES = 100
 DEADLINE_S = 3.0
 LEASE_S = 4.0
 DEFINITE = {OutcomeKind.COMPLETE, OutcomeKind.FAILED, OutcomeKind.NOT_RUN}
@@ -477,7 +476,7 @@
 AtMostOnce.TestCase.settings = settings(
     derandomize=True,
     deadline=None,
-    max_examples=int(__import__("os").environ.get("EX", "100")),
+    max_examples=EXAMPLES,
     stateful_step_count=40,
 )
 TestAtMostOnce = AtMostOnce.TestCase
