Keep the end of a start from the successor of a killed host in the virtual site

The fake took the generation of the host when a start ended, not when it was made, so a restarted core got the old process's result under a start number of its own. A real process cannot get an answer on a connection that its predecessor opened; the core was not at fault. Change: VirtualStart carries the generation; a test that fails before.

--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -90,6 +90,24 @@
         return self.entry.slots or self.entry.cores
 
 
+@dataclass(frozen=True, kw_only=True)
+class VirtualStart:
+    """A start on its way.
+
+    :param generation: generation of the host that made the start.
+    """
+
+    host: VirtualHost
+    generation: int
+    action: StartTask
+    upstream: VirtualUpstream
+    delay: float
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        return (self.host.entry.name, self.generation, self.action.start)
+
+
 class VirtualSite:
     """Drives the cores of a site in virtual time.
 
@@ -336,86 +354,75 @@
 
     def _start_task(self, host: VirtualHost, action: StartTask) -> None:
         upstream = self.upstream_by_name[action.upstream]
-        delay = self.latency(host.entry.failure_domain, upstream.entry.failure_domain)
-        cut = self.is_cut(host.entry.failure_domain, upstream.entry.failure_domain)
-        if not upstream.up or cut:
-            self._finish(host, action, StartResult.NOT_STARTED, 0.0, delay, connect_refused=True)
+        here, there = host.entry.failure_domain, upstream.entry.failure_domain
+        start = VirtualStart(
+            host=host,
+            generation=host.generation,
+            action=action,
+            upstream=upstream,
+            delay=self.latency(here, there),
+        )
+        if not upstream.up or self.is_cut(here, there):
+            self._finish(start, StartResult.NOT_STARTED, 0.0, connect_refused=True)
             return
-        self.after(delay, lambda: self._arrive(host, action, upstream, delay))
+        self.after(start.delay, lambda: self._arrive(start))
 
-    def _arrive(
-        self, host: VirtualHost, action: StartTask, upstream: VirtualUpstream, delay: float
-    ) -> None:
+    def _arrive(self, start: VirtualStart) -> None:
+        action, upstream = start.action, start.upstream
         need = 1.0 if upstream.entry.slots else action.cores
         if upstream.leaving or upstream.used + need > upstream.capacity + 1e-9:
-            self._finish(host, action, StartResult.NOT_STARTED, 0.0, delay)
+            self._finish(start, StartResult.NOT_STARTED, 0.0)
             return
         self.starts_by_task[action.submission_id, action.index] += 1
         upstream.used += need
         seconds, result = self.run_time(action, upstream.entry)
-        key = (host.entry.name, host.generation, action.start)
-        upstream.running_by_start[key] = need
+        upstream.running_by_start[start.key] = need
+        self.after(seconds, lambda: self._end(start, result, seconds))
+        self.after(action.timeout_s, lambda: self._end(start, StartResult.LOST, action.timeout_s))
 
-        def end() -> None:
-            if upstream.running_by_start.pop(key, None) is None:
-                return
-            upstream.used -= need
-            self._finish(host, action, result, seconds, delay)
-
-        self.after(seconds, end)
-        self.after(action.timeout_s, lambda: self._time_out(host, action, upstream, key))
-
-    def _time_out(
-        self,
-        host: VirtualHost,
-        action: StartTask,
-        upstream: VirtualUpstream,
-        key: tuple[str, int, int],
-    ) -> None:
-        need = upstream.running_by_start.pop(key, None)
+    def _end(self, start: VirtualStart, result: StartResult, seconds: float) -> None:
+        need = start.upstream.running_by_start.pop(start.key, None)
         if need is not None:
-            upstream.used -= need
-            self._finish(host, action, StartResult.LOST, action.timeout_s, 0.0)
+            start.upstream.used -= need
+            self._finish(start, result, seconds)
 
     def _stop_task(self, host: VirtualHost, action: ControlTask) -> None:
         if action.control != "stop":
             self.other_actions.append((self.now, host.entry.name, action))
             return
         upstream = self.upstream_by_name[action.upstream]
-        key = (host.entry.name, host.generation, action.start)
-        need = upstream.running_by_start.pop(key, None)
+        generation = host.generation
+        need = upstream.running_by_start.pop((host.entry.name, generation, action.start), None)
         if need is None:
             return
         upstream.used -= need
         event = StartFinished(
             start=action.start, upstream=action.upstream, result=StartResult.STOPPED, run_s=0.0
         )
-        self.after(0.0005, lambda: self.deliver(host.entry.name, event))
+        self.after(0.0005, lambda: self._report(host, generation, event))
 
     def _finish(
         self,
-        host: VirtualHost,
-        action: StartTask,
+        start: VirtualStart,
         result: StartResult,
         seconds: float,
-        delay: float,
         *,
         connect_refused: bool = False,
     ) -> None:
-        upstream = self.upstream_by_name[action.upstream]
+        action = start.action
         event = StartFinished(
             start=action.start,
             upstream=action.upstream,
             result=result,
             run_s=seconds,
             payload=b'"%s/%d"' % (action.submission_id.encode(), action.index),
-            leaving=upstream.leaving,
+            leaving=start.upstream.leaving,
             refused_by_connect=connect_refused,
         )
-        generation = host.generation
-
-        def arrive() -> None:
-            if host.generation == generation:
-                self.deliver(host.entry.name, event)
+        delay = 0.0 if result is StartResult.LOST else start.delay
+        self.after(delay, lambda: self._report(start.host, start.generation, event))
 
-        self.after(delay, arrive)
+    def _report(self, host: VirtualHost, generation: int, event: StartFinished) -> None:
+        """Deliver the end of a start to the process that made it, not to its successor."""
+        if host.generation == generation:
+            self.deliver(host.entry.name, event)
--- /dev/null
+++ b/tests/test_virtual.py
@@ -0,0 +1,65 @@
+"""The virtual-time driver that tests and measurements share."""
+
+from __future__ import annotations
+
+from bench.virtual import VirtualSite, VirtualStart
+
+from eelgrassyard.policy import (
+    Fence,
+    HostEntry,
+    SiteConfig,
+    StartResult,
+    StartTask,
+    UpstreamEntry,
+    UpstreamRole,
+)
+
+
+def test_the_end_of_a_start_does_not_reach_the_successor_of_a_killed_host():
+    """Guards against a fake that hands results of an old process to a new one."""
+    runner = UpstreamEntry(
+        name="r", role=UpstreamRole.RUNNER, url="", failure_domain="patan", service="s", slots=1
+    )
+    config = SiteConfig(
+        site="bagmati",
+        failure_domains=("patan",),
+        hosts_by_name={
+            "patan-1": HostEntry(
+                name="patan-1", address="127.0.0.1", port=1, failure_domain="patan"
+            )
+        },
+        upstreams_by_name={"r": runner},
+    )
+    site = VirtualSite(config=config, seed=1, run_time=lambda start, upstream: (1, StartResult.OK))
+    site.start_all()
+    host = site.host_by_name["patan-1"]
+    received = []
+    site.on_event = lambda host, events: received.extend(events)
+    start = VirtualStart(
+        host=host,
+        generation=host.generation,
+        action=StartTask(
+            start=1,
+            upstream="r",
+            submission_id="id",
+            index=0,
+            kind="k",
+            payload=b"{}",
+            cores=1,
+            memory_mb=1,
+            accelerators=0,
+            lease_s=0.0,
+            timeout_s=9.0,
+            fence=Fence(owner="patan-1", incarnation=1, sequence=1),
+        ),
+        upstream=site.upstream_by_name["r"],
+        delay=0.001,
+    )
+    site._arrive(start)
+    site.run_until(site.now + 0.5)
+    site.kill("patan-1")
+    site.start("patan-1")
+    received.clear()
+    site.run_until(site.now + 2.0)
+    assert site.starts_by_task["id", 0] == 1
+    assert not [event for event in received if type(event).__name__ == "StartFinished"]
