--- a/bench/bench_at_most_once.py
+++ b/bench/bench_at_most_once.py
@@ -23,11 +23,10 @@
 
 from absl import app, flags
 
-from bench.virtual import EPOCH, Reply, VirtualSite
+from bench.virtual import EPOCH, Reply, VirtualSite, loopback_hosts
 from eelgrassyard.policy import (
     DrainCalled,
     Drained,
-    HostEntry,
     IdsCalled,
     KindEntry,
     OutcomeKind,
@@ -85,15 +84,7 @@
     return SiteConfig(
         site="bagmati",
         failure_domains=DOMAINS,
-        hosts_by_name={
-            name: HostEntry(
-                name=name,
-                address="127.0.0.1",
-                port=port,
-                failure_domain=name.partition("-")[0],
-            )
-            for port, name in enumerate(HOSTS, start=1)
-        },
+        hosts_by_name=loopback_hosts(HOSTS),
         upstreams_by_name={entry.name: entry for entry in upstreams},
         kinds_by_name={
             "stamp": KindEntry(name="stamp", service="stamper", share=0.5),
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -49,6 +49,16 @@
 RunTime = Callable[[StartTask, UpstreamEntry], tuple[float, StartResult]]
 
 
+def loopback_hosts(names: Sequence[str]) -> dict[str, HostEntry]:
+    """Entries of hosts named ``<failure domain>-<number>``, each with its own port."""
+    return {
+        name: HostEntry(
+            name=name, address="127.0.0.1", port=port, failure_domain=name.partition("-")[0]
+        )
+        for port, name in enumerate(names, start=1)
+    }
+
+
 def identity_of(entry: HostEntry, incarnation: int) -> HostIdentity:
     """Identity of a configured host in one incarnation."""
     return HostIdentity(
--- a/src/eelgrassyard/cli/_store.py
+++ b/src/eelgrassyard/cli/_store.py
@@ -44,9 +44,6 @@
     """The key has another revision than the one expected."""
 
 
-WriteResult = Result[int | Conflict, StoreError]
-
-
 class StoreClient:
     """Reads and compare-and-swap writes.
 
--- a/src/eelgrassyard/config/_answers.py
+++ b/src/eelgrassyard/config/_answers.py
@@ -12,7 +12,6 @@
 from ._model import Hex, Ip, Name, Port, Strict
 
 MattersMost = Literal["response_time", "other_work_in_flood"]
-Positive = Annotated[float, Field(gt=0)]
 Percent = Annotated[float, Field(ge=0, le=100)]
 
 
--- a/src/eelgrassyard/daemon/_loop.py
+++ b/src/eelgrassyard/daemon/_loop.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ..policy import Action, ConfigView, Event
+from ..policy import Action, Event
 from ._clock import Clock
 from ._logs import logger
 from ._metrics import Metrics
@@ -89,11 +89,3 @@
                     await self._arrived.wait()
             # Callers and peers get a turn between two ticks even if a timer is always due.
             await anyio.lowlevel.checkpoint()
-
-
-class ConfigSource(Protocol):
-    """Where the configuration in force is read from."""
-
-    @property
-    def configsync(self) -> ConfigView:
-        """The view of the configuration."""
--- a/src/eelgrassyard/policy/_upstreams.py
+++ b/src/eelgrassyard/policy/_upstreams.py
@@ -365,11 +365,6 @@
             for upstream in self.by_name.values():
                 self._check_idle(now, upstream)
 
-    @property
-    def needs_timer(self) -> bool:
-        """Whether something is due even if no start is in progress."""
-        return bool(self._out_of_use or self._blocked or self._failing)
-
     def _check_stall(self, now: float, upstream: Upstream) -> None:
         first, second = oldest_starts(upstream)
         if upstream.probe is not None and upstream.probe in upstream.starts:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 
 import pytest
-from bench.virtual import VirtualSite
+from bench.virtual import VirtualSite, loopback_hosts
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -22,7 +22,6 @@
     CancelCalled,
     DrainCalled,
     Drained,
-    HostEntry,
     IdsCalled,
     KindEntry,
     Limits,
@@ -75,15 +74,7 @@
     return SiteConfig(
         site="bagmati",
         failure_domains=DOMAINS,
-        hosts_by_name={
-            name: HostEntry(
-                name=name,
-                address="127.0.0.1",
-                port=port,
-                failure_domain=name.partition("-")[0],
-            )
-            for port, name in enumerate(HOSTS, start=1)
-        },
+        hosts_by_name=loopback_hosts(HOSTS),
         upstreams_by_name={entry.name: entry for entry in upstreams},
         kinds_by_name=KINDS,
         limits=Limits(lease_s=LEASE_S),
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from bench.virtual import VirtualSite, VirtualStart
+from bench.virtual import VirtualSite, VirtualStart, loopback_hosts
 
 from eelgrassyard.policy import (
     Fence,
-    HostEntry,
     SiteConfig,
     StartResult,
     StartTask,
@@ -23,11 +22,7 @@
     config = SiteConfig(
         site="bagmati",
         failure_domains=("patan",),
-        hosts_by_name={
-            "patan-1": HostEntry(
-                name="patan-1", address="127.0.0.1", port=1, failure_domain="patan"
-            )
-        },
+        hosts_by_name=loopback_hosts(["patan-1"]),
         upstreams_by_name={"r": runner},
     )
     site = VirtualSite(config=config, seed=1, run_time=lambda start, upstream: (1, StartResult.OK))
