--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -30,9 +30,6 @@
 """Waiting tasks in a row that find no room before a round of placing ends; sizes within a service
 are alike, so the next ones would not fit either."""
 
-IDLE_SHARE = 0.5
-"""While less of the pool's cores than this is in use, tasks go to the fastest workers."""
-
 RUNS_A_ROUND = 100
 """Runs are numbered from this multiple of the job's round, so that a later leader's are higher."""
 
@@ -396,7 +393,6 @@
             now=now,
             budget_s=owner.due - now,
             avoid=task.avoid,
-            prefer_fast=self._is_idle(workers),
             racks=racks,
             count_by_worker=count_by_worker,
             far_factor=self._far_factor,
@@ -406,13 +402,6 @@
         self._start(now, task, worker)
         return True
 
-    def _is_idle(self, workers: Iterable[Worker]) -> bool:
-        total = held = 0
-        for worker in workers:
-            total += worker.record.cpu
-            held += worker.held_cpu
-        return held < IDLE_SHARE * total
-
     def _limit_ejections(self, now: float, workers: Iterable[Worker]) -> None:
         """Use ejected workers after all if they are more than half of the service."""
         ejected = [w for w in workers if now < w.ejected_until or w.on_trial]
@@ -740,7 +729,7 @@
                     job_id=task.id.job,
                     step=task.id.step,
                     index=task.id.index,
-                    run=task.run,
+                    run=task.asked_run,
                     end=end,
                 ),
             )
--- a/src/eelgrassyard/dispatch/_tasks.py
+++ b/src/eelgrassyard/dispatch/_tasks.py
@@ -31,6 +31,7 @@
     """One task of a job.
 
     :param run: number of its latest run; the next one is higher.
+    :param asked_run: number that the lender gave the run, which names it in the report.
     :param attempts: runs that ended as failed.
     :param place: worker or, if lent, failure domain of the latest run.
     :param avoid: workers that failed it or did not answer for it.
@@ -42,6 +43,7 @@
     step: Step
     phase: Phase = Phase.WAITING
     run: int = 0
+    asked_run: int = 0
     attempts: int = 0
     place: str = ""
     ordered_at: float = 0.0
@@ -143,6 +145,8 @@
     for index, run in runs:
         task_id = TaskId(job.id, step, index)
         # The first start takes the run's number as it was given.
-        owner.task_by_id[task_id] = Task(id=task_id, owner=owner, step=job.steps[step], run=run - 1)
+        owner.task_by_id[task_id] = Task(
+            id=task_id, owner=owner, step=job.steps[step], run=run - 1, asked_run=run
+        )
     owner.left_by_step = [len(runs)]
     return owner
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -18,6 +18,9 @@
 """An ejected worker gets a single task after this time, doubled after each relapse up to the
 maximum. Sites report sick workers for 4 to 8 s at a time."""
 
+SAFETY = 1.1
+"""Factor on the expected run time when a worker is chosen; learned speeds are a few percent off."""
+
 SILENT_RETRY_S = 0.5
 """Pause between looks at a worker that does not answer; each attempt may open a connection."""
 
@@ -164,7 +167,6 @@
     now: float,
     budget_s: float,
     avoid: frozenset[str] | set[str],
-    prefer_fast: bool,
     racks: set[str],
     count_by_worker: dict[str, int] | None,
     far_factor: float,
@@ -172,8 +174,7 @@
     """The worker for one task of a step, or None if none has room.
 
     Among the workers expected to end the task within the budget, the slowest is taken, so that fast
-    ones stay free for long tasks; ``prefer_fast`` turns that round while the pool is mostly idle.
-    If none would make it, the one expected to end first is taken.
+    ones stay free for long tasks. If none would make it, the one expected to end first is taken.
 
     :param budget_s: seconds left for the run.
     :param racks: racks that the step's tasks already run on, for steps that want a single rack.
@@ -195,10 +196,10 @@
             step.same_rack and racks and record.rack not in racks
         ):
             run_s *= far_factor
-        in_time = run_s <= budget_s
+        in_time = run_s * SAFETY <= budget_s
         # Equal workers are filled one after the other, so that large holes stay whole.
         spare = record.cpu - worker.held_cpu
-        key = (0 if in_time else 1, run_s if prefer_fast or not in_time else -run_s, spare)
+        key = (0 if in_time else 1, -run_s if in_time else run_s, spare)
         if best_key is None or key < best_key:
             best, best_key = worker, key
     return best
