Hand jobs over with their progress; begin a job only where it can be in time

Change: the wait after a handover counts from the submission; a resigning leader says which tasks are done, unsettled or idle; no lead before the hosts of the system are known; untouched jobs wait for a worker in time.

--- a/src/eelgrassyard/dispatch/_entry.py
+++ b/src/eelgrassyard/dispatch/_entry.py
@@ -6,7 +6,7 @@
 
 from ._actions import Note
 from ._jobs import LATE_FACTOR, Job, Outcome
-from ._messages import Cancel, JobEnded, Submit
+from ._messages import Cancel, JobEnded, JobReturned, Progress, Submit
 
 NO_LEADER_SHARE = 0.25
 """A job that no leader has seen is refused after this share of its objective: later refusals are
@@ -46,6 +46,7 @@
     :param tickets: requests that wait for the answer.
     :param sent_epoch: epoch of the leader that has it, or 0.
     :param round: number of leaders or sessions that it was handed to.
+    :param progress: what the last leader said of it when it resigned.
     """
 
     job: Job
@@ -54,6 +55,7 @@
     tickets: list[int] = field(default_factory=list)
     sent_epoch: int = 0
     round: int = 0
+    progress: Progress | None = None
     leaderless_since: float = 0.0
 
 
@@ -89,8 +91,10 @@
             waited_s=now - known.arrived_at,
             caller_waits_s=known.caller_until - now,
             round=known.round,
+            progress=known.progress,
         )
         known.round += 1
+        known.progress = None
         self.actions.append(SendLeader(message=submit))
 
     def caller_left(self, now: float, ticket: int) -> None:
@@ -118,8 +122,9 @@
             return
         self._epoch = epoch
         for known in list(self.job_by_id.values()):
-            known.sent_epoch = 0
-            known.leaderless_since = now
+            if known.sent_epoch:
+                known.sent_epoch = 0
+                known.leaderless_since = now
             if epoch and now < known.caller_until:
                 self._send(now, known)
 
@@ -129,6 +134,19 @@
         if known is not None:
             self._answer(known, message.outcome, message.reason, message.retry_after_s)
 
+    def returned(self, now: float, message: JobReturned) -> None:
+        """The host that had the job no longer leads."""
+        known = self.job_by_id.get(message.job_id)
+        if known is None or not known.sent_epoch:
+            return
+        known.sent_epoch = 0
+        known.leaderless_since = now
+        if message.progress is None:
+            # The host had not taken the job up, so this round does not count.
+            known.round -= 1
+        else:
+            known.progress = message.progress
+
     def _answer(
         self, known: CallerJob, outcome: Outcome, reason: str, retry_after_s: float = 0.0
     ) -> None:
@@ -147,6 +165,8 @@
             if now >= known.caller_until:
                 self._drop(known)
                 self._answer(known, Outcome.ABANDONED, "the caller's time is over")
+            elif known.sent_epoch == 0 and self._epoch:
+                self._send(now, known)
             elif known.sent_epoch == 0 and known.round == 0:
                 if now - known.leaderless_since >= NO_LEADER_SHARE * objective_s:
                     self._drop(known)
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -7,7 +7,7 @@
 
 from ._actions import Action, Ask, LookResult, Note, OrderResult, Reply
 from ._entry import AnswerCaller, Entry, SendLeader
-from ._jobs import Job, TaskId
+from ._jobs import Job, TaskEnd, TaskId
 from ._leadership import Leadership, Role
 from ._links import CloseLink, Links, OpenLink, SendLink
 from ._messages import (
@@ -16,6 +16,7 @@
     Hello,
     HostRecord,
     JobEnded,
+    JobReturned,
     KnownHosts,
     Lend,
     LentEnded,
@@ -117,6 +118,13 @@
         for host in listed.values():
             self._learn(host)
         self.leadership.set_hosts(self._host_by_name, listed)
+        self.leadership.hosts_known = True
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Addresses of hosts whose names are not known yet; they may be stale."""
+        for address in addresses:
+            if address != self.own.address:
+                self._learn(HostRecord(name=address, address=address, domain="", incarnation=0))
 
     def _learn(self, host: HostRecord) -> None:
         known = self._host_by_name.get(host.name)
@@ -170,7 +178,6 @@
             return
         epoch, successor = self.leadership.epoch, heir[1].host
         self._note("leader_resigns", epoch=epoch, successor=successor.name if successor else "")
-        self._carry_out_pool(now)
         self._stop_leading(now)
         for session_id, session in self._session_by_id.items():
             message: ToClient = Resigned(epoch=epoch, successor=successor)
@@ -222,8 +229,11 @@
             case KnownHosts():
                 for host in message.hosts:
                     self._learn(host)
+                self.leadership.hosts_known = True
             case JobEnded():
                 self.entry.ended(now, message)
+            case JobReturned():
+                self.entry.returned(now, message)
             case LentEnded():
                 self._lent_ended(now, name, message)
             case ConfigDocument():
@@ -305,8 +315,7 @@
     def _request(self, now: float, session_id: str, message: Submit | Cancel | Lend) -> None:
         pool = self.pool
         if pool is None:
-            # The sender takes this for the end of the session, and hands its jobs to the next leader.
-            self._close_session(now, session_id)
+            self._return_request(session_id, message)
             return
         match message:
             case Submit():
@@ -317,6 +326,7 @@
                     waited_s=message.waited_s,
                     caller_waits_s=message.caller_waits_s,
                     round=message.round,
+                    progress=message.progress,
                 )
             case Cancel():
                 pool.cancel(now, session_id, message.job_id)
@@ -331,6 +341,24 @@
                     caller_waits_s=message.caller_waits_s,
                 )
 
+    def _return_request(self, session_id: str, message: Submit | Cancel | Lend) -> None:
+        """Say that this host does not lead, and has done nothing."""
+        match message:
+            case Submit():
+                self._send_session(session_id, JobReturned(job_id=message.job.id))
+            case Lend():
+                for index, run in message.tasks:
+                    ended = LentEnded(
+                        job_id=message.job.id,
+                        step=message.step,
+                        index=index,
+                        run=run,
+                        end=TaskEnd.NO_ROOM,
+                    )
+                    self._send_session(session_id, ended)
+            case Cancel():
+                pass
+
     def session_closed(self, now: float, session_id: str) -> None:
         """A session that another host had opened has broken."""
         if self._session_by_id.pop(session_id, None) is not None and self.pool is not None:
@@ -396,6 +424,13 @@
 
     def _stop_leading(self, now: float) -> None:
         """Drop the pool; what runs is adopted by the next leader, or lapses."""
+        if self.pool is not None:
+            self._carry_out_pool(now)
+            for requester, message in self.pool.progress_by_requester():
+                if requester == OWN:
+                    self.entry.returned(now, message)
+                else:
+                    self._send_session(requester, message)
         self.pool = None
         self._neighbour_by_domain.clear()
         self.entry.set_leader(now, 0)
@@ -436,7 +471,6 @@
         if self.pool is not None:
             self.pool.advance(now)
             if self.pool.fenced_out:
-                self._carry_out_pool(now)
                 self._stop_leading(now)
                 self.leadership.fenced_out(now)
         self._keep_links(now)
@@ -528,6 +562,7 @@
                         waited_s=message.waited_s,
                         caller_waits_s=message.caller_waits_s,
                         round=message.round,
+                        progress=message.progress,
                     )
                 case Cancel():
                     self.pool.cancel(now, OWN, message.job_id)
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -11,7 +11,7 @@
 SEARCH_S = 0.1
 """Time in which the hosts of a domain can answer before one of them takes the lead."""
 
-FIRST_SEARCH_S = 0.8
+FIRST_SEARCH_S = 0.5
 """The same after the start of the process: all hosts start within 0.3 s and must find each other."""
 
 DEFER_S = 1.2
@@ -44,6 +44,9 @@
 
     :param own: this host.
     :param now: start of the process.
+
+    :ivar hosts_known: whether the store or another host has named the hosts of the system. Before
+        that a host takes no lead, since it might be cut off from the one that leads.
     """
 
     def __init__(self, *, own: HostRecord, now: float) -> None:
@@ -52,6 +55,7 @@
         self.leader: HostRecord | None = None
         self.epoch = 0
         self.draining = False
+        self.hosts_known = False
         self.highest_epoch = 0
         self._search_began = now
         self._least_search_s = FIRST_SEARCH_S
@@ -160,12 +164,15 @@
         """Take the lead if no better host does; True if it was taken now."""
         if self.role is not Role.SEARCHING or self.draining or now < self._no_claim_until:
             return False
+        if not self.hosts_known:
+            self._search_began = now
+            return False
         waited_s = now - self._search_began
         members = self.members()[:CANDIDATES]
         answered = [h for h in members if _is_alive(links, h.name)]
         refused = [h for h in members if _is_refused(links, h.name)]
         all_known = len(answered) + len(refused) == len(members)
-        if waited_s < self._least_search_s and not (all_known and self._least_search_s == SEARCH_S):
+        if waited_s < self._least_search_s and not (all_known and members):
             return False
         better = [
             h for h in answered if _rank(h) < _rank(self.own) and not _is_draining(links, h.name)
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -77,6 +77,17 @@
     document: bytes
 
 
+class Progress(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What a leader that resigned knew of a job's tasks, as pairs of step and index.
+
+    :param done: tasks that have ended well.
+    :param unsettled: tasks with runs that may be going on; all others are not running anywhere.
+    """
+
+    done: tuple[tuple[int, int], ...] = ()
+    unsettled: tuple[tuple[int, int], ...] = ()
+
+
 class Submit(_Message, frozen=True):
     """Asks the leader to run a whole job.
 
@@ -84,12 +95,14 @@
     :param caller_waits_s: seconds that the caller still waits for the answer.
     :param round: number of times that the job was handed to a leader before. Runs of earlier rounds
         may still be going on.
+    :param progress: what the last leader said of it, or None if it said nothing.
     """
 
     job: Job
     waited_s: float
     caller_waits_s: float
     round: int = 0
+    progress: Progress | None = None
 
 
 class Cancel(_Message, frozen=True):
@@ -110,6 +123,16 @@
     retry_after_s: float = 0.0
 
 
+class JobReturned(_Message, frozen=True):
+    """The host no longer leads; the job has to be submitted to the next leader.
+
+    :param progress: state of its tasks; None if the host never took the job up.
+    """
+
+    job_id: str
+    progress: Progress | None = None
+
+
 class Lend(_Message, frozen=True):
     """Asks another pool to start tasks of one step at once, or to refuse them.
 
@@ -147,5 +170,7 @@
 
 
 ToServer = Hello | Ping | Submit | Cancel | Lend | ConfigDocument
-ToClient = Pong | KnownHosts | JobEnded | LentEnded | ConfigDocument | Resigned | TakeOver
+ToClient = (
+    Pong | KnownHosts | JobEnded | JobReturned | LentEnded | ConfigDocument | Resigned | TakeOver
+)
 Message = ToServer | ToClient
--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -20,7 +20,7 @@
 )
 from ._jobs import Job, Outcome, Step, TaskEnd, TaskId
 from ._looks import Looks
-from ._messages import Cancel, JobEnded, Lend, LentEnded
+from ._messages import Cancel, JobEnded, JobReturned, Lend, LentEnded, Progress
 from ._stops import STOP_MARGIN_S, Stops
 from ._tasks import Phase, PoolJob, Task, open_job, open_lent
 from ._waiting import WaitingTasks
@@ -91,7 +91,6 @@
         self.lent_by_id: dict[str, PoolJob] = {}
         self.neighbour_by_domain: dict[str, Neighbour] = {}
         self.counts: dict[str, int] = {}
-        self._began_at = now
         self._far_factor = far_factor
         self._records: Mapping[str, WorkerRecord] = {}
         self._waiting_by_service: dict[str, WaitingTasks] = {}
@@ -167,6 +166,7 @@
         waited_s: float,
         caller_waits_s: float,
         round: int,
+        progress: Progress | None = None,
     ) -> None:
         """Take up a job, or take it over from an earlier session or leader."""
         known = self.job_by_id.get(job.id)
@@ -189,12 +189,14 @@
             return
         self.job_by_id[job.id] = owner
         owner.orders = min(1, round)
-        settled_at = self._began_at + HANDOVER_S
+        if round > 0:
+            self._note_handover(now, owner, progress)
         for task in owner.task_by_id.values():
-            if round > 0 and now < settled_at:
-                task.not_before = settled_at
-            if not self._adopt(now, task) and task.phase is Phase.WAITING:
+            if task.phase is Phase.ENDED or self._adopt(now, task):
+                continue
+            if task.phase is Phase.WAITING:
                 self._queue(now, task)
+        self._unblock(now, owner)
         if owner.is_complete():
             self._finish(now, owner, Outcome.COMPLETE, "all tasks had ended")
             return
@@ -392,6 +394,8 @@
             step,
             now=now,
             budget_s=owner.due - now,
+            # A job that has not begun starts only where it can be in time; one that has goes on.
+            limit_s=(owner.gives_up_at if owner.orders else owner.due) - now,
             avoid=task.avoid,
             racks=racks,
             count_by_worker=count_by_worker,
@@ -487,6 +491,41 @@
             )
         return lent
 
+    def _note_handover(self, now: float, owner: PoolJob, progress: Progress | None) -> None:
+        """Note what an earlier leader did for a job, or that it may have done anything."""
+        done = set(progress.done) if progress is not None else set()
+        unsettled = set(progress.unsettled) if progress is not None else None
+        for task in owner.task_by_id.values():
+            place = (task.id.step, task.id.index)
+            if place in done:
+                task.phase = Phase.ENDED
+                owner.left_by_step[task.id.step] -= 1
+            elif unsettled is None or place in unsettled:
+                task.not_before = now + HANDOVER_S
+
+    def progress_by_requester(self) -> list[tuple[str, JobReturned]]:
+        """State of all jobs, for the hosts that have to submit them to the next leader."""
+        returned = []
+        for owner in self.job_by_id.values():
+            done = []
+            unsettled = []
+            for task in owner.task_by_id.values():
+                place = (task.id.step, task.id.index)
+                if task.phase is Phase.ENDED:
+                    done.append(place)
+                elif (
+                    task.phase not in (Phase.WAITING, Phase.BLOCKED)
+                    or self.stops.is_stopping(task.id)
+                    or task.not_before
+                ):
+                    unsettled.append(place)
+            progress = None
+            if owner.orders or done:
+                progress = Progress(done=tuple(done), unsettled=tuple(unsettled))
+            message = JobReturned(job_id=owner.job.id, progress=progress)
+            returned.append((owner.requester, message))
+        return returned
+
     def _adopt(self, now: float, task: Task) -> bool:
         """Take over a run, or an end, that workers listed for an earlier leader."""
         end = self._found_end.pop(task.id, None)
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -21,6 +21,9 @@
 SAFETY = 1.1
 """Factor on the expected run time when a worker is chosen; learned speeds are a few percent off."""
 
+HOPE = 0.9
+"""Factor on the expected run time when a worker is ruled out; declared times are often too long."""
+
 SILENT_RETRY_S = 0.5
 """Pause between looks at a worker that does not answer; each attempt may open a connection."""
 
@@ -166,6 +169,7 @@
     *,
     now: float,
     budget_s: float,
+    limit_s: float,
     avoid: frozenset[str] | set[str],
     racks: set[str],
     count_by_worker: dict[str, int] | None,
@@ -176,7 +180,9 @@
     Among the workers expected to end the task within the budget, the slowest is taken, so that fast
     ones stay free for long tasks. If none would make it, the one expected to end first is taken.
 
-    :param budget_s: seconds left for the run.
+    :param budget_s: seconds left until the objective.
+    :param limit_s: seconds left until the run would be of no use; workers that are expected to need
+        longer are passed over.
     :param racks: racks that the step's tasks already run on, for steps that want a single rack.
     :param count_by_worker: tasks of the step on each worker, for steps that limit it.
     :param far_factor: how many times longer a task takes away from its rack.
@@ -196,6 +202,8 @@
             step.same_rack and racks and record.rack not in racks
         ):
             run_s *= far_factor
+        if run_s * HOPE > limit_s:
+            continue
         in_time = run_s * SAFETY <= budget_s
         # Equal workers are filled one after the other, so that large holes stay whole.
         spare = record.cpu - worker.held_cpu
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -109,15 +109,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then until open requests are answered."""
         self._journal.write("start", {"domain": self._own.domain, "weight": self._own.weight})
-        now = self._clock.now()
-        self._core.set_hosts(
-            now,
-            [
-                HostRecord(name=seed, address=seed, domain="", incarnation=0)
-                for seed in self._settings.seeds
-                if seed != self._own.address
-            ],
-        )
+        self._core.set_seeds(self._settings.seeds)
         await self._driver.start()
         await self._ready_server.listen(self._settings.ready_address)
         await self._front_server.listen(self._settings.front_address)
