Let runs go on at workers that left the registry or refused a connection; stop in time

Change: a departed worker gets no work and is forgotten when its leases are over; only another life proves a death; new requests are refused while a job still fits into the grace.

--- a/src/eelgrassyard/dispatch/_looks.py
+++ b/src/eelgrassyard/dispatch/_looks.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ._actions import Answered, CallFailure, Look, LookResult, Refusal, Report, RunningEntry
+from ._actions import Answered, Look, LookResult, Refusal, Report, RunningEntry
 from ._jobs import TaskEnd
 from ._tasks import Phase, Task
 from ._workers import SILENT_RETRY_S, Worker, WorkerState
@@ -130,9 +130,8 @@
                 self._pool.fenced_out = True
             case Answered(refusal=Refusal.OTHER_LIFE):
                 self.process_gone(now, worker, "another life answered")
-            case CallFailure.REFUSED:
-                self.process_gone(now, worker, "connection refused")
             case _:
+                # A refused connection may come from a cut path; only another life proves a death.
                 self._unanswered(now, worker, result)
         self._plan(now, worker)
 
--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -10,7 +10,6 @@
     Action,
     Answered,
     Ask,
-    CallFailure,
     LookResult,
     Note,
     OrderResult,
@@ -117,20 +116,31 @@
                 continue
             if worker.record.draining != record.draining:
                 self.note("worker_draining", worker=record.id, draining=record.draining)
-            if worker.record.address != record.address:
-                self.worker_lost(now, worker, "its address changed")
             worker.record = record
+            worker.is_registered = True
         for worker in list(self.worker_by_id.values()):
-            if worker.record.id not in records:
-                self.note("worker_gone", worker=worker.record.id)
-                self.worker_lost(now, worker, "it left the registry")
-                del self.worker_by_id[worker.record.id]
-        self.workers_by_service = {}
-        for worker in self.worker_by_id.values():
-            self.workers_by_service.setdefault(worker.record.service, []).append(worker)
+            if worker.record.id not in records and worker.is_registered:
+                # An entry lapses too if the worker is cut off from the store; its runs go on.
+                self.note("worker_gone", worker=worker.record.id, runs=len(worker.run_by_task))
+                worker.is_registered = False
+        self._forget_departed(now)
+        self._index_workers()
         self.looks.advance(now)
         self._place_all(now)
 
+    def _index_workers(self) -> None:
+        self.workers_by_service = {}
+        for worker in self.worker_by_id.values():
+            if worker.is_registered:
+                self.workers_by_service.setdefault(worker.record.service, []).append(worker)
+
+    def _forget_departed(self, now: float) -> None:
+        """Drop workers that have left the registry once none of their runs can be alive."""
+        for worker in list(self.worker_by_id.values()):
+            busy = worker.run_by_task or self.stops.on_worker(worker.record.id)
+            if not worker.is_registered and not busy and now >= worker.clock.lapses_at:
+                del self.worker_by_id[worker.record.id]
+
     def worker_lost(self, now: float, worker: Worker, reason: str) -> None:
         """Note that a worker's process is gone, and all of its runs with it."""
         runs = [key for key in self._live if key[0] == worker.record.id]
@@ -570,8 +580,6 @@
                 self.looks.expect(now, worker)
             case Answered(refusal=refusal):
                 self._start_refused(now, worker, task, refusal)
-            case CallFailure.REFUSED:
-                self.looks.process_gone(now, worker, "connection refused")
             case failure:
                 # The order may be carried out until its lease ends, unless a stop comes first.
                 self.stop_run(now, task, f"start unanswered: {failure}")
@@ -589,6 +597,7 @@
                 self._fence_out(worker)
                 return
             case Refusal.OLD_RUN:
+                self._forget_run(task)
                 task.run += RUN_JUMP
             case Refusal.NO_ROOM:
                 worker.full_until = now + FULL_PAUSE_S
@@ -620,12 +629,10 @@
                 self._fence_out(worker)
             case Answered(refusal=Refusal.OTHER_LIFE):
                 self.looks.process_gone(now, worker, "another life answered")
-            case Answered(clock_s=clock_s):
+            case Answered(refusal=None, clock_s=clock_s):
                 if clock_s is not None:
                     worker.clock.read(reading_s=clock_s, now=now)
                 self.stops.accepted(now, worker_id, task_id, run)
-            case CallFailure.REFUSED:
-                self.looks.process_gone(now, worker, "connection refused")
             case _:
                 self.stops.unanswered(now, worker_id, task_id, run)
 
@@ -836,6 +843,7 @@
         for task in closing:
             self.run_again(now, task)
         self.looks.advance(now)
+        self._forget_departed(now)
         self._place_all(now)
 
     def give_up(self, now: float, owner: PoolJob, reason: str) -> None:
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -94,6 +94,7 @@
     looking: bool = False
     look_sent_at: float = 0.0
     next_look: float = 0.0
+    is_registered: bool = True
 
     def has_room(self, step: Step) -> bool:
         """Tell whether one task of a step fits beside what is held."""
@@ -130,7 +131,7 @@
 
     def is_usable(self, now: float) -> bool:
         """Tell whether the worker may get a task now."""
-        if self.state is not WorkerState.READY or self.record.draining:
+        if self.state is not WorkerState.READY or self.record.draining or not self.is_registered:
             return False
         if now < self.full_until or now < self.ejected_until:
             return False
--- a/src/eelgrassyard/platform/_front.py
+++ b/src/eelgrassyard/platform/_front.py
@@ -63,6 +63,7 @@
     def __init__(self, *, driver: Driver, note: Callable[[str, dict[str, object]], None]) -> None:
         self.routes = RouteTable()
         self.draining = False
+        self.refusing = False
         self.status_counts: dict[int, int] = {}
         self.seconds_by_kind: dict[str, list[float]] = {}
         self.on_answer: Callable[[str, int, float], None] | None = None
@@ -124,6 +125,9 @@
             self._note("request_malformed", {"job": job_id, "reason": problem})
             self._respond(exchange, 400)
             return
+        if self.refusing:
+            self._refuse(exchange, job_id, "this host is stopping")
+            return
         unserved = _unserved(body, kind)
         if unserved:
             self._refuse(exchange, job_id, f"not served yet: {unserved}")
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -48,8 +48,10 @@
 SETTINGS_POLL_S = 1.0
 """The settings file may change without a signal."""
 
-GRACE_SHARE = 0.8
-"""Part of the grace after SIGTERM in which open connections are still served."""
+LONGEST_JOB_S = 1.6
+EXIT_S = 0.5
+"""After SIGTERM new requests are refused when so much of the grace is left that a job of the longest
+kind, and then the end of the process, still fit in."""
 
 STATE_POLL_S = 0.05
 
@@ -80,7 +82,10 @@
         self._calls = PlatformWorkerCalls(
             on_problem=lambda worker, reason: self._journal.write(
                 "worker_answer_not_understood", {"worker": worker, "reason": reason}
-            )
+            ),
+            is_needed=lambda worker: (
+                self._core.pool is not None and worker in self._core.pool.worker_by_id
+            ),
         )
         self._driver = Driver(
             core=self._core,
@@ -159,13 +164,20 @@
                 return
 
     async def _drain(self) -> None:
+        """Serve open connections for a while, then refuse, then end when all is answered."""
+        began = self._clock.now()
         self._journal.write("drain", {"busy": self._front_server.busy()})
         self._front.draining = True
-        self._core.drain(self._clock.now())
+        self._core.drain(began)
         self._driver.plan_pump()
-        deadline = self._clock.now() + GRACE_SHARE * self._settings.grace_s
-        while self._clock.now() < deadline:
+        refuse_at = began + self._settings.grace_s - LONGEST_JOB_S - EXIT_S
+        end_at = began + self._settings.grace_s - EXIT_S
+        while self._clock.now() < end_at:
             await anyio.sleep(STATE_POLL_S)
+            if self._clock.now() >= refuse_at and not self._front.refusing:
+                self._journal.write("refuse_new_requests", {"busy": self._front_server.busy()})
+                self._front.refusing = True
+                self._front_server.close_idle()
             pool = self._core.pool
             if not self._front_server.connections and (pool is None or pool.is_idle()):
                 break
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -125,18 +125,25 @@
     """Sends orders to workers, over a few kept connections to each.
 
     :param on_problem: gets the worker and the reason of an answer that cannot be understood.
+    :param is_needed: tells whether orders may still go to a worker that has left the registry.
     """
 
-    def __init__(self, *, on_problem: Callable[[str, str], None]) -> None:
+    def __init__(
+        self, *, on_problem: Callable[[str, str], None], is_needed: Callable[[str], bool]
+    ) -> None:
         self._on_problem = on_problem
+        self._is_needed = is_needed
         self._client_by_id: dict[str, HttpClient] = {}
         self._record_by_id: dict[str, WorkerRecord] = {}
 
     def set_workers(self, records: dict[str, WorkerRecord]) -> None:
-        """Replace the known workers; connections to others are closed."""
-        self._record_by_id = records
+        """Replace the registered workers; connections that nobody needs are closed."""
+        for worker_id in list(self._record_by_id):
+            if worker_id not in records and not self._is_needed(worker_id):
+                del self._record_by_id[worker_id]
+        self._record_by_id.update(records)
         for worker_id, client in list(self._client_by_id.items()):
-            record = records.get(worker_id)
+            record = self._record_by_id.get(worker_id)
             if record is None or record.address != client.address:
                 del self._client_by_id[worker_id]
                 client.close()
--- /dev/null
+++ b/tests/dispatch_world.py
@@ -0,0 +1,528 @@
+"""Several dispatch hosts, their workers and callers on virtual time, with faults between them."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dispatch_workers import FakeWorker
+
+from eelgrassyard.dispatch._actions import CallFailure, Look, Note, StartRun, StopRun
+from eelgrassyard.dispatch._entry import AnswerCaller
+from eelgrassyard.dispatch._host import CloseSession, DispatchHost, SendSession
+from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
+from eelgrassyard.dispatch._links import CloseLink, OpenLink, SendLink
+from eelgrassyard.dispatch._messages import HostRecord
+from eelgrassyard.dispatch._workers import WorkerRecord
+
+TICK_S = 0.02
+ORDER_TIMEOUT_S = 0.2
+LOOK_MARGIN_S = 0.2
+RESEND_S = 1.3
+CALLER_WAITS_S = 1.5
+NEAR_S = 0.001
+FAR_S = 0.002
+
+
+@dataclass(kw_only=True)
+class Pipe:
+    """One session between two processes; messages arrive in order."""
+
+    number: int
+    opener: str
+    opener_life: int
+    server: str
+    server_life: int
+    open: bool = True
+    arrival: dict[bool, float] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class SimHost:
+    """One host; ``core`` is None while its process is down."""
+
+    record: HostRecord
+    core: DispatchHost | None = None
+    life: int = 0
+    frozen_until: float = 0.0
+    pipe_by_name: dict[str, Pipe] = field(default_factory=dict)
+    callers: dict[int, CallerSim] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True, eq=False)
+class CallerSim:
+    """One job as its client sees it."""
+
+    job: Job
+    domain: str
+    until: float
+    answers: list[Outcome] = field(default_factory=list)
+    tries: int = 0
+    refused: int = 0
+
+
+class World:
+    """Runs hosts, workers and callers; notes each broken promise in :attr:`broken`."""
+
+    def __init__(
+        self, *, seed: int, domains: int = 2, hosts: int = 3, workers: int = 4, cpu: int = 4000
+    ) -> None:
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.broken: list[str] = []
+        self.notes: list[tuple[float, str, str, dict[str, object]]] = []
+        self.callers: list[CallerSim] = []
+        self.host_by_name: dict[str, SimHost] = {}
+        self.worker_by_id: dict[str, FakeWorker] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._pipes = itertools.count()
+        self._tickets = itertools.count(1)
+        self._all_pipes: list[Pipe] = []
+        self._work: dict[str, float] = {}
+        self._cpu: dict[str, int] = {}
+        for d in range(domains):
+            for h in range(hosts):
+                name = f"d{d}-h{h}"
+                record = HostRecord(name=name, address=name, domain=f"d{d}", incarnation=1)
+                self.host_by_name[name] = SimHost(record=record)
+            for w in range(workers):
+                worker_id = f"d{d}-w{w}"
+                worker = FakeWorker(
+                    record=WorkerRecord(
+                        id=worker_id,
+                        service="s",
+                        address=worker_id,
+                        domain=f"d{d}",
+                        cpu=cpu,
+                        memory_mb=1000,
+                    ),
+                    rate=self.random.choice([0.98, 0.99, 1.0]),
+                    speed=self.random.choice([0.6, 1.0, 1.6]),
+                    work_by_job=self._work,
+                    cpu_by_job=self._cpu,
+                )
+                self.worker_by_id[worker_id] = worker
+        for name in self.host_by_name:
+            self.boot(name)
+
+    # --- time ---
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self._heap, (self.now + delay_s, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Advance the virtual time."""
+        end = self.now + seconds
+        while self._heap and self._heap[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = end
+
+    # --- hosts ---
+
+    def boot(self, name: str) -> None:
+        """Start a host's process."""
+        host = self.host_by_name[name]
+        host.life += 1
+        host.record = HostRecord(
+            name=name, address=name, domain=host.record.domain, incarnation=host.life
+        )
+        host.core = DispatchHost(own=host.record, now=self.now, stop_s=0.05, far_factor=1.5)
+        host.core.set_hosts(self.now, [other.record for other in self.host_by_name.values()])
+        host.core.set_workers(self.now, {w.record.id: w.record for w in self.worker_by_id.values()})
+        host.core.set_config(1, b"{}")
+        life = host.life
+        self.at(self.random.uniform(0.0, TICK_S), lambda: self._tick(name, life))
+
+    def kill(self, name: str, *, silent: bool) -> None:
+        """End a host's process; its connections break, or go silent if the machine is dark."""
+        host = self.host_by_name[name]
+        if host.core is None:
+            return
+        host.core = None
+        host.pipe_by_name.clear()
+        for ticket in list(host.callers):
+            self._connection_broke(host.callers.pop(ticket))
+        for pipe in [p for p in self._all_pipes if p.open and name in (p.opener, p.server)]:
+            if silent:
+                self.at(60.0, lambda pipe=pipe: setattr(pipe, "open", False))
+            else:
+                other = pipe.server if pipe.opener == name else pipe.opener
+                self._close_pipe(pipe, notify=other)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Let a host stand still."""
+        self.host_by_name[name].frozen_until = self.now + seconds
+
+    def _tick(self, name: str, life: int) -> None:
+        host = self.host_by_name[name]
+        if host.life != life or host.core is None:
+            return
+        if self.now < host.frozen_until:
+            self.at(host.frozen_until - self.now, lambda: self._tick(name, life))
+            return
+        self.at(TICK_S, lambda: self._tick(name, life))
+        host.core.advance(self.now)
+        self._pump(host)
+
+    def _on_host(self, name: str, life: int, event: Callable[[DispatchHost], None]) -> None:
+        """Deliver an event to a process, after it has thawed."""
+        host = self.host_by_name[name]
+        if host.life != life or host.core is None:
+            return
+        if self.now < host.frozen_until:
+            wait_s = host.frozen_until - self.now + 0.001
+            self.at(wait_s, lambda: self._on_host(name, life, event))
+            return
+        event(host.core)
+        self._pump(host)
+
+    def reachable(self, a: str, b: str) -> bool:
+        """Tell whether packets pass between two parties."""
+        return frozenset((a, b)) not in self.cut
+
+    def _delay(self, a: str, b: str) -> float:
+        return NEAR_S if a.split("-")[0] == b.split("-")[0] else FAR_S
+
+    # --- actions ---
+
+    def _pump(self, host: SimHost) -> None:
+        if host.core is None:
+            return
+        for action in host.core.take_actions(self.now):
+            match action:
+                case Note(event=event, fields=fields):
+                    self.notes.append((self.now, host.record.name, event, fields))
+                case StartRun() | StopRun():
+                    self._order_worker(host, action)
+                case Look():
+                    self._look(host, action)
+                case OpenLink(host=target):
+                    self._open(host, target.name)
+                case CloseLink(name=name):
+                    pipe = host.pipe_by_name.pop(name, None)
+                    if pipe is not None:
+                        self._close_pipe(pipe, notify=pipe.server)
+                case SendLink(name=name, message=message):
+                    pipe = host.pipe_by_name.get(name)
+                    if pipe is not None:
+                        self._send(pipe, to_server=True, message=message)
+                case SendSession(session=session, message=message):
+                    pipe = self._pipe(session)
+                    if pipe is not None:
+                        self._send(pipe, to_server=False, message=message)
+                case CloseSession(session=session):
+                    pipe = self._pipe(session)
+                    if pipe is not None:
+                        self._close_pipe(pipe, notify=pipe.opener)
+                case AnswerCaller():
+                    self._answer(host, action)
+
+    def _pipe(self, session: str) -> Pipe | None:
+        return next((p for p in self._all_pipes if str(p.number) == session and p.open), None)
+
+    def _open(self, host: SimHost, name: str) -> None:
+        opener, life = host.record.name, host.life
+        target = self.host_by_name[name]
+
+        def connect() -> None:
+            if not self.reachable(opener, name):
+                return
+            if target.core is None:
+                self._on_host(opener, life, lambda c: c.link_closed(self.now, name, refused=True))
+                return
+            pipe = Pipe(
+                number=next(self._pipes),
+                opener=opener,
+                opener_life=life,
+                server=name,
+                server_life=target.life,
+            )
+            self._all_pipes.append(pipe)
+            if self.host_by_name[opener].life == life:
+                self.host_by_name[opener].pipe_by_name[name] = pipe
+                self._on_host(opener, life, lambda c: c.link_connected(self.now, name))
+
+        self.at(2 * self._delay(opener, name), connect)
+
+    def _send(self, pipe: Pipe, *, to_server: bool, message: object) -> None:
+        a, b = (pipe.opener, pipe.server) if to_server else (pipe.server, pipe.opener)
+
+        def arrive() -> None:
+            if not pipe.open:
+                return
+            if not self.reachable(a, b):
+                # TCP holds the bytes and sends them again.
+                self.at(0.2, arrive)
+                return
+            if to_server:
+                self._on_host(
+                    b,
+                    pipe.server_life,
+                    lambda c: c.session_received(self.now, str(pipe.number), message),
+                )
+            else:
+                self._on_host(b, pipe.opener_life, lambda c: self._link_message(c, pipe, message))
+
+        arrives = max(self.now + self._delay(a, b), pipe.arrival.get(to_server, 0.0))
+        pipe.arrival[to_server] = arrives
+        self.at(arrives - self.now, arrive)
+
+    def _link_message(self, core: DispatchHost, pipe: Pipe, message: object) -> None:
+        if self.host_by_name[pipe.opener].pipe_by_name.get(pipe.server) is pipe:
+            core.link_received(self.now, pipe.server, message)
+
+    def _close_pipe(self, pipe: Pipe, *, notify: str) -> None:
+        if not pipe.open:
+            return
+        pipe.open = False
+        other = pipe.server if notify == pipe.opener else pipe.opener
+
+        def tell() -> None:
+            if not self.reachable(other, notify):
+                return
+            if notify == pipe.server:
+                self._on_host(
+                    notify,
+                    pipe.server_life,
+                    lambda c: c.session_closed(self.now, str(pipe.number)),
+                )
+                return
+            host = self.host_by_name[notify]
+            if host.pipe_by_name.get(pipe.server) is pipe:
+                del host.pipe_by_name[pipe.server]
+                self._on_host(
+                    notify,
+                    pipe.opener_life,
+                    lambda c: c.link_closed(self.now, pipe.server, refused=False),
+                )
+
+        self.at(self._delay(other, notify), tell)
+
+    # --- workers ---
+
+    def _order_worker(self, host: SimHost, order: StartRun | StopRun) -> None:
+        name, life = host.record.name, host.life
+        worker = self.worker_by_id[order.worker_id]
+        done = [False]
+
+        def finish(result: object) -> None:
+            if done[0]:
+                return
+            done[0] = True
+
+            def tell(core: DispatchHost) -> None:
+                if isinstance(order, StartRun):
+                    core.start_answered(self.now, order.worker_id, order.task, order.run, result)
+                else:
+                    core.stop_answered(self.now, order.worker_id, order.task, order.run, result)
+
+            self._on_host(name, life, tell)
+
+        def carry_out() -> None:
+            if not worker.up:
+                return
+            if isinstance(order, StartRun):
+                answer = worker.start(self.now, order)
+                if answer.refusal is None:
+                    self._check_twice(worker, order.task, order.run)
+                    self._watch_worker(worker)
+            else:
+                answer = worker.stop(self.now, order)
+                self.at(0.051, lambda: self._settle(worker))
+            if self.random.random() >= self.lost_share and self.reachable(name, order.worker_id):
+                self.at(NEAR_S, lambda: finish(answer))
+
+        self.at(ORDER_TIMEOUT_S, lambda: finish(CallFailure.SILENT))
+        if not self.reachable(name, order.worker_id):
+            return
+        if self.random.random() < self.late_share:
+            self.at(self.random.uniform(0.3, 5.0), carry_out)
+        elif not worker.up:
+            self.at(NEAR_S, lambda: finish(CallFailure.REFUSED))
+        else:
+            self.at(NEAR_S, carry_out)
+
+    def _watch_worker(self, worker: FakeWorker) -> None:
+        """Settle a worker when its next run ends or its lease lapses."""
+        ends = [min(run.ends_at, run.stops_at) for run in worker.run_by_task.values()]
+        if ends:
+            lapse = self.now + (worker.lease_until - worker.clock(self.now)) / worker.rate
+            self.at(max(0.0, min(*ends, lapse) - self.now) + 1e-6, lambda: self._settle(worker))
+
+    def _settle(self, worker: FakeWorker) -> None:
+        worker.settle(self.now)
+        self._watch_worker(worker)
+
+    def _look(self, host: SimHost, order: Look) -> None:
+        name, life = host.record.name, host.life
+        worker = self.worker_by_id[order.worker_id]
+        done = [False]
+
+        def finish(result: object) -> None:
+            if not done[0]:
+                done[0] = True
+                self._on_host(
+                    name, life, lambda c: c.look_answered(self.now, order.worker_id, result)
+                )
+
+        def poll(until: float) -> None:
+            if not worker.up:
+                finish(CallFailure.BROKEN)
+                return
+            worker.settle(self.now)
+            if worker.ended or self.now >= until:
+                report = worker.report(self.now)
+                if self.reachable(name, order.worker_id):
+                    self.at(NEAR_S, lambda: finish(report))
+                return
+            self.at(min(0.005, max(0.0001, until - self.now)), lambda: poll(until))
+
+        def arrive() -> None:
+            if not worker.up:
+                finish(CallFailure.REFUSED)
+                return
+            refused = worker.begin_look(self.now, order)
+            if refused is not None:
+                self.at(NEAR_S, lambda: finish(refused))
+            else:
+                poll(self.now + order.wait_s)
+
+        self.at(order.wait_s + LOOK_MARGIN_S, lambda: finish(CallFailure.SILENT))
+        if self.reachable(name, order.worker_id):
+            self.at(NEAR_S, arrive)
+
+    def _check_twice(self, worker: FakeWorker, task: TaskId, run: int) -> None:
+        for other in self.worker_by_id.values():
+            if other is worker or not other.up:
+                continue
+            other.settle(self.now)
+            twin = other.run_by_task.get(task)
+            if twin is not None:
+                self.broken.append(
+                    f"{self.now:.3f} {task} runs twice: run {twin.run} on {other.record.id}, "
+                    f"run {run} on {worker.record.id}"
+                )
+
+    # --- callers ---
+
+    def submit(
+        self,
+        name: str,
+        *,
+        tasks: int,
+        work_s: float,
+        cpu: int = 1000,
+        estimate_s: float | None = None,
+    ) -> CallerSim:
+        """A client sends a new job to a host."""
+        job_id = f"{len(self.callers):016x}"
+        self._work[job_id] = work_s
+        self._cpu[job_id] = cpu
+        step = Step(
+            count=tasks,
+            cpu=cpu,
+            memory_mb=10,
+            estimate_s=work_s if estimate_s is None else estimate_s,
+        )
+        job = Job(
+            id=job_id,
+            kind="k",
+            service="s",
+            payload="p",
+            steps=(step,),
+            max_attempts=3,
+            stretch=1.6,
+            target_s=0.06,
+        )
+        caller = CallerSim(
+            job=job,
+            domain=self.host_by_name[name].record.domain,
+            until=self.now + 2 * CALLER_WAITS_S + RESEND_S,
+        )
+        self.callers.append(caller)
+        self._try(caller, name)
+        return caller
+
+    def _try(self, caller: CallerSim, name: str) -> None:
+        host = self.host_by_name[name]
+        caller.tries += 1
+        if host.core is None:
+            self._connection_broke(caller)
+            return
+        ticket = next(self._tickets)
+        host.callers[ticket] = caller
+        life = host.life
+        self._on_host(
+            name,
+            life,
+            lambda c: c.job_arrived(self.now, ticket, caller.job, caller_waits_s=CALLER_WAITS_S),
+        )
+
+        def expire() -> None:
+            if host.callers.pop(ticket, None) is not None:
+                self._on_host(name, life, lambda c: c.caller_left(self.now, ticket))
+                self._connection_broke(caller)
+
+        self.at(CALLER_WAITS_S, expire)
+
+    def leave(self, caller: CallerSim) -> None:
+        """A client closes its connection and does not come back."""
+        for name, host in self.host_by_name.items():
+            for ticket, other in list(host.callers.items()):
+                if other is caller:
+                    del host.callers[ticket]
+                    self._on_host(name, host.life, lambda c, t=ticket: c.caller_left(self.now, t))
+        caller.until = self.now
+
+    def _connection_broke(self, caller: CallerSim) -> None:
+        """The client sends the job again after its pause, to any host."""
+
+        def again() -> None:
+            if not caller.answers and self.now < caller.until:
+                self._try(caller, self.random.choice(sorted(self.host_by_name)))
+
+        self.at(RESEND_S, again)
+
+    def _answer(self, host: SimHost, action: AnswerCaller) -> None:
+        caller = host.callers.pop(action.ticket, None)
+        if caller is None:
+            return
+        if action.outcome is Outcome.ABANDONED:
+            self._connection_broke(caller)
+            return
+        if action.outcome is Outcome.NOT_RUN:
+            caller.refused += 1
+            ran = any(
+                task.job == caller.job.id
+                for worker in self.worker_by_id.values()
+                for _, task, _ in worker.starts
+            )
+            if ran and caller.tries == 1:
+                self.broken.append(f"{self.now:.3f} {caller.job.id} refused though it had begun")
+        if action.outcome is Outcome.COMPLETE:
+            done = {
+                task.index
+                for worker in self.worker_by_id.values()
+                for _, task, _ in worker.starts
+                if task.job == caller.job.id
+            }
+            if len(done) < caller.job.steps[0].count:
+                self.broken.append(f"{self.now:.3f} {caller.job.id} complete without all tasks")
+        caller.answers.append(action.outcome)
+
+    def leaders(self, domain: str) -> list[str]:
+        """Hosts that lead a domain now."""
+        return [
+            name
+            for name, host in self.host_by_name.items()
+            if host.core is not None and host.core.pool is not None and host.record.domain == domain
+        ]
--- /dev/null
+++ b/tests/test_dispatch_faults.py
@@ -0,0 +1,118 @@
+"""Promises of the dispatch core under random faults: several hosts and workers on virtual time."""
+
+from __future__ import annotations
+
+import pytest
+from dispatch_world import World
+
+from eelgrassyard.dispatch._jobs import Outcome
+
+FAULTS = ("kill", "power", "freeze", "host_cut", "domain_cut", "worker_cut", "worker_crash")
+
+
+def play(seed: int, *, seconds: float = 14.0, faults: int = 6, jobs_per_s: float = 25.0) -> World:
+    """A day with jobs of all sizes and faults at random moments, then a quiet end."""
+    world = World(seed=seed, domains=2, hosts=3, workers=4)
+    dice = world.random
+    world.run(2.0)
+    hosts = sorted(world.host_by_name)
+    workers = sorted(world.worker_by_id)
+    elapsed = 0.0
+    while elapsed < seconds:
+        elapsed += dice.expovariate(jobs_per_s)
+        size = dice.choice([(8, 0.06), (2, 0.2), (4, 0.9)])
+        tasks, work_s = dice.randint(1, size[0]), size[1] * dice.uniform(0.5, 1.6)
+        leaves = dice.random() < 0.1
+
+        def submit(tasks: int = tasks, work_s: float = work_s, leaves: bool = leaves) -> None:
+            caller = world.submit(
+                dice.choice(hosts),
+                tasks=tasks,
+                work_s=work_s,
+                estimate_s=work_s * dice.uniform(0.7, 1.4),
+            )
+            if leaves:
+                world.at(0.05, lambda: world.leave(caller))
+
+        world.at(elapsed, submit)
+    for _ in range(faults):
+        at = dice.uniform(0.5, seconds - 3.0)
+        world.at(at, lambda kind=dice.choice(FAULTS): fault(world, kind, hosts, workers))
+    if dice.random() < 0.5:
+        world.at(1.0, lambda: setattr(world, "late_share", 0.05))
+        world.at(4.0, lambda: setattr(world, "late_share", 0.0))
+    if dice.random() < 0.5:
+        world.at(3.0, lambda: setattr(world, "lost_share", 0.05))
+        world.at(6.0, lambda: setattr(world, "lost_share", 0.0))
+    world.run(seconds + 6.0)
+    return world
+
+
+def fault(world: World, kind: str, hosts: list[str], workers: list[str]) -> None:
+    """One fault, which ends some seconds later."""
+    dice = world.random
+    name = dice.choice(hosts)
+    if dice.random() < 0.5:
+        name = dice.choice(world.leaders(dice.choice(["d0", "d1"])) or hosts)
+    match kind:
+        case "kill" | "power":
+            world.kill(name, silent=kind == "power")
+            if world.host_by_name[name].core is None:
+                world.at(dice.uniform(0.3, 3.0), lambda: boot_if_down(world, name))
+        case "freeze":
+            world.freeze(name, dice.uniform(0.3, 4.0))
+        case "host_cut":
+            pairs = {frozenset((name, other)) for other in hosts if other != name}
+            cut(world, pairs, dice.uniform(1.0, 5.0))
+        case "domain_cut":
+            pairs = {frozenset((a, b)) for a in hosts for b in hosts if a[:2] != b[:2]} | {
+                frozenset((a, b)) for a in hosts for b in workers if a[:2] != b[:2]
+            }
+            cut(world, pairs, dice.uniform(1.0, 5.0))
+        case "worker_cut":
+            worker = dice.choice(workers)
+            cut(world, {frozenset((h, worker)) for h in hosts}, dice.uniform(0.5, 4.0))
+        case "worker_crash":
+            worker = world.worker_by_id[dice.choice(workers)]
+            worker.crash()
+            world.at(dice.uniform(0.5, 3.0), worker.restart)
+
+
+def boot_if_down(world: World, name: str) -> None:
+    """Start a host again, unless another fault has done so."""
+    if world.host_by_name[name].core is None:
+        world.boot(name)
+
+
+def cut(world: World, pairs: set[frozenset[str]], seconds: float) -> None:
+    """Cut paths for some time."""
+    world.cut |= pairs
+    world.at(seconds, lambda: world.cut.difference_update(pairs))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_no_task_runs_twice_at_once_and_no_refusal_is_false(seed: int) -> None:
+    """Guards against a leader that starts a task whose earlier run may still be going on."""
+    world = play(seed)
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("seed", range(100, 104))
+def test_a_calm_day_completes_all_jobs(seed: int) -> None:
+    """Guards against tasks that are waited for although nobody runs them."""
+    world = play(seed, faults=0, jobs_per_s=6.0)
+    world.late_share = world.lost_share = 0.0
+    assert world.broken == []
+    ended = [caller for caller in world.callers if caller.answers]
+    assert sum(c.answers[0] is Outcome.COMPLETE for c in ended) >= 0.9 * len(ended)
+    assert len(ended) >= 0.85 * len(world.callers)
+
+
+def test_a_quiet_site_has_one_leader_a_domain() -> None:
+    """Guards against hosts that keep taking the lead from each other."""
+    world = World(seed=1, domains=3, hosts=3)
+    world.run(3.0)
+    first = {domain: world.leaders(domain) for domain in ("d0", "d1", "d2")}
+    world.run(5.0)
+    assert all(len(leaders) == 1 for leaders in first.values())
+    assert {domain: world.leaders(domain) for domain in ("d0", "d1", "d2")} == first
