--- a/src/eelgrassyard/dispatch/_looks.py
+++ b/src/eelgrassyard/dispatch/_looks.py
@@ -156,8 +156,10 @@
     def _read(self, now: float, worker: Worker, report: Report) -> None:
         pool = self._pool
         if worker.life is not None and report.life is not None and report.life != worker.life:
-            self.process_gone(now, worker, "it was started again")
-            worker.state = WorkerState.UNFENCED
+            # Its ends are numbered anew. Runs of the old life are no longer listed; a start that
+            # has just been answered may belong to the new one.
+            pool.note("worker_restarted", worker=worker.record.id, runs=len(worker.run_by_task))
+            worker.ends_seen = 0
         first = worker.state in (WorkerState.UNFENCED, WorkerState.DOWN)
         if worker.state is not WorkerState.READY:
             pool.note("worker_ready", worker=worker.record.id, after=worker.state.value)
