--- a/src/eelgrassyard/dispatch/_entry.py
+++ b/src/eelgrassyard/dispatch/_entry.py
@@ -13,8 +13,8 @@
 worth less to the caller, who could have come back sooner."""
 
 FAILOVER_S = 0.9
-"""Time that a job whose leader was lost waits for the next one. Another leader is found in about half
-a second if the old one is silent."""
+"""Time that a job whose leader was lost waits for the next one. Another leader is found in about
+half a second if the old one is silent."""
 
 RETRY_AFTER_S = 1.0
 
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -30,7 +30,7 @@
     ToServer,
 )
 from ._pool import Pool
-from ._workers import WorkerRecord, WorkerState
+from ._workers import WorkerRecord
 
 SESSION_SILENT_S = 0.45
 """A session without a ping for this long has lost its host; its jobs are stopped."""
@@ -156,7 +156,7 @@
         if self.draining or not self.config_version:
             return False
         if self.pool is not None:
-            return any(w.state is WorkerState.READY for w in self.pool.worker_by_id.values())
+            return self.pool.ready_workers() > 0
         return self._confirmed_epoch() > 0
 
     def drain(self, now: float) -> None:
@@ -455,6 +455,34 @@
             wanted[host.name] = (host, True)
         return wanted
 
+    def dump(self) -> dict[str, object]:
+        """State of this host, for operators."""
+        leadership = self.leadership
+        return {
+            "host": self.own.name,
+            "incarnation": self.own.incarnation,
+            "role": leadership.role.name.lower(),
+            "leader": leadership.leader.name if leadership.leader is not None else "",
+            "epoch": leadership.epoch,
+            "ready": self.is_ready(),
+            "draining": self.draining,
+            "config_version": self.config_version,
+            "hosts": sorted(self._host_by_name),
+            "links": {
+                name: {"alive": link.is_alive(), "last_heard": round(link.last_heard, 3)}
+                for name, link in self.links.link_by_name.items()
+            },
+            "sessions": {
+                session_id: session.host.name if session.host is not None else ""
+                for session_id, session in self._session_by_id.items()
+            },
+            "callers_jobs": {
+                job_id: {"epoch": job.sent_epoch, "round": job.round}
+                for job_id, job in self.entry.job_by_id.items()
+            },
+            "pool": self.pool.dump() if self.pool is not None else None,
+        }
+
     # --- time ---
 
     def advance(self, now: float) -> None:
--- a/src/eelgrassyard/dispatch/_jobs.py
+++ b/src/eelgrassyard/dispatch/_jobs.py
@@ -105,4 +105,5 @@
 
 
 LATE_FACTOR = 3.0
-"""An answer after this multiple of the objective is of no use to the caller (users' page on credit)."""
+"""An answer after this multiple of the objective is of no use to the caller (users' page on
+credit)."""
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -1,4 +1,5 @@
-"""Which host leads the pool of a failure domain. No vote is taken: fences keep two leaders apart."""
+"""Which host leads the pool of a failure domain. No vote is taken: fences keep two leaders
+apart."""
 
 from __future__ import annotations
 
@@ -12,7 +13,8 @@
 """Time in which the hosts of a domain can answer before one of them takes the lead."""
 
 FIRST_SEARCH_S = 0.5
-"""The same after the start of the process: all hosts start within 0.3 s and must find each other."""
+"""The same after the start of the process: all hosts start within 0.3 s and must find each
+other."""
 
 DEFER_S = 1.2
 """A host waits this long for one of higher rank to take the lead before it does so itself."""
--- a/src/eelgrassyard/dispatch/_leases.py
+++ b/src/eelgrassyard/dispatch/_leases.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 
 LEASE_S = 0.8
-"""Lease that each order carries. A caller whose connection broke may submit again after 1.3 s; a run
-whose host died must have lapsed by then, with the clock error and the detection below included."""
+"""Lease that each order carries. A caller whose connection broke may submit again after 1.3 s; a
+run whose host died must have lapsed by then, with the clock error and the detection below
+included."""
 
 CLOCK_DRIFT = 0.02
 """A worker's clock may be slow by this share (users' page on running tasks)."""
@@ -41,7 +42,8 @@
     def lease_until(self, now: float) -> float:
         """Deadline of a lease given now, on the worker's clock; notes when it lapses here."""
         deadline_s = self.reading_s + (now - self.read_at) + LEASE_S
-        # The worker's clock may have run slow since the reading, and may run slow until the deadline.
+        # The worker's clock may have run slow since the reading, and may run slow until the
+        # deadline.
         lapses_at = self.read_at + (deadline_s - self.reading_s) / (1.0 - CLOCK_DRIFT)
         self.lapses_at = max(self.lapses_at, lapses_at)
         return deadline_s
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -13,8 +13,8 @@
 """Interval of pings between failure domains, where each byte is paid for."""
 
 SILENT_S = 0.34
-"""A host that answers no ping for this long is taken for lost. A quota of processor time may pause a
-host for 0.1 s, and a lost packet is sent again after about 0.2 s."""
+"""A host that answers no ping for this long is taken for lost. A quota of processor time may pause
+a host for 0.1 s, and a lost packet is sent again after about 0.2 s."""
 
 FAR_SILENT_S = 0.5
 
--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -40,11 +40,12 @@
 lease, the clock error, and the time in which another domain notices that its requester is gone."""
 
 LENT_LOSS_S = 1.0
-"""After the session to another pool has broken, tasks lent to it are over by then: it stops them when
-the session is silent for 0.5 s, and their leases lapse if it cannot."""
+"""After the session to another pool has broken, tasks lent to it are over by then: it stops them
+when the session is silent for 0.5 s, and their leases lapse if it cannot."""
 
 ORPHAN_S = 0.25
-"""Time in which a requester whose connection broke may open a new one before its jobs are stopped."""
+"""Time in which a requester whose connection broke may open a new one before its jobs are
+stopped."""
 
 BUSY_PAUSE_S = 0.3
 FULL_PAUSE_S = 0.03
@@ -151,6 +152,43 @@
         for key in runs:
             self.run_over(now, self._live[key], TaskEnd.LOST, f"worker lost: {reason}")
 
+    def ready_workers(self) -> int:
+        """Number of workers that answer and are fenced."""
+        return sum(w.state is WorkerState.READY for w in self.worker_by_id.values())
+
+    def dump(self) -> dict[str, object]:
+        """State of workers and jobs, for operators."""
+        return {
+            "epoch": self.epoch,
+            "counts": self.counts,
+            "workers": {
+                worker.record.id: {
+                    "state": worker.state.value,
+                    "draining": worker.record.draining,
+                    "registered": worker.is_registered,
+                    "slowness": round_s(worker.speed.slowness()),
+                    "ejected_until": round_s(worker.ejected_until),
+                    "held_cpu": worker.held_cpu,
+                    "lapses_at": round_s(worker.clock.lapses_at),
+                    "runs": {str(task): run for task, run in worker.run_by_task.items()},
+                }
+                for worker in self.worker_by_id.values()
+            },
+            "jobs": {
+                job_id: {
+                    "requester": owner.requester,
+                    "due": round_s(owner.due),
+                    "gives_up_at": round_s(owner.gives_up_at),
+                    "tasks": {str(t.id): t.phase.name.lower() for t in owner.task_by_id.values()},
+                }
+                for job_id, owner in self.job_by_id.items()
+            },
+            "neighbours": {
+                domain: neighbour.free_by_service
+                for domain, neighbour in self.neighbour_by_domain.items()
+            },
+        }
+
     def live_runs(self, worker: Worker) -> list[Task]:
         """Tasks that are ordered or running on a worker."""
         task_by_key = self._live
@@ -586,6 +624,7 @@
                 task.avoid.add(worker_id)
                 self.looks.doubt(now, worker)
                 self.run_again(now, task)
+        self._place(now, task.owner.job.service)
 
     def _start_refused(
         self, now: float, worker: Worker, task: Task, refusal: Refusal | None
--- a/src/eelgrassyard/dispatch/_tasks.py
+++ b/src/eelgrassyard/dispatch/_tasks.py
@@ -8,8 +8,8 @@
 from ._jobs import Job, Step, TaskId
 
 RETURN_S = 0.015
-"""Part of the objective that the way between caller, host and worker takes: two client links of 3 ms
-and a few milliseconds at each host."""
+"""Part of the objective that the way between caller, host and worker takes: two client links of 3
+ms and a few milliseconds at each host."""
 
 
 class Phase(enum.Enum):
--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -327,5 +327,6 @@
 def _render(status: int, body: bytes, *, headers: str, keep: bool) -> bytes:
     content = "Content-Type: application/json\r\n" if body and "Content-Type" not in headers else ""
     connection = "" if keep else "Connection: close\r\n"
-    head = f"{_HEAD_BY_STATUS[status]}{headers}{content}{connection}Content-Length: {len(body)}\r\n\r\n"
+    lines = f"{headers}{content}{connection}Content-Length: {len(body)}\r\n\r\n"
+    head = _HEAD_BY_STATUS[status] + lines
     return head.encode("latin-1") + body
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -22,10 +24,10 @@
 _to_client = msgspec.msgpack.Decoder(list[ToClient])
 
 
-class _FrameProtocol(asyncio.Protocol):
+class _FrameProtocol(asyncio.Protocol, abc.ABC):
     """Splits the stream into frames and decodes them."""
 
-    def __init__(self, *, decoder: msgspec.msgpack.Decoder[list[Message]]) -> None:
+    def __init__(self, *, decoder: msgspec.msgpack.Decoder[Any]) -> None:
         self._decoder = decoder
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
@@ -53,9 +55,9 @@
             for message in messages:
                 self.received(message)
 
+    @abc.abstractmethod
     def received(self, message: Message) -> None:
         """Handle one message."""
-        raise TypeError(f"{type(self).__name__} does not handle messages")
 
     def send(self, messages: list[Message]) -> None:
         """Send messages in one frame."""
--- a/src/eelgrassyard/platform/_front.py
+++ b/src/eelgrassyard/platform/_front.py
@@ -64,8 +64,6 @@
         self.routes = RouteTable()
         self.draining = False
         self.refusing = False
-        self.status_counts: dict[int, int] = {}
-        self.seconds_by_kind: dict[str, list[float]] = {}
         self.on_answer: Callable[[str, int, float], None] | None = None
         self._driver = driver
         self._note = note
@@ -97,7 +95,6 @@
     def _respond(
         self, exchange: Exchange, status: int, body: bytes = b"", *, headers: str = ""
     ) -> None:
-        self.status_counts[status] = self.status_counts.get(status, 0) + 1
         exchange.respond(status, body, headers=headers, close=self.draining)
 
     def _refuse(
@@ -105,7 +102,6 @@
     ) -> None:
         self._note("request_refused", {"job": job_id, "reason": reason})
         seconds = max(1, math.ceil(retry_after_s))
-        self.status_counts[503] = self.status_counts.get(503, 0) + 1
         exchange.respond(
             503,
             headers=f"Retry-After: {seconds}\r\n",
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -6,6 +6,7 @@
 import signal
 
 import anyio
+import msgspec
 
 from .._clock import Clock
 from .._journal import Journal
@@ -25,6 +26,7 @@
 )
 from ._front import Front
 from ._settings import HostSettings, read_settings
+from ._stats import Stats
 from ._store import Item, Mirror, Store, StoreError
 from ._worker_calls import PlatformWorkerCalls
 
@@ -39,8 +41,8 @@
 
 LEADER_PAUSE_S = 0.8
 FOLLOWER_PAUSE_S = 4.0
-"""Pauses between readings of the worker entries. A leader must not start tasks on a worker 2 s after
-it said that it is leaving."""
+"""Pauses between readings of the worker entries. A leader must not start tasks on a worker 2 s
+after it said that it is leaving."""
 
 HOSTS_WAIT_S = 8.0
 """Wait of a watch of the hosts' entries, which only help hosts to find each other."""
@@ -50,11 +52,13 @@
 
 LONGEST_JOB_S = 1.6
 EXIT_S = 0.5
-"""After SIGTERM new requests are refused when so much of the grace is left that a job of the longest
-kind, and then the end of the process, still fit in."""
+"""After SIGTERM new requests are refused when so much of the grace is left that a job of the
+longest kind, and then the end of the process, still fit in."""
 
 STATE_POLL_S = 0.05
 
+METRICS_TYPE = "Content-Type: text/plain; version=0.0.4\r\n"
+
 
 class PlatformHost:
     """One process of the system.
@@ -104,6 +108,10 @@
         )
         self._ready_server = HttpServer(handler=self._answer_ready)
         self._store = Store(address=settings.store_address)
+        self._stats = Stats(
+            core=self._core, store=self._store, front=self._front_server, journal=self._journal
+        )
+        self._front.on_answer = self._stats.answered
         self._store_up: bool | None = None
         self._record_by_id: dict[str, WorkerRecord] = {}
         self._gone_at: dict[str, float] = {}
@@ -286,7 +294,8 @@
             self._registered_anew.set()
 
     async def _poll(self) -> None:
-        """Drop workers that have been missing for long, and take configurations from other hosts."""
+        """Drop workers that have been missing for long, and take configurations from other
+        hosts."""
         while True:
             await anyio.sleep(STATE_POLL_S)
             now = self._clock.now()
@@ -323,7 +332,13 @@
     # --- readiness ---
 
     def _answer_ready(self, exchange: Exchange) -> None:
-        exchange.respond(200 if self._core.is_ready() else 503)
+        match exchange.request.path:
+            case "/metrics":
+                exchange.respond(200, self._stats.render(), headers=METRICS_TYPE)
+            case "/state":
+                exchange.respond(200, msgspec.json.encode(self._core.dump(), enc_hook=str))
+            case _:
+                exchange.respond(200 if self._core.is_ready() else 503)
 
 
 def run_host(path: str) -> int:
--- /dev/null
+++ b/src/eelgrassyard/platform/_stats.py
@@ -0,0 +1,87 @@
+"""Counters and latency histograms of a host, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from .._journal import Journal
+from ..dispatch._host import DispatchHost
+from ..net import HttpServer
+from ._store import Store
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.3, 1.6)
+"""Objectives lie between 0.1 and 1.5 s."""
+
+
+class Stats:
+    """Counts answers as they happen; everything else is read when it is asked for."""
+
+    def __init__(
+        self, *, core: DispatchHost, store: Store, front: HttpServer, journal: Journal
+    ) -> None:
+        self._core = core
+        self._store = store
+        self._front = front
+        self._journal = journal
+        self._registry = CollectorRegistry()
+        self._answers = Counter(
+            "eelgrassyard_answers",
+            "Answers to jobs by status",
+            ["status"],
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            "eelgrassyard_answer_seconds",
+            "Time from a request to its answer",
+            ["status"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: Gauge(f"eelgrassyard_{name}", text, registry=self._registry)
+            for name, text in (
+                ("ready", "1 if the host takes new connections"),
+                ("leads", "1 if the host leads its domain's pool"),
+                ("epoch", "Epoch of the leader that the host uses"),
+                ("config_version", "Version of the configuration in force"),
+                ("connections", "Open client connections"),
+                ("jobs", "Jobs of this host's callers in progress"),
+                ("pool_jobs", "Jobs in the pool that this host leads"),
+                ("pool_workers_ready", "Workers of the pool that answer"),
+                ("store_calls", "Calls to the store since the start"),
+                ("log_lines_omitted", "Log lines left out by the bound on volume"),
+            )
+        }
+        self._pool_counts = Gauge(
+            "eelgrassyard_pool_events",
+            "Events of the pool since this host leads it",
+            ["event"],
+            registry=self._registry,
+        )
+
+    def answered(self, kind: str, status: int, took_s: float) -> None:
+        """Count the answer to a job."""
+        self._answers.labels(str(status)).inc()
+        self._seconds.labels(str(status)).observe(took_s)
+
+    def render(self) -> bytes:
+        """The text of all metrics."""
+        core = self._core
+        pool = core.pool
+        values = {
+            "ready": int(core.is_ready()),
+            "leads": int(pool is not None),
+            "epoch": core.leadership.epoch,
+            "config_version": core.config_version,
+            "connections": len(self._front.connections),
+            "jobs": len(core.entry.job_by_id),
+            "pool_jobs": len(pool.job_by_id) if pool is not None else 0,
+            "pool_workers_ready": pool.ready_workers() if pool is not None else 0,
+            "store_calls": self._store.calls,
+            "log_lines_omitted": self._journal.omitted,
+        }
+        for name, value in values.items():
+            self._gauges[name].set(value)
+        for event, count in (pool.counts if pool is not None else {}).items():
+            self._pool_counts.labels(event).set(count)
+        return generate_latest(self._registry)
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -27,7 +27,8 @@
 
 RETRY_FIRST_S = 0.1
 RETRY_MAX_S = 0.6
-"""Pauses between calls while the store is away; entries have to be found within 2 s of its return."""
+"""Pauses between calls while the store is away; entries have to be found within 2 s of its
+return."""
 
 CONNECTIONS = 6
 
@@ -195,9 +196,8 @@
     :param on_change: gets all items by key after each change.
     :param on_state: gets whether the store answers, and why not.
     :param wait_s: how long one watch waits for a change.
-    :param pause_s: seconds between two watches, for items that change all the time; asked anew every
-        ``PAUSE_STEP_S``.
-    """
+    :param pause_s: seconds between two watches, for items that change all the time; asked anew
+    every ``PAUSE_STEP_S``."""
 
     def __init__(
         self,
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -31,7 +31,8 @@
 """Time for the answer to a look beyond the wait that it asks for."""
 
 CONNECTIONS = 4
-"""Connections to one worker: one look that waits, and three orders. New connections are paid for."""
+"""Connections to one worker: one look that waits, and three orders. New connections are paid
+for."""
 
 OCCURRENCE = 0
 """Occurrence of a job without a schedule in the names of its tasks."""
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 from dispatch_workers import FakeWorker
-
 from eelgrassyard.dispatch._actions import CallFailure, Look, Note, StartRun, StopRun
 from eelgrassyard.dispatch._entry import AnswerCaller
 from eelgrassyard.dispatch._host import CloseSession, DispatchHost, SendSession
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,259 @@
+"""A store and workers that speak the platform's published messages, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import urllib.parse
+from typing import Any
+
+from eelgrassyard.net import Exchange, HttpServer, ServerLimits
+
+
+class StandinStore:
+    """Keys with revisions, watches, leases; :attr:`refuse` answers all calls with a status."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.first_event = 0
+        self.leases: set[int] = set()
+        self.refuse = 0
+        self.calls: list[str] = []
+        self.page = 500
+        self._waiting: list[tuple[Exchange, str, int]] = []
+        self.server = HttpServer(handler=self.handle, limits=ServerLimits(body_bytes=2_000_000))
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> None:
+        """Write a key."""
+        self.revision += 1
+        known = self.items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": known["created"] if known else self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self._happened(item)
+
+    def delete(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._happened({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop all events, as a compaction does, and cut the watches."""
+        self.events.clear()
+        self.first_event = self.revision + 1
+        for exchange, _, _ in self._waiting:
+            exchange.respond(410)
+        self._waiting.clear()
+
+    def _happened(self, event: dict[str, Any]) -> None:
+        self.events.append(event)
+        waiting, self._waiting = self._waiting, []
+        for exchange, prefix, after in waiting:
+            if not self._answer_watch(exchange, prefix, after):
+                self._waiting.append((exchange, prefix, after))
+
+    def _answer_watch(self, exchange: Exchange, prefix: str, after: int) -> bool:
+        events = [
+            event
+            for event in self.events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+        if events:
+            _respond(exchange, 200, {"events": events, "current_rev": self.revision})
+        return bool(events)
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        self.calls.append(request.path)
+        if self.refuse:
+            _respond(exchange, self.refuse, {})
+            return
+        query = dict(urllib.parse.parse_qsl(request.query))
+        body = json.loads(request.body) if request.body else {}
+        match request.method, request.path:
+            case "GET", "/api/kv-range":
+                self._range(exchange, query)
+            case "GET", "/api/kv-watch":
+                after = int(query["after"])
+                if after + 1 < self.first_event:
+                    _respond(exchange, 410, {})
+                elif not self._answer_watch(exchange, query["prefix"], after):
+                    self._wait(exchange, query, after)
+            case "POST", "/api/kv-txn":
+                for row in body["puts"]:
+                    self.put(row["key"], base64.b64decode(row["value"]), row["lease"])
+                _respond(exchange, 200, {"revision": self.revision})
+            case "POST", "/api/kv-lease":
+                lease = 1000 + len(self.leases)
+                self.leases.add(lease)
+                _respond(exchange, 200, {"lease": lease, "ttl_ms": body["ttl_ms"]})
+            case "POST", path if path.startswith("/api/kv-keep/"):
+                known = int(path.rpartition("/")[2]) in self.leases
+                _respond(exchange, 200 if known else 404, {"ttl_ms": 3000})
+            case _:
+                _respond(exchange, 400, {})
+
+    def _wait(self, exchange: Exchange, query: dict[str, str], after: int) -> None:
+        entry = (exchange, query["prefix"], after)
+        self._waiting.append(entry)
+
+        def expire() -> None:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                _respond(exchange, 200, {"events": [], "current_rev": self.revision})
+
+        asyncio.get_running_loop().call_later(int(query["wait_ms"]) / 1000.0, expire)
+
+    def _range(self, exchange: Exchange, query: dict[str, str]) -> None:
+        after = query.get("after", "")
+        keys = [k for k in sorted(self.items) if k.startswith(query["prefix"]) and k > after]
+        page = [self.items[key] for key in keys[: self.page]]
+        truncated = len(keys) > self.page
+        _respond(
+            exchange,
+            200,
+            {"items": page, "truncated": truncated, "current_rev": self.revision},
+        )
+
+
+class StandinWorker:
+    """Starts whatever it is told, and ends it after ``work_s``."""
+
+    def __init__(self, *, worker_id: str, work_s: float = 0.02) -> None:
+        self.worker_id = worker_id
+        self.work_s = work_s
+        self.fence = 0
+        self.refuse: tuple[int, dict[str, Any]] | None = None
+        self.starts: list[dict[str, Any]] = []
+        self.stops: list[dict[str, Any]] = []
+        self.looks: list[dict[str, Any]] = []
+        self.running: dict[str, dict[str, Any]] = {}
+        self.finished: list[list[Any]] = []
+        self.numbers = 0
+        self._waiting: list[Exchange] = []
+        self.server = HttpServer(handler=self.handle)
+
+    def entry(self, address: str, domain: str, service: str) -> bytes:
+        """The entry that it writes into the store."""
+        return json.dumps(
+            {
+                "service": service,
+                "address": address,
+                "zone": domain,
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "cold_left_ms": 0,
+                "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+                "labels": ["a", "r1-3"],
+                "clock_ms": 482113,
+                "seq": 4,
+            }
+        ).encode()
+
+    def clock_ms(self) -> float:
+        """Its steady clock."""
+        return asyncio.get_running_loop().time() * 1000.0
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        if request.headers.get("x-expect-instance", self.worker_id) != self.worker_id:
+            _respond(exchange, 421, {})
+            return
+        if self.refuse is not None:
+            _respond(exchange, self.refuse[0], {"clock_ms": self.clock_ms(), **self.refuse[1]})
+            return
+        body = json.loads(request.body)
+        if body["fence"] < self.fence:
+            _respond(exchange, 409, {"clock_ms": self.clock_ms(), "reason": "fence"})
+            return
+        self.fence = body["fence"]
+        match request.path:
+            case "/api/run-start":
+                self.starts.append(body)
+                self.running[body["task"]] = body
+                asyncio.get_running_loop().call_later(self.work_s, self._end, body, "done")
+                _respond(exchange, 200, {"clock_ms": self.clock_ms()})
+            case "/api/run-stop":
+                self.stops.append(body)
+                if body["task"] in self.running:
+                    self._end(body, "stopped")
+                _respond(exchange, 200, {"clock_ms": self.clock_ms()})
+            case "/api/hold":
+                self.looks.append(body)
+                acknowledged = body["acked_up_to"]
+                self.finished = [row for row in self.finished if row[0] > acknowledged]
+                if self.finished or not body.get("wait_ms"):
+                    self._report(exchange)
+                else:
+                    self._waiting.append(exchange)
+                    wait_s = body["wait_ms"] / 1000.0
+                    asyncio.get_running_loop().call_later(wait_s, self._report, exchange)
+
+    def _end(self, body: dict[str, Any], how: str) -> None:
+        if self.running.get(body["task"], {}).get("run") != body["run"]:
+            return
+        del self.running[body["task"]]
+        self.numbers += 1
+        self.finished.append([self.numbers, body["task"], body["run"], how, ""])
+        waiting, self._waiting = self._waiting, []
+        for exchange in waiting:
+            self._report(exchange)
+
+    def _report(self, exchange: Exchange) -> None:
+        _respond(
+            exchange,
+            200,
+            {
+                "clock_ms": self.clock_ms(),
+                "born": 1700000000000,
+                "running": [[task, row["run"], "", 50] for task, row in self.running.items()],
+                "finished": self.finished,
+            },
+        )
+
+
+def config(*, version: int = 7, service: str = "svc") -> bytes:
+    """A configuration with one queue."""
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [
+                {
+                    "name": "r-1",
+                    "host": "nony24.example",
+                    "prefix": "/lohu930/",
+                    "kind": "unsafe",
+                    "timeout_ms": 1500,
+                    "target_duration_ms": 60,
+                    "priority": 0,
+                    "service": service,
+                    "max_attempts": 3,
+                    "stretch": 1.6,
+                },
+                {
+                    "name": "r-2",
+                    "host": "nony24.example",
+                    "prefix": "/lohu930/deep/",
+                    "service": service,
+                },
+            ],
+            "services": [{"name": service, "enforces_capacity": True}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144},
+        }
+    ).encode()
+
+
+def _respond(exchange: Exchange, status: int, body: dict[str, Any]) -> None:
+    exchange.respond(status, json.dumps(body).encode())
--- a/tests/test_daemon_host.py
+++ b/tests/test_daemon_host.py
@@ -16,9 +16,9 @@
     make_config,
     running_host,
 )
+from eelgrassyard._clock import Clock
 from eelgrassyard.config import render_document
 from eelgrassyard.daemon import main
-from eelgrassyard._clock import Clock
 from eelgrassyard.daemon._loop import CoreLoop
 from eelgrassyard.daemon._metrics import Metrics
 from eelgrassyard.policy import (
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from dispatch_world import World
 
+from dispatch_world import World
 from eelgrassyard.dispatch._jobs import Outcome
 
 FAULTS = ("kill", "power", "freeze", "host_cut", "domain_cut", "worker_cut", "worker_crash")
@@ -37,7 +37,8 @@
         world.at(elapsed, submit)
     for _ in range(faults):
         at = dice.uniform(0.5, seconds - 3.0)
-        world.at(at, lambda kind=dice.choice(FAULTS): fault(world, kind, hosts, workers))
+        kind = dice.choice(FAULTS)
+        world.at(at, lambda kind=kind: fault(world, kind, hosts, workers))
     if dice.random() < 0.5:
         world.at(1.0, lambda: setattr(world, "late_share", 0.05))
         world.at(4.0, lambda: setattr(world, "late_share", 0.0))
--- /dev/null
+++ b/tests/test_dispatch_pool.py
@@ -0,0 +1,377 @@
+"""The leader's decisions, one at a time, against hand-made answers of workers."""
+
+from __future__ import annotations
+
+import pytest
+
+from eelgrassyard.dispatch._actions import (
+    Answered,
+    Ask,
+    CallFailure,
+    EndedEntry,
+    Look,
+    Refusal,
+    Reply,
+    Report,
+    RunningEntry,
+    StartRun,
+    StopRun,
+)
+from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskEnd, TaskId
+from eelgrassyard.dispatch._messages import JobEnded, Lend, LentEnded, Progress
+from eelgrassyard.dispatch._pool import HANDOVER_S, Pool
+from eelgrassyard.dispatch._workers import WorkerRecord
+
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+def record(
+    name: str, *, domain: str = "d0", cpu: int = 2000, draining: bool = False
+) -> WorkerRecord:
+    """A worker's entry."""
+    return WorkerRecord(
+        id=name,
+        service="s",
+        address=name,
+        domain=domain,
+        cpu=cpu,
+        memory_mb=1000,
+        draining=draining,
+    )
+
+
+def job(*, tasks: int = 1, estimate_s: float = 0.2, attempts: int = 2, cpu: int = 1000) -> Job:
+    """A job of one step."""
+    return Job(
+        id=JOB_ID,
+        kind="k",
+        service="s",
+        payload="p",
+        steps=(Step(count=tasks, cpu=cpu, estimate_s=estimate_s),),
+        max_attempts=attempts,
+        stretch=1.6,
+        target_s=0.06,
+    )
+
+
+class PoolDriver:
+    """A pool whose orders the test answers."""
+
+    def __init__(self, *workers: WorkerRecord) -> None:
+        self.pool = Pool(domain="d0", epoch=5, now=0.0, stop_s=0.05, far_factor=1.5)
+        self.records = {worker.id: worker for worker in workers}
+        self.pool.set_workers(0.0, self.records)
+        for worker in self.take(Look):
+            self.report(0.0, worker.worker_id)
+        self.pool.actions.clear()
+
+    def take(self, kind: type) -> list:
+        """Actions of one type so far; they are taken out."""
+        found = [action for action in self.pool.actions if isinstance(action, kind)]
+        self.pool.actions[:] = [a for a in self.pool.actions if not isinstance(a, kind)]
+        return found
+
+    def report(
+        self,
+        now: float,
+        worker: str,
+        *,
+        running: tuple[RunningEntry, ...] = (),
+        ended: tuple[EndedEntry, ...] = (),
+        life: int = 1,
+    ) -> None:
+        """A worker answers a look."""
+        self.pool.look_answered(
+            now,
+            worker,
+            Report(clock_s=100.0 + now, life=life, running=running, ended=ended),
+        )
+
+    def submit(self, now: float, what: Job, **more: object) -> None:
+        """A host submits a job."""
+        values = {"waited_s": 0.0, "caller_waits_s": 1.5, "round": 0, **more}
+        self.pool.submit(now, "r", what, **values)
+
+    def answer(self, now: float, order: StartRun, refusal: Refusal | None = None) -> None:
+        """A worker answers a start."""
+        result = Answered(clock_s=100.0 + now, refusal=refusal)
+        self.pool.start_answered(now, order.worker_id, order.task, order.run, result)
+
+    def outcomes(self) -> list[Outcome]:
+        """Outcomes that were reported so far."""
+        replies = self.take(Reply)
+        return [r.message.outcome for r in replies if isinstance(r.message, JobEnded)]
+
+
+def ended(order: StartRun, number: int, end: TaskEnd = TaskEnd.DONE) -> EndedEntry:
+    """A worker's entry for the end of a run."""
+    return EndedEntry(number=number, task=order.task, run=order.run, end=end)
+
+
+def test_a_job_is_complete_when_all_tasks_are_listed_as_done() -> None:
+    """Guards against an answer before the last task."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job(tasks=2))
+    first, second = driver.take(StartRun)
+    driver.answer(1.01, first)
+    driver.answer(1.01, second)
+    driver.report(1.2, first.worker_id, ended=(ended(first, 1),))
+    assert driver.outcomes() == []
+    driver.report(1.2, second.worker_id, ended=(ended(first, 1), ended(second, 2)))
+    assert driver.outcomes() == [Outcome.COMPLETE]
+
+
+def test_a_start_carries_a_lease_on_the_workers_clock() -> None:
+    """Guards against orders that a worker could still carry out seconds later."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    assert 101.0 < order.deadline_s <= 102.0
+    assert order.fence == 5
+
+
+def test_a_task_fails_its_job_after_as_many_attempts_as_allowed() -> None:
+    """Guards against more or fewer attempts than the kind allows."""
+    driver = PoolDriver(record("w0"), record("w1"), record("w2"))
+    driver.submit(1.0, job(attempts=2))
+    for number in (1, 2):
+        (order,) = driver.take(StartRun)
+        driver.answer(1.0, order)
+        driver.report(1.05, order.worker_id, ended=(ended(order, number, TaskEnd.FAILED),))
+    assert driver.outcomes() == [Outcome.FAILED]
+
+
+def test_an_unanswered_start_is_stopped_before_the_task_starts_elsewhere() -> None:
+    """Guards against two runs when the answer to a start is lost."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.pool.start_answered(1.2, order.worker_id, order.task, order.run, CallFailure.SILENT)
+    (stop,) = driver.take(StopRun)
+    driver.pool.advance(1.21)
+    assert driver.take(StartRun) == []
+    driver.pool.stop_answered(1.22, stop.worker_id, stop.task, stop.run, Answered(clock_s=101.2))
+    driver.pool.advance(1.23)
+    assert driver.take(StartRun) == []
+    driver.pool.advance(1.32)
+    (again,) = driver.take(StartRun)
+    assert again.worker_id != order.worker_id
+    assert again.run > order.run
+
+
+@pytest.mark.parametrize("refusal", [Refusal.BUSY, Refusal.INVALID])
+def test_a_refused_stop_proves_nothing(refusal: Refusal) -> None:
+    """Guards against taking a 503 for a stopped run (found by reading; a sick worker sends it)."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.pool.start_answered(1.2, order.worker_id, order.task, order.run, CallFailure.SILENT)
+    (stop,) = driver.take(StopRun)
+    answer = Answered(clock_s=101.2, refusal=refusal)
+    driver.pool.stop_answered(1.22, stop.worker_id, stop.task, stop.run, answer)
+    driver.pool.advance(1.4)
+    assert driver.take(StartRun) == []
+    assert len(driver.take(StopRun)) == 1
+
+
+def test_runs_go_on_at_a_worker_that_left_the_registry() -> None:
+    """Guards against a second run when an entry lapses (savlane-cards trouble-1, TWICE)."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.answer(1.01, order)
+    left = {name: r for name, r in driver.records.items() if name != order.worker_id}
+    driver.pool.set_workers(1.02, left)
+    driver.pool.advance(1.1)
+    assert driver.take(StartRun) == []
+    driver.report(1.2, order.worker_id, ended=(ended(order, 1),))
+    assert driver.outcomes() == [Outcome.COMPLETE]
+
+
+def test_a_worker_that_left_the_registry_gets_no_more_work() -> None:
+    """Guards against work for a worker that is taken as gone."""
+    driver = PoolDriver(record("w0"))
+    driver.pool.set_workers(1.0, {"far": record("far", domain="d1")})
+    driver.submit(1.1, job())
+    assert driver.take(StartRun) == []
+
+
+def test_a_draining_worker_gets_no_more_work() -> None:
+    """Guards against starts on a worker that is leaving."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.pool.set_workers(1.0, {"w0": record("w0", draining=True), "w1": record("w1")})
+    driver.submit(1.1, job(tasks=2))
+    assert {order.worker_id for order in driver.take(StartRun)} == {"w1"}
+
+
+def test_a_run_number_that_was_used_before_leaves_nothing_behind() -> None:
+    """Guards against an old entry that counts the new run as lost (virtual site, seed 2)."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.answer(1.01, order, Refusal.OLD_RUN)
+    (again,) = driver.take(StartRun)
+    assert again.run > order.run + 100
+    driver.answer(1.02, again)
+    for worker in ("w0", "w1"):
+        listed = (RunningEntry(task=again.task, run=again.run, percent=10),)
+        driver.report(1.1, worker, running=listed if worker == again.worker_id else ())
+    assert driver.take(StartRun) == []
+
+
+def test_a_run_that_a_restarted_worker_lists_goes_on() -> None:
+    """Guards against a second run after a worker's restart (virtual site, seed 13)."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.answer(1.01, order)
+    listed = (RunningEntry(task=order.task, run=order.run, percent=10),)
+    driver.report(1.1, order.worker_id, running=listed, life=2)
+    assert driver.take(StartRun) == []
+
+
+def test_a_run_that_a_restarted_worker_does_not_list_starts_again() -> None:
+    """Guards against waiting for a run that died with its worker."""
+    driver = PoolDriver(record("w0"), record("w1"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.answer(1.01, order)
+    driver.report(1.1, order.worker_id)
+    if not driver.take(StartRun):
+        driver.report(1.2, order.worker_id, life=2)
+        assert driver.take(StartRun)
+
+
+def test_a_job_of_another_leader_waits_until_its_runs_are_over() -> None:
+    """Guards against a second run after a change of leader (savlane-cards trouble-3, TWICE)."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(20.0, job(), round=1)
+    driver.pool.advance(20.5)
+    assert driver.take(StartRun) == []
+    driver.pool.advance(20.0 + HANDOVER_S + 0.01)
+    assert len(driver.take(StartRun)) == 1
+
+
+def test_what_a_resigned_leader_said_is_used() -> None:
+    """Guards against running tasks again that had ended, and against needless waits."""
+    driver = PoolDriver(record("w0", cpu=8000))
+    progress = Progress(done=((0, 0),), unsettled=((0, 1),))
+    driver.submit(1.0, job(tasks=3), round=1, progress=progress)
+    assert [order.task for order in driver.take(StartRun)] == [TaskId(JOB_ID, 0, 2)]
+
+
+def test_an_untouched_job_without_room_is_refused_as_not_run() -> None:
+    """Guards against holding a job that can no longer be in time."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(1.0, job(tasks=2, estimate_s=0.9, cpu=1000))
+    driver.take(StartRun)
+    other = msgspec_copy(job(tasks=1), "aaaaaaaaaaaaaaaa")
+    driver.submit(1.0, other)
+    assert driver.outcomes() == []
+    driver.pool.advance(1.3)
+    assert driver.outcomes() == [Outcome.NOT_RUN]
+
+
+def msgspec_copy(what: Job, job_id: str) -> Job:
+    """The same job under another id."""
+    return Job(
+        id=job_id,
+        kind=what.kind,
+        service=what.service,
+        payload=what.payload,
+        steps=what.steps,
+        max_attempts=what.max_attempts,
+        stretch=what.stretch,
+        target_s=what.target_s,
+    )
+
+
+def test_a_job_that_no_worker_could_hold_fails_at_once() -> None:
+    """Guards against holding work that can never run."""
+    driver = PoolDriver(record("w0", cpu=500))
+    driver.submit(1.0, job(cpu=1000))
+    assert driver.outcomes() == [Outcome.FAILED]
+
+
+def test_tasks_without_room_are_lent_and_come_back() -> None:
+    """Guards against a lent task that is waited for in vain (bagmati-ruling quiet-1)."""
+    driver = PoolDriver(record("w0", cpu=1000))
+    driver.pool.neighbour_seen(1.0, "d1", {"s": 1})
+    driver.submit(1.0, job(tasks=2))
+    assert len(driver.take(StartRun)) == 1
+    (ask,) = driver.take(Ask)
+    assert isinstance(ask.message, Lend)
+    ((index, run),) = ask.message.tasks
+    driver.pool.lent_ended(1.01, "d1", JOB_ID, 0, index, run, TaskEnd.NO_ROOM)
+    assert driver.pool.job_by_id[JOB_ID].waiting == 1
+
+
+def test_a_lent_task_without_room_is_reported_under_the_lenders_number() -> None:
+    """Guards against a report that the lender cannot match (bagmati-ruling quiet-1)."""
+    driver = PoolDriver(record("w0", cpu=1000))
+    driver.pool.lend(1.0, "r", job(tasks=3), 0, ((1, 7), (2, 7)), waited_s=0.0, caller_waits_s=1.5)
+    assert [order.run for order in driver.take(StartRun)] == [7]
+    (reply,) = driver.take(Reply)
+    assert isinstance(reply.message, LentEnded)
+    assert (reply.message.index, reply.message.run) == (2, 7)
+
+
+def test_a_silent_requesters_runs_are_stopped() -> None:
+    """Guards against runs that go on after the client may have sent the job to another host."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.pool.requester_lost(1.3, "r", silent=True)
+    (stop,) = driver.take(StopRun)
+    assert (stop.task, stop.run) == (order.task, order.run)
+
+
+def test_unclaimed_runs_of_an_earlier_leader_are_stopped_and_claimed_ones_go_on() -> None:
+    """Guards against orphans, and against killing work that a host still waits for."""
+    driver = PoolDriver()
+    driver.records = {"w0": record("w0", cpu=8000)}
+    driver.pool.set_workers(1.0, driver.records)
+    mine, other = TaskId(JOB_ID, 0, 0), TaskId("bbbbbbbbbbbbbbbb", 0, 0)
+    listed = tuple(RunningEntry(task=task, run=3, percent=20) for task in (mine, other))
+    driver.report(1.0, "w0", running=listed)
+    driver.submit(1.1, job(), round=1)
+    driver.pool.advance(1.5)
+    assert [stop.task for stop in driver.take(StopRun)] == [other]
+    assert driver.take(StartRun) == []
+    end = EndedEntry(number=1, task=mine, run=3, end=TaskEnd.DONE)
+    driver.report(1.6, "w0", ended=(end,))
+    assert driver.outcomes() == [Outcome.COMPLETE]
+
+
+def test_a_higher_fence_ends_the_lead() -> None:
+    """Guards against two leaders that order the same workers."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(1.0, job())
+    (order,) = driver.take(StartRun)
+    driver.answer(1.01, order, Refusal.FENCED)
+    assert driver.pool.fenced_out
+
+
+def test_a_worker_that_fails_everything_is_ejected_and_tried_again() -> None:
+    """Guards against a worker that draws work by failing fast."""
+    driver = PoolDriver(record("w0"), record("w1"), record("w2"))
+    worker = driver.pool.worker_by_id["w0"]
+    assert not worker.blame("a", 1.0)
+    assert worker.blame("b", 1.0)
+    assert not worker.is_usable(1.5)
+    assert worker.is_usable(worker.ejected_until + 0.01)
+    worker.praise()
+    assert not worker.on_trial
+
+
+def test_a_job_that_fails_everywhere_ejects_nobody() -> None:
+    """Guards against losing sound workers to jobs that can never be done."""
+    driver = PoolDriver(record("w0"), record("w1"), record("w2"))
+    driver.submit(1.0, job(attempts=3))
+    for number in (1, 1, 1):
+        (order,) = driver.take(StartRun)
+        driver.answer(1.0, order)
+        driver.report(1.05, order.worker_id, ended=(ended(order, number, TaskEnd.FAILED),))
+    assert driver.outcomes() == [Outcome.FAILED]
+    blamed = [w for w in driver.pool.worker_by_id.values() if w.blamed_jobs]
+    assert blamed == []
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,135 @@
+"""Settings, configurations, worker entries and task names of the platform."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_standin import config
+
+from eelgrassyard.dispatch._jobs import TaskId
+from eelgrassyard.platform._documents import decode_config, decode_worker
+from eelgrassyard.platform._settings import read_settings
+from eelgrassyard.platform._worker_calls import parse_task_name, task_name
+
+SETTINGS = """
+node = "front-patan-1"
+zone = "patan"
+seeds = ["10.1.0.13:8166", "broken"]
+unknown = "ignored"
+[listen]
+front = "10.1.0.13:8161"
+ready = "10.1.0.13:8167"
+control = "10.1.0.13:8166"
+[limits]
+cpu_share = 0.5
+cores = 2
+[bounds]
+stop_ms = 50
+grace_s = 6
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+ENTRY = {
+    "service": "svc",
+    "address": "10.128.0.9:8080",
+    "zone": "patan",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+}
+
+
+def test_settings_are_read(tmp_path: Path) -> None:
+    """Guards against wrong names or units of settings."""
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS)
+    settings = read_settings(str(path)).unwrap()
+    assert settings.name == "front-patan-1"
+    assert settings.domain == "patan"
+    assert settings.weight == 1.0
+    assert settings.stop_s == 0.05
+    assert settings.seeds == ("10.1.0.13:8166",)
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        (('zone = "patan"', ""), "zone"),
+        (('front = "10.1.0.13:8161"', 'front = "nowhere"'), "front"),
+        (("stop_ms = 50", 'stop_ms = "fast"'), "stop_ms"),
+        (("[bounds]", "[bounds"), "read"),
+    ],
+)
+def test_unusable_settings_are_refused_with_a_reason(
+    tmp_path: Path, change: tuple[str, str], text: str
+) -> None:
+    """Guards against a start with settings that make no sense."""
+    path = tmp_path / "local.toml"
+    path.write_text(SETTINGS.replace(*change))
+    assert text in str(read_settings(str(path)).unwrap_err())
+
+
+def test_the_longest_prefix_wins() -> None:
+    """Guards against requests that reach the wrong queue."""
+    routes = decode_config(config()).unwrap()
+    assert routes.find("nony24.example:80", "/lohu930/abc").name == "r-1"
+    assert routes.find("NONY24.example", "/lohu930/deep/abc").name == "r-2"
+    assert routes.find("other.example", "/lohu930/abc") is None
+    assert routes.guarded_services == {"svc"}
+
+
+def test_a_worker_entry_is_decoded() -> None:
+    """Guards against wrong sizes, and a drain that is not seen."""
+    worker = decode_worker("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert (worker.cpu, worker.memory_mb, worker.rack, worker.draining) == (
+        16000,
+        32768,
+        "r1-3",
+        False,
+    )
+    leaving = {**ENTRY, "state": "draining"}
+    assert decode_worker("i-1", json.dumps(leaving).encode()).unwrap().draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"capacity": None},
+        {"address": 7},
+        {"address": "no-port"},
+        {"labels": "a"},
+    ],
+)
+def test_entries_of_other_writers_name_no_worker(change: dict[str, object]) -> None:
+    """Guards against starts on something that is not a worker."""
+    assert decode_worker("i-1", json.dumps({**ENTRY, **change}).encode()).is_err()
+
+
+@given(value=st.binary(max_size=80))
+def test_any_bytes_are_refused_or_decoded(value: bytes) -> None:
+    """Guards against an entry that stops the reading of all others."""
+    decode_worker("i-1", value)
+    decode_config(value)
+
+
+@given(
+    job=st.text(alphabet="0123456789abcdef", min_size=16, max_size=16),
+    step=st.integers(0, 50),
+    index=st.integers(0, 10_000),
+)
+def test_task_names_are_read_back(job: str, step: int, index: int) -> None:
+    """Guards against ends that are matched to another task."""
+    task = TaskId(job, step, index)
+    assert parse_task_name(task_name(task)) == task
+
+
+@given(name=st.text(max_size=40))
+def test_any_task_name_is_read_or_refused(name: str) -> None:
+    """Guards against a report that cannot be read because of one foreign entry."""
+    parse_task_name(name)
--- /dev/null
+++ b/tests/test_platform_host.py
@@ -0,0 +1,260 @@
+"""The adapter and a whole host against stand-ins of the platform on loopback."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+from platform_standin import StandinStore, StandinWorker, config
+
+from eelgrassyard.net import CallError, HttpClient, Response
+from eelgrassyard.platform._host import PlatformHost
+from eelgrassyard.platform._settings import HostSettings
+
+JOB = {"spec": "text", "phases": [{"count": 3, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60}]}
+
+
+def free_address() -> str:
+    """A loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Site:
+    """A store, a worker and a host."""
+
+    def __init__(self) -> None:
+        self.store = StandinStore()
+        self.worker = StandinWorker(worker_id="i-1")
+        self.store_address = free_address()
+        self.worker_address = free_address()
+        self.settings = HostSettings(
+            name="front-1",
+            domain="patan",
+            front_address=free_address(),
+            ready_address=free_address(),
+            peer_address=free_address(),
+            seeds=(),
+            weight=1.0,
+            store_address=self.store_address,
+            stop_s=0.05,
+            far_factor=1.5,
+            grace_s=6.0,
+            lease_least_s=1.0,
+        )
+        self.host = PlatformHost(settings=self.settings, path="/nonexistent")
+
+    async def call(self, address: str, method: str, path: str, body: object = None) -> Response:
+        """One HTTP call on a new connection; it must be answered."""
+        result = await self.attempt(address, method, path, body)
+        assert isinstance(result, Response), result
+        return result
+
+    async def attempt(
+        self, address: str, method: str, path: str, body: object = None
+    ) -> Response | CallError:
+        """One HTTP call on a new connection."""
+        done = anyio.Event()
+        results: list[Response | CallError] = []
+
+        def on_result(result: Response | CallError) -> None:
+            results.append(result)
+            done.set()
+
+        client = HttpClient(address=address, most=1)
+        text = b"" if body is None else json.dumps(body).encode()
+        client.call(method, path, timeout_s=10.0, on_result=on_result, body=text)
+        await done.wait()
+        client.close()
+        return results[0]
+
+    async def front(
+        self, method: str, path: str, body: object = None, host: str = "nony24.example"
+    ) -> Response:
+        """A client's call; the client's own Host line is replaced by the queue's."""
+        address = self.settings.front_address
+        reader, writer = await _open(address)
+        text = b"" if body is None else json.dumps(body).encode()
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(text)}\r\n\r\n"
+        writer(head.encode() + text)
+        return await reader()
+
+    async def until_ready(self) -> None:
+        """Wait until the host says that it is ready."""
+        while True:
+            answer = await self.attempt(self.settings.ready_address, "GET", "/api/ready")
+            if isinstance(answer, Response) and answer.status == 200:
+                return
+            await anyio.sleep(0.05)
+
+
+async def _open(address: str) -> tuple[Callable[[], Awaitable[Response]], Callable[[bytes], None]]:
+    host, _, port = address.partition(":")
+    stream = await anyio.connect_tcp(host, int(port))
+    pending: list[bytes] = []
+
+    async def read() -> Response:
+        for data in pending:
+            await stream.send(data)
+        received = b""
+        while b"\r\n\r\n" not in received:
+            received += await stream.receive()
+        head, _, body = received.partition(b"\r\n\r\n")
+        headers = dict(
+            line.decode().lower().split(": ", 1) for line in head.split(b"\r\n")[1:] if line
+        )
+        while len(body) < int(headers.get("content-length", "0")):
+            body += await stream.receive()
+        await stream.aclose()
+        return Response(status=int(head.split()[1]), body=body, headers=headers)
+
+    return read, pending.append
+
+
+def play(scenario: Callable[[Site], Awaitable[None]], *, configured: bool = True) -> Site:
+    """Run a scenario against a host that is up."""
+    site_of_run: list[Site] = []
+
+    async def main() -> None:
+        site = Site()
+        site_of_run.append(site)
+        await site.store.server.listen(site.store_address)
+        await site.worker.server.listen(site.worker_address)
+        entry = site.worker.entry(site.worker_address, "patan", "svc")
+        site.store.put("servers/i-1", entry)
+        site.store.put("servers/i-bad", b'{"service": 4}')
+        if configured:
+            site.store.put("op/config", config())
+        async with anyio.create_task_group() as group:
+            group.start_soon(site.host.run)
+            if configured:
+                await site.until_ready()
+            else:
+                await anyio.sleep(0.3)
+            await scenario(site)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    return site_of_run[0]
+
+
+def test_a_job_runs_and_is_answered_with_its_state() -> None:
+    """Guards against an adapter that names tasks, fields or states wrongly."""
+
+    async def scenario(site: Site) -> None:
+        job = "5c0e7a21d94b36f8"
+        answer = await site.front("POST", f"/lohu930/{job}", {**JOB, "best_effort": True})
+        assert (answer.status, json.loads(answer.body)) == (200, {"state": "completed"})
+        assert sorted(s["task"] for s in site.worker.starts) == [f"{job}.0.0.{i}" for i in range(3)]
+        assert {s["spec"] for s in site.worker.starts} == {"text"}
+        assert all(s["deadline_ms"] > 0 and s["fence"] > 0 for s in site.worker.starts)
+
+    play(scenario)
+
+
+def test_jobs_that_must_be_stored_are_refused_and_never_run() -> None:
+    """Guards against a false acceptance of work that the system cannot keep."""
+
+    async def scenario(site: Site) -> None:
+        answer = await site.front("POST", "/lohu930/5c0e7a21d94b36f8", JOB)
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert site.worker.starts == []
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "host", "status"),
+    [
+        ("GET", "/lohu930/", "nony24.example", 200),
+        ("GET", "/lohu930/5c0e7a21d94b36f8", "nony24.example", 410),
+        ("DELETE", "/lohu930/5c0e7a21d94b36f8", "nony24.example", 410),
+        ("GET", "/other/", "nony24.example", 404),
+        ("GET", "/lohu930/", "unknown.example", 404),
+        ("PUT", "/lohu930/5c0e7a21d94b36f8", "nony24.example", 405),
+        ("POST", "/lohu930/not-an-id", "nony24.example", 400),
+    ],
+)
+def test_other_requests(method: str, path: str, host: str, status: int) -> None:
+    """Guards against a 404 for a queue that exists, or another answer for one that does not."""
+
+    async def scenario(site: Site) -> None:
+        body = {**JOB, "best_effort": True} if method == "POST" else None
+        assert (await site.front(method, path, body, host)).status == status
+
+    play(scenario)
+
+
+def test_without_a_configuration_everything_is_refused() -> None:
+    """Guards against a 404 before the queues are known."""
+
+    async def scenario(site: Site) -> None:
+        assert (await site.front("GET", "/lohu930/")).status == 503
+        ready = await site.call(site.settings.ready_address, "GET", "/api/ready")
+        assert ready.status == 503
+
+    play(scenario, configured=False)
+
+
+def test_a_configuration_comes_into_force_and_an_older_one_does_not() -> None:
+    """Guards against a regress of the configuration."""
+
+    async def scenario(site: Site) -> None:
+        site.store.put("op/config", config(version=9).replace(b"/lohu930/", b"/new/"))
+        while (await site.front("GET", "/new/")).status != 200:
+            await anyio.sleep(0.02)
+        site.store.put("op/config", config(version=8))
+        site.store.put("op/config", b"not json")
+        await anyio.sleep(0.3)
+        assert (await site.front("GET", "/new/")).status == 200
+        assert (await site.front("GET", "/lohu930/")).status == 404
+
+    play(scenario)
+
+
+def test_a_configuration_written_while_the_history_is_lost_is_found() -> None:
+    """Guards against a watch that goes on from a revision that the store has forgotten."""
+
+    async def scenario(site: Site) -> None:
+        site.store.refuse = 503
+        await anyio.sleep(0.2)
+        site.store.put("op/config", config(version=9).replace(b"/lohu930/", b"/new/"))
+        site.store.forget_history()
+        site.store.refuse = 0
+        while (await site.front("GET", "/new/")).status != 200:
+            await anyio.sleep(0.02)
+
+    play(scenario)
+
+
+def test_metrics_and_state_are_served() -> None:
+    """Guards against a host that operators cannot look into."""
+
+    async def scenario(site: Site) -> None:
+        await site.front("POST", "/lohu930/5c0e7a21d94b36f8", {**JOB, "best_effort": True})
+        metrics = await site.call(site.settings.ready_address, "GET", "/metrics")
+        assert b'eelgrassyard_answers_total{status="200"} 1.0' in metrics.body
+        state = json.loads((await site.call(site.settings.ready_address, "GET", "/state")).body)
+        assert state["role"] == "leading"
+        assert state["pool"]["workers"]["i-1"]["state"] == "ready"
+
+    play(scenario)
+
+
+def test_a_host_registers_itself() -> None:
+    """Guards against hosts that cannot find each other through the store."""
+
+    async def scenario(site: Site) -> None:
+        while "hosts/front-1" not in site.store.items:
+            await anyio.sleep(0.02)
+        assert site.store.items["hosts/front-1"]["lease"] in site.store.leases
+        site.store.delete("hosts/front-1")
+        while "hosts/front-1" not in site.store.items:
+            await anyio.sleep(0.02)
+
+    play(scenario)
