Let jobs take over runs that are found after their submission; start late jobs where all have room

Cause: after a leader's death hosts submit their jobs before the new leader has looked at the workers, so no run was ever adopted, all were stopped and started again (test_a_killed_leader_... fails before). Change: a found run is offered to jobs that wait for it; 0.85 of the objective is planned with; a job that is too late starts if the whole of it has room. The pool and the host are split into files of one job each; eelgrassyard-platform checks files, shows a state, explains a configuration.

--- /dev/null
+++ b/src/eelgrassyard/dispatch/_carrying.py
@@ -0,0 +1,80 @@
+"""Passes the actions of the entry and the pool on to each other, to sessions, and to the driver."""
+
+from __future__ import annotations
+
+from ._actions import Ask, Note, Reply
+from ._entry import AnswerCaller, SendLeader
+from ._hoststate import OWN, HostAction, HostState
+from ._links import SendLink
+from ._messages import (
+    Cancel,
+    JobEnded,
+    Submit,
+)
+
+
+class Carrying(HostState):
+    """Delivery of actions within the host."""
+
+    def _carry_out_pool(self, now: float) -> None:
+        """Pass on the pool's actions: replies and requests to other pools go by session."""
+        pool = self.pool
+        if pool is None:
+            return
+        actions = pool.actions[:]
+        pool.actions.clear()
+        for action in actions:
+            match action:
+                case Reply(requester=requester, message=message) if requester == OWN:
+                    if isinstance(message, JobEnded):
+                        self.entry.ended(now, message)
+                case Reply(requester=requester, message=message):
+                    self._send_session(requester, message)
+                case Ask(domain=domain, message=message):
+                    host = self._neighbour_by_domain.get(domain)
+                    if host is not None:
+                        self._actions.append(SendLink(name=host.name, message=message))
+                case _:
+                    self._actions.append(action)
+
+    def _carry_out_entry(self, now: float) -> bool:
+        actions = self.entry.actions[:]
+        self.entry.actions.clear()
+        for action in actions:
+            match action:
+                case SendLeader(message=message):
+                    self._send_leader(now, message)
+                case AnswerCaller() | Note():
+                    self._actions.append(action)
+        return bool(actions)
+
+    def _send_leader(self, now: float, message: Submit | Cancel) -> None:
+        if self.pool is not None:
+            match message:
+                case Submit():
+                    self.pool.submit(
+                        now,
+                        OWN,
+                        message.job,
+                        waited_s=message.waited_s,
+                        caller_waits_s=message.caller_waits_s,
+                        round=message.round,
+                        progress=message.progress,
+                    )
+                case Cancel():
+                    self.pool.cancel(now, OWN, message.job_id)
+        elif self.leadership.leader is not None:
+            self._actions.append(SendLink(name=self.leadership.leader.name, message=message))
+
+    def take_actions(self, now: float) -> list[HostAction]:
+        """What the driver has to do now, in order."""
+        while self._carry_out_entry(now):
+            self._carry_out_pool(now)
+        self._carry_out_pool(now)
+        while self.entry.actions:
+            self._carry_out_entry(now)
+            self._carry_out_pool(now)
+        self._actions.extend(self.links.actions)
+        self.links.actions.clear()
+        actions, self._actions = self._actions, []
+        return actions
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_hoststate.py
@@ -0,0 +1,157 @@
+"""Tables of a host: sessions of others, known hosts, and what the platform says."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ._actions import Action, Note
+from ._entry import AnswerCaller, Entry
+from ._leadership import Leadership, Role
+from ._links import CloseLink, Links, OpenLink, SendLink
+from ._messages import (
+    ConfigDocument,
+    HostRecord,
+    ToClient,
+)
+from ._pool import Pool
+from ._workers import WorkerRecord
+
+OWN = ""
+"""Requester of the jobs of this host's own callers."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SendSession:
+    """Send a message on a session that another host has opened."""
+
+    session: str
+    message: ToClient
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CloseSession:
+    """Close a session that another host has opened."""
+
+    session: str
+
+
+@dataclass(slots=True, kw_only=True)
+class Session:
+    """A session that another host has opened to this one."""
+
+    host: HostRecord | None = None
+    leads_epoch: int = 0
+    ready: bool = False
+    last_heard: float = 0.0
+
+
+HostAction = Action | AnswerCaller | OpenLink | CloseLink | SendLink | SendSession | CloseSession
+
+
+class HostState:
+    """Tables that the parts of a host share.
+
+    :param now: start of the process, in seconds.
+    :param stop_s: longest time that a worker takes to stop a run.
+    :param far_factor: how many times longer a task takes away from its rack.
+    """
+
+    def __init__(self, *, own: HostRecord, now: float, stop_s: float, far_factor: float) -> None:
+        self.own = own
+        self.entry = Entry()
+        self.links = Links()
+        self.leadership = Leadership(own=own, now=now)
+        self.pool: Pool | None = None
+        self.config_version = 0
+        self.config_document = b""
+        self.new_config: ConfigDocument | None = None
+        self.draining = False
+        self._stop_s = stop_s
+        self._far_factor = far_factor
+        self._records: Mapping[str, WorkerRecord] = {}
+        self._host_by_name: dict[str, HostRecord] = {own.name: own}
+        self._session_by_id: dict[str, Session] = {}
+        self._neighbour_by_domain: dict[str, HostRecord] = {}
+        self._neighbour_tries: dict[str, int] = {}
+        self._actions: list[HostAction] = []
+        self._last_advance = now
+
+    def _learn(self, host: HostRecord) -> None:
+        known = self._host_by_name.get(host.name)
+        if host.name != self.own.name and (known is None or known.incarnation < host.incarnation):
+            # An address belongs to one host; a seed is known by its address until it says its name.
+            for name, other in list(self._host_by_name.items()):
+                if other.address == host.address and name not in (host.name, self.own.name):
+                    del self._host_by_name[name]
+            self._host_by_name[host.name] = host
+            self.leadership.set_hosts(self._host_by_name, self.leadership.registered)
+
+    def is_ready(self) -> bool:
+        """Tell whether jobs of new callers can be served."""
+        if self.draining or not self.config_version:
+            return False
+        if self.pool is not None:
+            return self.pool.ready_workers() > 0
+        return self._confirmed_epoch() > 0
+
+    def _confirmed_epoch(self) -> int:
+        """Epoch of the leader that takes this host's jobs, or 0."""
+        if self.pool is not None:
+            return self.leadership.epoch
+        leader = self.leadership.leader
+        if self.leadership.role is not Role.FOLLOWING or leader is None:
+            return 0
+        link = self.links.link_by_name.get(leader.name)
+        pong = link.pong if link is not None and link.is_open else None
+        if pong is None or pong.leader is None or pong.leader.name != leader.name:
+            return 0
+        return pong.epoch
+
+    def _config_message(self) -> ConfigDocument:
+        return ConfigDocument(version=self.config_version, document=self.config_document)
+
+    def _config_received(self, message: ConfigDocument) -> None:
+        newest = self.new_config.version if self.new_config else self.config_version
+        if message.version > newest:
+            self.new_config = message
+
+    def _send_session(self, session_id: str, message: ToClient) -> None:
+        self._actions.append(SendSession(session=session_id, message=message))
+
+    def _close_session(self, now: float, session_id: str) -> None:
+        self._session_by_id.pop(session_id, None)
+        self._actions.append(CloseSession(session=session_id))
+        if self.pool is not None:
+            self.pool.requester_lost(now, session_id, silent=True)
+
+    def _note(self, event: str, **fields: object) -> None:
+        self._actions.append(Note(event=event, fields=fields))
+
+    def dump(self) -> dict[str, object]:
+        """State of this host, for operators."""
+        leadership = self.leadership
+        return {
+            "host": self.own.name,
+            "incarnation": self.own.incarnation,
+            "role": leadership.role.name.lower(),
+            "leader": leadership.leader.name if leadership.leader is not None else "",
+            "epoch": leadership.epoch,
+            "ready": self.is_ready(),
+            "draining": self.draining,
+            "config_version": self.config_version,
+            "hosts": sorted(self._host_by_name),
+            "links": {
+                name: {"alive": link.is_alive(), "last_heard": round(link.last_heard, 3)}
+                for name, link in self.links.link_by_name.items()
+            },
+            "sessions": {
+                session_id: session.host.name if session.host is not None else ""
+                for session_id, session in self._session_by_id.items()
+            },
+            "callers_jobs": {
+                job_id: {"epoch": job.sent_epoch, "round": job.round}
+                for job_id, job in self.entry.job_by_id.items()
+            },
+            "pool": self.pool.dump() if self.pool is not None else None,
+        }
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_leading.py
@@ -0,0 +1,94 @@
+"""Beginning and end of the lead of a domain's pool."""
+
+from __future__ import annotations
+
+from ._carrying import Carrying
+from ._hoststate import OWN, CloseSession, SendSession
+from ._messages import (
+    HostRecord,
+    Resigned,
+    TakeOver,
+    ToClient,
+)
+from ._pool import Pool
+
+
+class Leading(Carrying):
+    """What a host does when it takes or gives up the lead."""
+
+    def _lead(self, now: float) -> None:
+        self.leadership.lead(now)
+        self._begin_pool(now)
+
+    def _begin_pool(self, now: float) -> None:
+        self._note("leads", epoch=self.leadership.epoch, domain=self.own.domain)
+        self.pool = Pool(
+            domain=self.own.domain,
+            epoch=self.leadership.epoch,
+            now=now,
+            stop_s=self._stop_s,
+            far_factor=self._far_factor,
+        )
+        self.pool.set_workers(now, self._records)
+
+    def _stop_leading(self, now: float) -> None:
+        """Drop the pool; what runs is adopted by the next leader, or lapses."""
+        if self.pool is not None:
+            self._carry_out_pool(now)
+            for requester, message in self.pool.progress_by_requester():
+                if requester == OWN:
+                    self.entry.returned(now, message)
+                else:
+                    self._send_session(requester, message)
+        self.pool = None
+        self._neighbour_by_domain.clear()
+        self.entry.set_leader(now, 0)
+        for session_id, session in list(self._session_by_id.items()):
+            if session.host is not None and session.host.domain != self.own.domain:
+                self._session_by_id.pop(session_id)
+                self._actions.append(CloseSession(session=session_id))
+
+    def _neighbour_links(self) -> dict[str, tuple[HostRecord, bool]]:
+        """One host of each other domain: its leader, or one that may name it."""
+        wanted: dict[str, tuple[HostRecord, bool]] = {}
+        domains = {h.domain for h in self._host_by_name.values() if h.domain} - {self.own.domain}
+        for domain in sorted(domains):
+            host = self._neighbour_by_domain.get(domain)
+            if host is None:
+                known = sorted(
+                    (h for h in self._host_by_name.values() if h.domain == domain),
+                    key=lambda h: (-h.weight, h.name),
+                )
+                host = known[self._neighbour_tries.get(domain, 0) % len(known)]
+                self._neighbour_by_domain[domain] = host
+            wanted[host.name] = (host, True)
+        return wanted
+
+    def drain(self, now: float) -> None:
+        """Prepare the end of the process: give up the lead, take no new connections."""
+        self.draining = True
+        self.leadership.draining = True
+        if self.pool is None:
+            return
+        self.pool.stop_lent(now)
+        heirs = [
+            (session_id, session)
+            for session_id, session in self._session_by_id.items()
+            if session.ready and session.host is not None and session.host.domain == self.own.domain
+        ]
+        heir = max(
+            heirs, key=lambda item: item[1].host.weight if item[1].host else 0.0, default=None
+        )
+        if heir is None:
+            return
+        epoch, successor = self.leadership.epoch, heir[1].host
+        self._note("leader_resigns", epoch=epoch, successor=successor.name if successor else "")
+        self._stop_leading(now)
+        for session_id, session in self._session_by_id.items():
+            message: ToClient = Resigned(epoch=epoch, successor=successor)
+            if session_id == heir[0]:
+                message = TakeOver(epoch=epoch)
+            if session.host is not None and session.host.domain == self.own.domain:
+                self._actions.append(SendSession(session=session_id, message=message))
+        if successor is not None:
+            self.leadership.follow(now, successor, epoch)
--- a/src/eelgrassyard/dispatch/_looks.py
+++ b/src/eelgrassyard/dispatch/_looks.py
@@ -181,6 +181,7 @@
                 pool.run_over(now, task, ended.end, "listed by the worker")
             elif first:
                 pool.found_end(ended.task, ended.end)
+                pool.claim_found(now, ended.task)
         listed = {(entry.task, entry.run) for entry in report.running}
         for entry in report.running:
             self._read_running(now, worker, entry, first=first)
@@ -200,7 +201,9 @@
             if worker.unclaimed.get(entry.task) == entry.run:
                 return
             worker.unclaimed[entry.task] = entry.run
-            if not first:
+            if first:
+                pool.claim_found(now, entry.task)
+            else:
                 self._claimed_until[worker.record.id] = now
             return
         if task.phase is Phase.ORDERED:
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_opened.py
@@ -0,0 +1,96 @@
+"""Sessions that this host has opened."""
+
+from __future__ import annotations
+
+from ._leadership import Role
+from ._links import SendLink
+from ._messages import (
+    ConfigDocument,
+    Hello,
+    JobEnded,
+    JobReturned,
+    KnownHosts,
+    LentEnded,
+    Message,
+    Pong,
+    Resigned,
+    TakeOver,
+)
+from ._served import Served
+
+
+class Opened(Served):
+    """Reactions to the answers of other hosts."""
+
+    def link_connected(self, now: float, name: str) -> None:
+        """A session to another host is open."""
+        self.links.connected(now, name)
+        epoch = self.leadership.epoch if self.pool is not None else 0
+        self._actions.append(SendLink(name=name, message=Hello(host=self.own, leads_epoch=epoch)))
+
+    def link_closed(self, now: float, name: str, *, refused: bool) -> None:
+        """A session to another host has broken, or could not be opened."""
+        self.links.closed(now, name, refused=refused)
+
+    def link_received(self, now: float, name: str, message: Message) -> None:
+        """A message has come on a session that this host has opened."""
+        match message:
+            case Pong():
+                self._pong(now, name, message)
+            case KnownHosts():
+                for host in message.hosts:
+                    self._learn(host)
+                self.leadership.hosts_known = True
+            case JobEnded():
+                self.entry.ended(now, message)
+            case JobReturned():
+                self.entry.returned(now, message)
+            case LentEnded():
+                self._lent_ended(now, name, message)
+            case ConfigDocument():
+                self._config_received(message)
+            case Resigned():
+                self._resigned(now, name, message)
+            case TakeOver():
+                if self.pool is None and not self.draining:
+                    self.leadership.highest_epoch = max(
+                        self.leadership.highest_epoch, message.epoch
+                    )
+                    self._lead(now)
+
+    def _pong(self, now: float, name: str, pong: Pong) -> None:
+        self.links.answered(now, name, pong)
+        self.leadership.answered(now, name, pong)
+        if pong.config_version < self.config_version:
+            self._actions.append(SendLink(name=name, message=self._config_message()))
+        if self.pool is None:
+            return
+        host = self._host_by_name.get(name)
+        if host is None or host.domain == self.own.domain:
+            return
+        if pong.leader is not None and pong.leader.name == name:
+            self.pool.neighbour_seen(now, host.domain, pong.free_by_service)
+        elif pong.leader is not None and pong.leader.domain == host.domain:
+            self._neighbour_by_domain[host.domain] = pong.leader
+
+    def _lent_ended(self, now: float, name: str, message: LentEnded) -> None:
+        host = self._host_by_name.get(name)
+        if self.pool is not None and host is not None:
+            self.pool.lent_ended(
+                now,
+                host.domain,
+                message.job_id,
+                message.step,
+                message.index,
+                message.run,
+                message.end,
+            )
+
+    def _resigned(self, now: float, name: str, message: Resigned) -> None:
+        leader = self.leadership.leader
+        if self.leadership.role is Role.FOLLOWING and leader is not None and leader.name == name:
+            if message.successor is None or message.successor.name == self.own.name:
+                self.leadership.search(now)
+            else:
+                self._learn(message.successor)
+                self.leadership.follow(now, message.successor, message.epoch)
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_placing.py
@@ -0,0 +1,226 @@
+"""Places the waiting tasks of a pool on its workers, or lends them to other pools."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from ._actions import (
+    Ask,
+    StartRun,
+)
+from ._jobs import Job
+from ._messages import Lend
+from ._poolstate import PoolState, round_s
+from ._tasks import Phase, PoolJob, Task
+from ._waiting import WaitingTasks
+from ._workers import Worker, choose
+
+MAX_MISSES = 6
+"""Waiting tasks in a row that find no room before a round of placing ends; sizes within a service
+are alike, so the next ones would not fit either."""
+
+
+class Placing(PoolState):
+    """Placement of waiting tasks."""
+
+    def _can_ever_fit(self, job: Job) -> bool:
+        workers = [
+            Worker(record=record)
+            for record in self._records.values()
+            if record.service == job.service
+        ]
+        if not workers:
+            return True
+        return all(any(worker.could_hold(step) for worker in workers) for step in job.steps)
+
+    def _queue(self, now: float, task: Task) -> None:
+        service = task.owner.job.service
+        task.phase = Phase.WAITING
+        task.owner.waiting += 1
+        waiting = self._waiting_by_service.setdefault(service, WaitingTasks())
+        waiting.add(task, start_by=self._start_by(task.owner))
+
+    def _start_by(self, owner: PoolJob) -> float:
+        """Time by which a job must start to be answered on time."""
+        return owner.due - owner.job.critical_path_s() * min(1.0, self.fastest(owner.job.service))
+
+    def _place_all(self, now: float) -> None:
+        for service in list(self._waiting_by_service):
+            self._place(now, service)
+
+    def _place(self, now: float, service: str) -> None:
+        """Start waiting tasks while there is room, here or in other pools."""
+        waiting = self._waiting_by_service.get(service)
+        if not waiting:
+            return
+        placed: set[int] = set()
+        unplaced: list[Task] = []
+        misses = 0
+        for task in waiting:
+            if task.phase is not Phase.WAITING:
+                placed.add(id(task))
+            elif self._must_wait(now, task):
+                continue
+            elif misses < MAX_MISSES and self._start_somewhere(now, task):
+                placed.add(id(task))
+            else:
+                misses += 1
+                unplaced.append(task)
+        for task in self._lend_out(now, service, unplaced):
+            placed.add(id(task))
+        if placed:
+            waiting.remove(placed)
+
+    def _must_wait(self, now: float, task: Task) -> bool:
+        return now < task.not_before or self.stops.is_stopping(task.id)
+
+    def _start_somewhere(self, now: float, task: Task) -> bool:
+        owner = task.owner
+        service = owner.job.service
+        step = task.step
+        workers = self.workers_by_service.get(service, ())
+        self._limit_ejections(now, workers)
+        count_by_worker: dict[str, int] | None = None
+        racks: set[str] = set()
+        if step.max_per_worker or step.same_rack:
+            count_by_worker = {}
+            for other in owner.tasks_of(task.id.step):
+                if other.phase in (Phase.ORDERED, Phase.RUNNING):
+                    count_by_worker[other.place] = count_by_worker.get(other.place, 0) + 1
+                    racks.add(self.worker_by_id[other.place].record.rack)
+            if not step.max_per_worker:
+                count_by_worker = None
+        worker = choose(
+            workers,
+            step,
+            now=now,
+            budget_s=owner.due - now,
+            # A job that has not begun starts only where it can be in time; one that has goes on.
+            limit_s=(owner.gives_up_at if owner.orders else owner.due) - now,
+            avoid=task.avoid,
+            racks=racks,
+            count_by_worker=count_by_worker,
+            far_factor=self._far_factor,
+        )
+        if worker is None or task.id in worker.run_by_task:
+            return False
+        self._start(now, task, worker)
+        return True
+
+    def _start_late(self, now: float, owner: PoolJob) -> bool:
+        """Start a job that will be late, if there is room for the whole of it; a late answer is
+        worth more to the caller than none."""
+        tasks = [task for task in owner.task_by_id.values() if task.phase is Phase.WAITING]
+        limit_s = owner.gives_up_at - now
+        places = 0
+        for worker in self.workers_by_service.get(owner.job.service, ()):
+            run_s = tasks[0].step.estimate_s * worker.speed.slowness()
+            if worker.is_usable(now) and run_s <= limit_s:
+                places += worker.places(tasks[0].step)
+        if places < len(tasks):
+            return False
+        owner.orders += 1
+        started = [task for task in tasks if self._start_somewhere(now, task)]
+        owner.orders -= 1
+        self._waiting_by_service[owner.job.service].remove({id(task) for task in started})
+        return bool(started)
+
+    def _limit_ejections(self, now: float, workers: Iterable[Worker]) -> None:
+        """Use ejected workers after all if they are more than half of the service."""
+        ejected = [w for w in workers if now < w.ejected_until or w.on_trial]
+        if len(ejected) * 2 > len(list(workers)):
+            for worker in ejected:
+                worker.ejected_until = 0.0
+                worker.on_trial = False
+
+    def _start(self, now: float, task: Task, worker: Worker) -> None:
+        owner = task.owner
+        if task.phase is Phase.WAITING:
+            owner.waiting = max(0, owner.waiting - 1)
+        task.phase = Phase.ORDERED
+        task.run += 1
+        task.place = worker.record.id
+        task.ordered_at = now
+        task.percent = 0
+        owner.orders += 1
+        worker.hold(task.step, task.id, task.run)
+        self._live[(worker.record.id, task.id, task.run)] = task
+        usual = self._usual_cpu.get(owner.job.service, float(task.step.cpu))
+        self._usual_cpu[owner.job.service] = max(1.0, usual + 0.02 * (task.step.cpu - usual))
+        self.actions.append(
+            StartRun(
+                worker_id=worker.record.id,
+                task=task.id,
+                run=task.run,
+                payload=owner.job.payload,
+                deadline_s=worker.clock.lease_until(now),
+                fence=self.epoch,
+            )
+        )
+        self.note(
+            "run_ordered",
+            task=str(task.id),
+            run=task.run,
+            worker=worker.record.id,
+            slowness=round_s(worker.speed.slowness()),
+            left_s=round_s(owner.due - now),
+        )
+        self.looks.expect(now, worker)
+
+    def _lend_out(self, now: float, service: str, tasks: list[Task]) -> list[Task]:
+        """Ask other pools with room to run tasks that find none here."""
+        lent: list[Task] = []
+        if not tasks:
+            return lent
+        groups: dict[tuple[str, str, int], list[Task]] = {}
+        for domain, neighbour in sorted(
+            self.neighbour_by_domain.items(),
+            key=lambda item: -item[1].free_by_service.get(service, 0),
+        ):
+            free = neighbour.free_by_service.get(service, 0)
+            for task in tasks:
+                if free <= 0:
+                    break
+                if task.phase is not Phase.WAITING or domain in task.avoid or task.owner.is_lent:
+                    continue
+                free -= 1
+                task.phase = Phase.LENT
+                task.run += 1
+                task.place = domain
+                task.ordered_at = now
+                task.owner.waiting = max(0, task.owner.waiting - 1)
+                task.owner.orders += 1
+                lent.append(task)
+                groups.setdefault((domain, task.id.job, task.id.step), []).append(task)
+            neighbour.free_by_service[service] = max(0, free)
+        for (domain, job_id, step), members in groups.items():
+            owner = members[0].owner
+            self.note("tasks_lent", job=job_id, step=step, count=len(members), to=domain)
+            self.actions.append(
+                Ask(
+                    domain=domain,
+                    message=Lend(
+                        job=owner.job,
+                        step=step,
+                        tasks=tuple((task.id.index, task.run) for task in members),
+                        waited_s=now - owner.arrived_at,
+                        caller_waits_s=owner.gives_up_at - now,
+                    ),
+                )
+            )
+        return lent
+
+    def free_by_service(self, now: float) -> dict[str, int]:
+        """Tasks of usual size that could start at once, by service."""
+        free: dict[str, int] = {}
+        for service, workers in self.workers_by_service.items():
+            usual = self._usual_cpu.get(service, 1000.0)
+            busy = len(self._waiting_by_service.get(service, ()))
+            places = sum(
+                math.floor((worker.record.cpu - worker.held_cpu) / usual)
+                for worker in workers
+                if worker.is_usable(now)
+            )
+            free[service] = max(0, places) if not busy else 0
+        return free
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_served.py
@@ -0,0 +1,114 @@
+"""Sessions that other hosts have opened."""
+
+from __future__ import annotations
+
+from ._hoststate import Session
+from ._jobs import TaskEnd
+from ._leadership import Role
+from ._leading import Leading
+from ._messages import (
+    Cancel,
+    ConfigDocument,
+    Hello,
+    JobReturned,
+    KnownHosts,
+    Lend,
+    LentEnded,
+    Message,
+    Ping,
+    Pong,
+    Submit,
+)
+
+
+class Served(Leading):
+    """Answers to the messages of other hosts."""
+
+    def session_received(self, now: float, session_id: str, message: Message) -> None:
+        """A message has come on a session that another host has opened."""
+        session = self._session_by_id.setdefault(session_id, Session())
+        session.last_heard = now
+        match message:
+            case Hello():
+                session.host = message.host
+                session.leads_epoch = message.leads_epoch
+                self._learn(message.host)
+                known = tuple(self._host_by_name.values())
+                self._send_session(session_id, KnownHosts(hosts=known))
+            case Ping():
+                self._ping(now, session_id, session, message)
+            case ConfigDocument():
+                self._config_received(message)
+            case Submit() | Cancel() | Lend():
+                self._request(now, session_id, message)
+
+    def _request(self, now: float, session_id: str, message: Submit | Cancel | Lend) -> None:
+        pool = self.pool
+        if pool is None:
+            self._return_request(session_id, message)
+            return
+        match message:
+            case Submit():
+                pool.submit(
+                    now,
+                    session_id,
+                    message.job,
+                    waited_s=message.waited_s,
+                    caller_waits_s=message.caller_waits_s,
+                    round=message.round,
+                    progress=message.progress,
+                )
+            case Cancel():
+                pool.cancel(now, session_id, message.job_id)
+            case Lend():
+                pool.lend(
+                    now,
+                    session_id,
+                    message.job,
+                    message.step,
+                    message.tasks,
+                    waited_s=message.waited_s,
+                    caller_waits_s=message.caller_waits_s,
+                )
+
+    def _return_request(self, session_id: str, message: Submit | Cancel | Lend) -> None:
+        """Say that this host does not lead, and has done nothing."""
+        match message:
+            case Submit():
+                self._send_session(session_id, JobReturned(job_id=message.job.id))
+            case Lend():
+                for index, run in message.tasks:
+                    ended = LentEnded(
+                        job_id=message.job.id,
+                        step=message.step,
+                        index=index,
+                        run=run,
+                        end=TaskEnd.NO_ROOM,
+                    )
+                    self._send_session(session_id, ended)
+            case Cancel():
+                pass
+
+    def session_closed(self, now: float, session_id: str) -> None:
+        """A session that another host had opened has broken."""
+        if self._session_by_id.pop(session_id, None) is not None and self.pool is not None:
+            self.pool.requester_lost(now, session_id, silent=False)
+
+    def _ping(self, now: float, session_id: str, session: Session, ping: Ping) -> None:
+        session.leads_epoch = ping.leads_epoch
+        session.ready = ping.ready
+        leader = self.leadership.leader
+        if self.leadership.role is Role.FOLLOWING and not self._confirmed_epoch():
+            leader = None
+        pool = self.pool
+        pong = Pong(
+            number=ping.number,
+            config_version=self.config_version,
+            leader=leader,
+            epoch=self.leadership.epoch if leader is not None else 0,
+            draining=self.draining,
+            free_by_service=pool.free_by_service(now) if pool and ping.leads_epoch else {},
+        )
+        self._send_session(session_id, pong)
+        if ping.config_version < self.config_version:
+            self._send_session(session_id, self._config_message())
--- a/src/eelgrassyard/dispatch/_tasks.py
+++ b/src/eelgrassyard/dispatch/_tasks.py
@@ -12,6 +12,11 @@
 ms and a few milliseconds at each host."""
 
 
+CAUTION = 0.85
+"""Share of the objective that is planned with: it follows from a declared run time that may be 40%
+too long, and the objective counts the real one."""
+
+
 class Phase(enum.Enum):
     """Where a task is."""
 
@@ -99,7 +104,7 @@
         job=job,
         requester=requester,
         arrived_at=arrived_at,
-        due=min(arrived_at + objective_s, now + caller_waits_s) - RETURN_S,
+        due=min(arrived_at + objective_s * CAUTION, now + caller_waits_s) - RETURN_S,
         gives_up_at=now + caller_waits_s,
     )
     for number, step in enumerate(job.steps):
@@ -141,7 +146,8 @@
         run_base=0,
     )
     owner.is_lent = True
-    owner.due = min(owner.arrived_at + job.objective_s(), owner.gives_up_at) - RETURN_S
+    due = owner.arrived_at + job.objective_s() * CAUTION
+    owner.due = min(due, owner.gives_up_at) - RETURN_S
     for index, run in runs:
         task_id = TaskId(job.id, step, index)
         # The first start takes the run's number as it was given.
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -105,6 +105,12 @@
             and record.gpu - self.held_gpu >= step.gpu
         )
 
+    def places(self, step: Step) -> int:
+        """Number of tasks of a step that fit beside what is held, by cores and memory."""
+        cpu = (self.record.cpu - self.held_cpu) // max(1, step.cpu)
+        memory = (self.record.memory_mb - self.held_memory_mb) // max(1, step.memory_mb)
+        return max(0, min(cpu, memory))
+
     def could_hold(self, step: Step) -> bool:
         """Tell whether one task of a step fits on the worker while it is empty."""
         record = self.record
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -10,7 +10,8 @@
 from .._journal import Journal
 from ..dispatch._actions import Look, LookResult, Note, OrderResult, StartRun, StopRun
 from ..dispatch._entry import AnswerCaller
-from ..dispatch._host import CloseSession, DispatchHost, SendSession
+from ..dispatch._host import DispatchHost
+from ..dispatch._hoststate import CloseSession, SendSession
 from ..dispatch._jobs import Job
 from ..dispatch._links import CloseLink, OpenLink, SendLink
 from ..dispatch._messages import Message
--- /dev/null
+++ b/src/eelgrassyard/platform/_tool.py
@@ -0,0 +1,126 @@
+"""The command ``eelgrassyard-platform``: checks files, shows a state, explains a configuration."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import sys
+import tomllib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from absl import flags
+
+from ._documents import decode_config
+from ._settings import read_settings
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+USAGE = "eelgrassyard-platform check FILE... | state READY_ADDRESS | explain FILE"
+
+STATE_TIMEOUT_S = 5.0
+
+
+def check(paths: Sequence[str]) -> int:
+    """Check settings files and deploy files; one line each."""
+    failed = False
+    for path in paths:
+        problems = _problems(path)
+        failed = failed or bool(problems)
+        for problem in problems or ["valid"]:
+            print(f"{path}: {problem}")
+    return EXIT_FAILED if failed else EXIT_DONE
+
+
+def _problems(path: str) -> list[str]:
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        return [str(error)]
+    if "roles" in raw:
+        return _deploy_problems(raw)
+    result = read_settings(path)
+    return [str(result.unwrap_err())] if result.is_err() else []
+
+
+def _deploy_problems(raw: dict[str, object]) -> list[str]:
+    problems = []
+    if not isinstance(raw.get("build"), str):
+        problems.append("build: a shell command is needed")
+    roles = raw["roles"]
+    if not isinstance(roles, dict) or not roles:
+        return [*problems, "roles: at least one role is needed"]
+    for name, role in roles.items():
+        for key in ("run", "on"):
+            if not isinstance(role.get(key), str):
+                problems.append(f"roles.{name}.{key}: a text is needed")
+        share = role.get("share", 1.0)
+        if not isinstance(share, int | float) or not 0.0 < share <= 1.0:
+            problems.append(f"roles.{name}.share: {share!r} is not above 0 and at most 1")
+    if not any("front" in role.get("serves", []) for role in roles.values()):
+        problems.append("roles: no role serves front")
+    return problems
+
+
+def state(addresses: Sequence[str]) -> int:
+    """Print the state of hosts, asked at their ready addresses."""
+    for address in addresses:
+        connection = http.client.HTTPConnection(address, timeout=STATE_TIMEOUT_S)
+        try:
+            connection.request("GET", "/state")
+            answer = connection.getresponse()
+            print(json.dumps(json.loads(answer.read()), indent=2))
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            print(f"{address}: state: {error}", file=sys.stderr)
+            return EXIT_FAILED
+        finally:
+            connection.close()
+    return EXIT_DONE
+
+
+def explain(paths: Sequence[str]) -> int:
+    """Print what configuration documents say, in the product's words."""
+    for path in paths:
+        try:
+            document = Path(path).read_bytes()
+        except OSError as error:
+            print(f"{path}: {error}", file=sys.stderr)
+            return EXIT_FAILED
+        result = decode_config(document)
+        if result.is_err():
+            print(f"{path}: {result.unwrap_err()}", file=sys.stderr)
+            return EXIT_FAILED
+        routes = result.unwrap()
+        print(f"version {routes.version}, bodies up to {routes.body_bytes} bytes")
+        for kind in routes.kinds:
+            guarded = "guarded" if kind.service in routes.guarded_services else "unguarded"
+            print(
+                f"{kind.name}: {kind.host}{kind.prefix} runs on {kind.service} ({guarded}), "
+                f"priority {kind.priority}, {kind.max_attempts} attempts, on time within "
+                f"{kind.stretch} times the work and {kind.target_s} s, at most {kind.timeout_s} s"
+            )
+    return EXIT_DONE
+
+
+COMMANDS: dict[str, Callable[[Sequence[str]], int]] = {
+    "check": check,
+    "state": state,
+    "explain": explain,
+}
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run a command; 0 if all is well, 1 if something is wrong, 2 for bad usage."""
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    argv = list(arguments if arguments is not None else sys.argv)
+    try:
+        _, *words = values(argv)
+    except flags.Error as error:
+        print(f"eelgrassyard-platform: {error}; usage: {USAGE}", file=sys.stderr)
+        return EXIT_USAGE
+    if len(words) < 2 or words[0] not in COMMANDS:
+        print(f"usage: {USAGE}", file=sys.stderr)
+        return EXIT_USAGE
+    return COMMANDS[words[0]](words[1:])
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -11,7 +11,8 @@
 from dispatch_workers import FakeWorker
 from eelgrassyard.dispatch._actions import CallFailure, Look, Note, StartRun, StopRun
 from eelgrassyard.dispatch._entry import AnswerCaller
-from eelgrassyard.dispatch._host import CloseSession, DispatchHost, SendSession
+from eelgrassyard.dispatch._host import DispatchHost
+from eelgrassyard.dispatch._hoststate import CloseSession, SendSession
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
 from eelgrassyard.dispatch._links import CloseLink, OpenLink, SendLink
 from eelgrassyard.dispatch._messages import HostRecord
@@ -157,6 +158,13 @@
                 other = pipe.server if pipe.opener == name else pipe.opener
                 self._close_pipe(pipe, notify=other)
 
+    def drain(self, name: str) -> None:
+        """Send SIGTERM to a host."""
+        host = self.host_by_name[name]
+        if host.core is not None and self.now >= host.frozen_until:
+            host.core.drain(self.now)
+            self._pump(host)
+
     def freeze(self, name: str, seconds: float) -> None:
         """Let a host stand still."""
         self.host_by_name[name].frozen_until = self.now + seconds
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -7,7 +7,16 @@
 from dispatch_world import World
 from eelgrassyard.dispatch._jobs import Outcome
 
-FAULTS = ("kill", "power", "freeze", "host_cut", "domain_cut", "worker_cut", "worker_crash")
+FAULTS = (
+    "drain",
+    "kill",
+    "power",
+    "freeze",
+    "host_cut",
+    "domain_cut",
+    "worker_cut",
+    "worker_crash",
+)
 
 
 def play(seed: int, *, seconds: float = 14.0, faults: int = 6, jobs_per_s: float = 25.0) -> World:
@@ -56,6 +65,9 @@
     if dice.random() < 0.5:
         name = dice.choice(world.leaders(dice.choice(["d0", "d1"])) or hosts)
     match kind:
+        case "drain":
+            world.drain(name)
+            world.at(dice.uniform(0.5, 4.0), lambda: replace(world, name))
         case "kill" | "power":
             world.kill(name, silent=kind == "power")
             if world.host_by_name[name].core is None:
@@ -85,6 +97,12 @@
         world.boot(name)
 
 
+def replace(world: World, name: str) -> None:
+    """End a host that was told to stop, and start it again."""
+    world.kill(name, silent=False)
+    boot_if_down(world, name)
+
+
 def cut(world: World, pairs: set[frozenset[str]], seconds: float) -> None:
     """Cut paths for some time."""
     world.cut |= pairs
@@ -117,3 +135,51 @@
     world.run(5.0)
     assert all(len(leaders) == 1 for leaders in first.values())
     assert {domain: world.leaders(domain) for domain in ("d0", "d1", "d2")} == first
+
+
+def test_a_planned_stop_hands_the_pool_over_without_loss() -> None:
+    """Guards against a handover that runs tasks again or lets callers wait."""
+    world = World(seed=5, domains=1, hosts=3)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    others = [name for name in sorted(world.host_by_name) if name != leader]
+    callers = [world.submit(name, tasks=3, work_s=0.4) for name in (*others, leader)]
+    world.run(0.1)
+    world.drain(leader)
+    world.run(0.1)
+    (successor,) = world.leaders("d0")
+    assert successor != leader
+    world.run(1.3)
+    assert [caller.answers for caller in callers] == [[Outcome.COMPLETE]] * 3
+    starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
+    assert len(starts) == 9
+    assert world.broken == []
+
+
+def test_a_killed_leader_is_replaced_and_its_runs_go_on() -> None:
+    """Guards against work that is thrown away when a leader's process dies."""
+    world = World(seed=6, domains=1, hosts=3)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    other = next(name for name in sorted(world.host_by_name) if name != leader)
+    caller = world.submit(other, tasks=3, work_s=0.5)
+    world.run(0.1)
+    world.kill(leader, silent=False)
+    world.run(1.2)
+    assert caller.answers == [Outcome.COMPLETE]
+    starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
+    assert len(starts) == 3
+
+
+def test_a_host_that_is_cut_off_takes_no_lead_and_is_not_ready() -> None:
+    """Guards against a lone host that takes the workers from the others."""
+    world = World(seed=7, domains=1, hosts=3)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    lone = next(name for name in sorted(world.host_by_name) if name != leader)
+    world.cut |= {frozenset((lone, other)) for other in world.host_by_name if other != lone}
+    world.run(4.0)
+    assert world.leaders("d0") == [leader]
+    core = world.host_by_name[lone].core
+    assert core is not None
+    assert not core.is_ready()
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -17,9 +17,10 @@
     StartRun,
     StopRun,
 )
+from eelgrassyard.dispatch._handover import HANDOVER_S
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskEnd, TaskId
 from eelgrassyard.dispatch._messages import JobEnded, Lend, LentEnded, Progress
-from eelgrassyard.dispatch._pool import HANDOVER_S, Pool
+from eelgrassyard.dispatch._pool import Pool
 from eelgrassyard.dispatch._workers import WorkerRecord
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,12 +8,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_standin import config
 
 from eelgrassyard.dispatch._jobs import TaskId
 from eelgrassyard.platform._documents import decode_config, decode_worker
 from eelgrassyard.platform._settings import read_settings
 from eelgrassyard.platform._worker_calls import parse_task_name, task_name
+from platform_standin import config
 
 SETTINGS = """
 node = "front-patan-1"
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -8,11 +8,11 @@
 
 import anyio
 import pytest
-from platform_standin import StandinStore, StandinWorker, config
 
 from eelgrassyard.net import CallError, HttpClient, Response
 from eelgrassyard.platform._host import PlatformHost
 from eelgrassyard.platform._settings import HostSettings
+from platform_standin import StandinStore, StandinWorker, config
 
 JOB = {"spec": "text", "phases": [{"count": 3, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60}]}
 
