--- a/src/eelgrassyard/_journal.py
+++ b/src/eelgrassyard/_journal.py
@@ -77,17 +77,18 @@
             line["omitted_lines"] = self.omitted - self._omitted_told
             self._omitted_told = self.omitted
         self._pending += self._encoder.encode(line) + b"\n"
-        if not self._flush_planned:
-            self._plan_flush()
+        if not self._flush_planned and not self._plan_flush():
+            self.flush()
 
-    def _plan_flush(self) -> None:
+    def _plan_flush(self) -> bool:
+        """Write soon; False outside of a running loop."""
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._flush_planned = True
         loop.call_later(FLUSH_S, self.flush)
+        return True
 
     def flush(self) -> None:
         """Write what is queued, as far as the reader takes it."""
--- /dev/null
+++ b/tests/test_net_sessions.py
@@ -0,0 +1,171 @@
+"""Sessions between hosts, and log lines, on loopback and pipes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassyard._journal import BURST_LINES, Journal
+from eelgrassyard.dispatch._messages import HostRecord, Message, Ping, Pong
+from eelgrassyard.net import SessionClient, SessionServer
+
+
+def free_address() -> str:
+    """A loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Ends:
+    """Both ends of sessions, and what they saw."""
+
+    def __init__(self) -> None:
+        self.served: list[tuple[str, Message]] = []
+        self.closed: list[str] = []
+        self.opened: list[str] = []
+        self.received: list[Message] = []
+        self.lost: list[tuple[str, bool]] = []
+        self.server = SessionServer(
+            on_message=lambda session, message: self.served.append((session, message)),
+            on_close=self.closed.append,
+        )
+        self.client = SessionClient(
+            on_open=self.opened.append,
+            on_message=lambda _, message: self.received.append(message),
+            on_close=lambda name, refused: self.lost.append((name, refused)),
+        )
+
+
+async def until(condition: object) -> None:
+    """Wait until a condition holds."""
+    while not condition():  # type: ignore[operator]
+        await asyncio.sleep(0.002)
+
+
+def test_messages_pass_both_ways_and_a_close_is_seen() -> None:
+    """Guards against a session whose end only one side notices."""
+
+    async def main() -> None:
+        ends, address = Ends(), free_address()
+        await ends.server.listen(address)
+        ends.client.open("h", address)
+        await until(lambda: ends.opened)
+        ends.client.send("h", [Ping(number=1), Ping(number=2)])
+        await until(lambda: len(ends.served) == 2)
+        session = ends.served[0][0]
+        host = HostRecord(name="a", address="b", domain="c", incarnation=1)
+        ends.server.send(session, [Pong(number=2, leader=host, free_by_service={"s": 3})])
+        await until(lambda: ends.received)
+        assert ends.received == [Pong(number=2, leader=host, free_by_service={"s": 3})]
+        ends.server.close(session)
+        await until(lambda: ends.lost)
+        assert ends.lost == [("h", False)]
+
+    asyncio.run(main())
+
+
+def test_a_host_without_a_process_refuses() -> None:
+    """Guards against a dead process that is taken for a silent one."""
+
+    async def main() -> None:
+        ends = Ends()
+        ends.client.open("h", free_address())
+        await until(lambda: ends.lost)
+        assert ends.lost == [("h", True)]
+
+    asyncio.run(main())
+
+
+def test_a_session_that_was_closed_on_purpose_is_not_reported_as_lost() -> None:
+    """Guards against a search for a new leader after a deliberate change."""
+
+    async def main() -> None:
+        ends, address = Ends(), free_address()
+        await ends.server.listen(address)
+        ends.client.open("h", address)
+        await until(lambda: ends.opened)
+        ends.client.close("h")
+        await until(lambda: ends.closed)
+        assert ends.lost == []
+
+    asyncio.run(main())
+
+
+@settings(max_examples=60)
+@given(data=st.binary(min_size=1, max_size=60))
+def test_no_bytes_break_the_server(data: bytes) -> None:
+    """Guards against a stranger's bytes that stop a host's sessions."""
+
+    async def main() -> None:
+        ends, address = Ends(), free_address()
+        await ends.server.listen(address)
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        writer.close()
+        await until(lambda: ends.closed)
+        ends.client.open("h", address)
+        await until(lambda: ends.opened)
+        ends.client.send("h", [Ping(number=7)])
+        await until(lambda: ends.served)
+
+    asyncio.run(main())
+
+
+def test_the_volume_of_lines_is_bounded_and_the_rest_is_counted() -> None:
+    """Guards against logs that grow with the load."""
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    for number in range(int(BURST_LINES) + 500):
+        journal.write("event", {"number": number})
+    assert journal.omitted >= 400
+    os.close(writer)
+    os.close(reader)
+
+
+def test_a_reader_that_stops_reading_does_not_block() -> None:
+    """Guards against a host that stands still because nobody reads its output."""
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    for number in range(900):
+        journal.write("event", {"text": "x" * 400, "number": number})
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_line_carries_the_event_and_its_inputs() -> None:
+    """Guards against lines that on-call engineers cannot search."""
+    reader, writer = os.pipe()
+    journal = Journal(host="front-1", descriptor=writer)
+    journal.write("job_ended", {"job": "5c0e7a21d94b36f8", "took_s": 0.25})
+    line = json.loads(os.read(reader, 65536).splitlines()[0])
+    assert (line["host"], line["event"], line["job"]) == (
+        "front-1",
+        "job_ended",
+        "5c0e7a21d94b36f8",
+    )
+    os.close(writer)
+    os.close(reader)
+
+
+@pytest.mark.parametrize("name", ["kill", "warning"])
+def test_records_of_libraries_become_lines(name: str) -> None:
+    """Guards against warnings that only the console of a developer shows."""
+    import logging
+
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    before = logging.getLogger().handlers
+    journal.take_over_logging()
+    logging.getLogger(name).warning("seen %s", name)
+    logging.getLogger().handlers = before
+    assert f"seen {name}".encode() in os.read(reader, 65536)
+    os.close(writer)
+    os.close(reader)
