--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -137,6 +137,7 @@
     """Asks another pool to start tasks of one step at once, or to refuse them.
 
     :param tasks: index of each task and the number of its run.
+    :param begun: whether other tasks of the job have started, so that it is worth being late.
     """
 
     job: Job
@@ -144,6 +145,7 @@
     tasks: tuple[tuple[int, int], ...]
     waited_s: float
     caller_waits_s: float
+    begun: bool = False
 
 
 class LentEnded(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_placing.py
+++ b/src/eelgrassyard/dispatch/_placing.py
@@ -71,6 +71,7 @@
             placed.add(id(task))
         if placed:
             waiting.remove(placed)
+        waiting.move_to_front([task for task in unplaced if task.owner.orders > 0])
 
     def _must_wait(self, now: float, task: Task) -> bool:
         return now < task.not_before or self.stops.is_stopping(task.id)
@@ -206,6 +207,7 @@
                         tasks=tuple((task.id.index, task.run) for task in members),
                         waited_s=now - owner.arrived_at,
                         caller_waits_s=owner.gives_up_at - now,
+                        begun=owner.orders > len(members),
                     ),
                 )
             )
--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -142,6 +142,7 @@
         *,
         waited_s: float,
         caller_waits_s: float,
+        begun: bool = False,
     ) -> None:
         """Start tasks of another pool's job at once, or refuse them."""
         owner = open_lent(
@@ -153,6 +154,7 @@
             step=step,
             runs=runs,
         )
+        owner.orders = int(begun)
         known = self.lent_by_id.get(job.id)
         if known is not None and known.requester == requester:
             known.task_by_id.update(owner.task_by_id)
--- a/src/eelgrassyard/dispatch/_served.py
+++ b/src/eelgrassyard/dispatch/_served.py
@@ -69,6 +69,7 @@
                     message.tasks,
                     waited_s=message.waited_s,
                     caller_waits_s=message.caller_waits_s,
+                    begun=message.begun,
                 )
 
     def _return_request(self, session_id: str, message: Submit | Cancel | Lend) -> None:
--- a/src/eelgrassyard/dispatch/_waiting.py
+++ b/src/eelgrassyard/dispatch/_waiting.py
@@ -6,7 +6,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from ._tasks import Task
+from ._tasks import Phase, Task
+
+FRONT_S = 1e12
+"""Taken off the time of tasks in front; all times are seconds of the Unix epoch."""
 
 
 @dataclass(slots=True)
@@ -29,6 +32,17 @@
         bisect.insort(self._order, (start_by, self._numbers, task))
         self.cpu_seconds += task.step.cpu / 1000.0 * task.step.estimate_s
 
+    def move_to_front(self, tasks: list[Task]) -> None:
+        """Put tasks of jobs that have begun before all others: what has run of them is lost if the
+        rest comes too late."""
+        moved = {id(task) for task in tasks if task.phase is Phase.WAITING}
+        late = [entry for entry in self._order if id(entry[2]) in moved and entry[0] >= 0.0]
+        if not late:
+            return
+        kept = [entry for entry in self._order if id(entry[2]) not in moved or entry[0] < 0.0]
+        front = [(start_by - FRONT_S, number, task) for start_by, number, task in late]
+        self._order = sorted([*front, *kept])
+
     def remove(self, tasks: set[int]) -> None:
         """Take out tasks, named by their object id."""
         kept = [entry for entry in self._order if id(entry[2]) not in tasks]
