--- a/bench/bench_peer_codec.py
+++ b/bench/bench_peer_codec.py
@@ -1,17 +1,22 @@
-"""Time and size of messages between dispatch hosts: ``python -m bench.bench_peer_codec``."""
+"""Cost of messages between hosts and of log lines: ``python -m bench.bench_peer_codec``."""
 
 from __future__ import annotations
 
 import json
+import os
 import time
 
 import msgspec
 
+from eelgrassyard._journal import BURST_LINES, Journal
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step
 from eelgrassyard.dispatch._messages import JobEnded, Ping, Pong, Submit, ToClient, ToServer
 
 ROUNDS = 20_000
 
+LINES = int(BURST_LINES) - 200
+"""Below the bound on the volume of lines."""
+
 JOB = Job(
     id="5c0e7a21d94b36f8",
     kind="r-3hwrr6x",
@@ -48,8 +53,21 @@
             "read_us": round((decoded - encoded) / ROUNDS * 1e6, 2),
         }
         print(f"{name:10} {figures[name]}")
+    figures["log line"] = {"build_us": _log_line_us()}
+    print(f"{'log line':10} {figures['log line']}")
     print(json.dumps(figures))
 
 
+def _log_line_us() -> float:
+    """Time of one line about a decision, written to nowhere."""
+    with open(os.devnull, "wb") as sink:
+        journal = Journal(host="front-patan-1", descriptor=sink.fileno())
+        fields = {"task": f"{JOB.id}/0/3", "run": 1, "worker": "i-7f3a91c2", "left_s": 0.104}
+        began = time.process_time()
+        for _ in range(LINES):
+            journal.write("run_ordered", fields)
+        return round((time.process_time() - began) / LINES * 1e6, 2)
+
+
 if __name__ == "__main__":
     main()
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -141,7 +141,7 @@
         """Tell whether the worker may get a task now."""
         if self.state is not WorkerState.READY or self.record.draining or not self.is_registered:
             return False
-        if now < self.full_until or now < self.ejected_until:
+        if now < self.full_until or now < self.ejected_until or not self.clock.is_fresh(now):
             return False
         if self.unclaimed and not self.record.guards:
             return False
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -166,10 +166,6 @@
         """Renew a lease; an error of status 404 means that it has ended."""
         await self._call("renewal", "POST", f"/api/kv-keep/{lease}")
 
-    async def end_lease(self, lease: int) -> None:
-        """End a lease and remove its keys."""
-        await self._call("end of lease", "DELETE", f"/api/kv-lease-end/{lease}")
-
     async def put(self, key: str, value: bytes, lease: int) -> None:
         """Write a key without a condition; writing it twice does no harm."""
         text = base64.b64encode(value).decode("ascii")
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -246,6 +246,8 @@
 def test_a_job_of_another_leader_waits_until_its_runs_are_over() -> None:
     """Guards against a second run after a change of leader (savlane-cards trouble-3, TWICE)."""
     driver = PoolDriver(record("w0"))
+    driver.pool.advance(19.9)
+    driver.report(19.9, "w0")
     driver.submit(20.0, job(), round=1)
     driver.pool.advance(20.5)
     assert driver.take(StartRun) == []
@@ -389,3 +391,13 @@
     driver.pool.start_answered(1.4, "w0", second.task, second.run, CallFailure.SILENT)
     driver.submit(1.6, msgspec_copy(job(), "bbbbbbbbbbbbbbbb"))
     assert driver.take(StartRun) == []
+
+
+def test_a_start_needs_a_fresh_reading_of_the_workers_clock() -> None:
+    """Guards against deadlines that a slow clock reaches much later than intended."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(9.0, job())
+    assert driver.take(StartRun) == []
+    driver.pool.advance(9.01)
+    driver.report(9.02, "w0")
+    assert len(driver.take(StartRun)) == 1
