Hand own and other hosts' jobs to the pool by one function; drop an unused sum

Cause: read-through: the call of Pool.submit stood twice (own callers, sessions of hosts), and the waiting tasks kept a sum of core-seconds on each change that nothing reads. Change: hand_to_pool serves both; the sum is gone. Behaviour unchanged.

--- a/src/eelgrassyard/dispatch/_carrying.py
+++ b/src/eelgrassyard/dispatch/_carrying.py
@@ -11,6 +11,7 @@
     JobEnded,
     Submit,
 )
+from ._pool import Pool
 
 
 class Carrying(HostState):
@@ -50,19 +51,7 @@
 
     def _send_leader(self, now: float, message: Submit | Cancel) -> None:
         if self.pool is not None:
-            match message:
-                case Submit():
-                    self.pool.submit(
-                        now,
-                        OWN,
-                        message.job,
-                        waited_s=message.waited_s,
-                        caller_waits_s=message.caller_waits_s,
-                        round=message.round,
-                        progress=message.progress,
-                    )
-                case Cancel():
-                    self.pool.cancel(now, OWN, message.job_id)
+            hand_to_pool(self.pool, now, OWN, message)
         elif self.leadership.leader is not None:
             self._actions.append(SendLink(name=self.leadership.leader.name, message=message))
 
@@ -78,3 +67,20 @@
         self.links.actions.clear()
         actions, self._actions = self._actions, []
         return actions
+
+
+def hand_to_pool(pool: Pool, now: float, requester: str, message: Submit | Cancel) -> None:
+    """Pass a request about a whole job to the pool, under the session that gets the answer."""
+    match message:
+        case Submit():
+            pool.submit(
+                now,
+                requester,
+                message.job,
+                waited_s=message.waited_s,
+                caller_waits_s=message.caller_waits_s,
+                round=message.round,
+                progress=message.progress,
+            )
+        case Cancel():
+            pool.cancel(now, requester, message.job_id)
--- a/src/eelgrassyard/dispatch/_served.py
+++ b/src/eelgrassyard/dispatch/_served.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._carrying import hand_to_pool
 from ._hoststate import Session
 from ._jobs import TaskEnd
 from ._leadership import Role
@@ -49,18 +50,8 @@
             self._return_request(session_id, message)
             return
         match message:
-            case Submit():
-                pool.submit(
-                    now,
-                    session_id,
-                    message.job,
-                    waited_s=message.waited_s,
-                    caller_waits_s=message.caller_waits_s,
-                    round=message.round,
-                    progress=message.progress,
-                )
-            case Cancel():
-                pool.cancel(now, session_id, message.job_id)
+            case Submit() | Cancel():
+                hand_to_pool(pool, now, session_id, message)
             case Lend():
                 pool.lend(
                     now,
--- a/src/eelgrassyard/dispatch/_waiting.py
+++ b/src/eelgrassyard/dispatch/_waiting.py
@@ -18,7 +18,6 @@
 
     _order: list[tuple[float, int, Task]] = field(default_factory=list)
     _numbers: int = 0
-    cpu_seconds: float = 0.0
 
     def __len__(self) -> int:
         return len(self._order)
@@ -30,7 +29,6 @@
         """Queue a task."""
         self._numbers += 1
         bisect.insort(self._order, (start_by, self._numbers, task))
-        self.cpu_seconds += task.step.cpu / 1000.0 * task.step.estimate_s
 
     def move_to_front(self, tasks: list[Task]) -> None:
         """Put tasks of jobs that have begun before all others: what has run of them is lost if the
@@ -45,7 +43,4 @@
 
     def remove(self, tasks: set[int]) -> None:
         """Take out tasks, named by their object id."""
-        kept = [entry for entry in self._order if id(entry[2]) not in tasks]
-        if len(kept) != len(self._order):
-            self._order = kept
-            self.cpu_seconds = sum(t.step.cpu / 1000.0 * t.step.estimate_s for _, _, t in kept)
+        self._order = [entry for entry in self._order if id(entry[2]) not in tasks]
