Serve until out of rotation after SIGTERM; add the fault soak

Between two polls of readiness new connections still come in. Change: a stopping host serves until the balancer has taken it out (2.2 s), then stops listening, and ends when the connections accepted before are done. The servers are closed at the end of run(). Test: test_a_stopping_host_answers_what_it_reads_until_it_is_out_of_rotation fails on the old code.

soak/ holds the randomized soak: real host processes, loopback proxies, stand-ins of store and workers, checks of the promises. The store's stand-in moved there from tests/. The settings file takes control_bind, the address to listen at behind a port mapping.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,8 @@
 	$(BIN)/python -m pytest
 
 check: setup
-	$(BIN)/black --check --quiet src tests bench demo
-	$(BIN)/ruff check --quiet src tests bench demo
+	$(BIN)/black --check --quiet src tests bench demo soak
+	$(BIN)/ruff check --quiet src tests bench demo soak
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,92 @@
+"""Plays soak runs: ``python -m soak --seeds=1-50 --jobs=3``; ``--keep=DIR`` keeps the output."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pathlib
+import shutil
+import signal
+import sys
+import tempfile
+
+from absl import app, flags
+
+from ._run import play
+from ._seeds import REGRESSIONS, parse_seeds
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("seeds", "1", "Seeds to play: numbers and ranges, or 'regressions'.")
+flags.DEFINE_integer("jobs", 1, "Runs at the same time.", lower_bound=1, upper_bound=6)
+flags.DEFINE_float("fault_s", 14.0, "Seconds in which faults begin.")
+flags.DEFINE_integer("domains", 2, "Failure domains.", lower_bound=1)
+flags.DEFINE_integer("hosts", 3, "Host processes of a domain.", lower_bound=1)
+flags.DEFINE_integer("workers", 8, "Workers of a domain.", lower_bound=1)
+flags.DEFINE_float("rate", 25.0, "Jobs a second.")
+flags.DEFINE_string("keep", "", "Folder for the output of runs that broke a promise.")
+
+
+async def play_all(seeds: list[int], keep: pathlib.Path | None) -> int:
+    """Play the seeds, some at a time; returns how many broke a promise."""
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes of the runs are ended on the way out.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    if len(seeds) == 1:
+        return int(not await play_one(seeds[0], keep))
+    slots = asyncio.Semaphore(FLAGS.jobs)
+    return sum(await asyncio.gather(*(play_apart(seed, slots) for seed in seeds)))
+
+
+async def play_one(seed: int, keep: pathlib.Path | None) -> bool:
+    """Play one seed in this process; tells whether all promises held."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    result = await play(
+        seed=seed,
+        folder=folder,
+        fault_s=FLAGS.fault_s,
+        domains=FLAGS.domains,
+        hosts_a_domain=FLAGS.hosts,
+        workers_a_domain=FLAGS.workers,
+        rate=FLAGS.rate,
+    )
+    print(json.dumps(result.summary()), flush=True)
+    if result.broken:
+        (folder / "faults.txt").write_text("\n".join([*result.faults, *result.broken]) + "\n")
+        if keep is not None:
+            shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
+    shutil.rmtree(folder)
+    return not result.broken
+
+
+async def play_apart(seed: int, slots: asyncio.Semaphore) -> int:
+    """Play one seed in a process of its own; returns 1 if it broke a promise."""
+    passed_on = [flag.serialize() for flag in FLAGS.get_key_flags_for_module(sys.argv[0])]
+    arguments = [text for text in passed_on if text and not text.startswith(("--seeds", "--jobs"))]
+    async with slots:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "soak", f"--seeds={seed}", *arguments
+        )
+        try:
+            return int(await process.wait() != 0)
+        finally:
+            if process.returncode is None:
+                process.terminate()
+                await process.wait()
+
+
+def main(arguments: list[str]) -> int:
+    """Returns 1 if a promise was broken."""
+    del arguments
+    logging.getLogger("httpx").setLevel(logging.WARNING)
+    seeds = list(REGRESSIONS) if FLAGS.seeds == "regressions" else parse_seeds(FLAGS.seeds)
+    keep = pathlib.Path(FLAGS.keep) if FLAGS.keep else None
+    failed = asyncio.run(play_all(seeds, keep))
+    if len(seeds) > 1:
+        print(f"{len(seeds)} seeds, {failed} with a broken promise", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/soak/_faults.py
@@ -0,0 +1,416 @@
+"""Faults at random times: processes, connections, the store, workers, callers, operators."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable, Iterator
+
+from ._clients import CALLERS_BURST
+from ._hosts import HostProcess
+from ._site import CALLERS, STORE, Site
+from ._store import StoreFault
+from ._worker import StandinRunner, WorkerFault
+
+LONGEST_S = 5.0
+SHORTEST_S = 0.3
+DRAIN_S = 2.0
+SPARED_SHARE = 0.5
+"""Faults of workers strike at most this share of them at once; more leave nothing to serve with."""
+
+
+class Faults:
+    """Injects faults into a site; each undoes itself.
+
+    :ivar log: what was injected and when, in seconds from the start of the faults.
+    """
+
+    def __init__(self, *, site: Site, seed: int) -> None:
+        self.log: list[str] = []
+        self._site = site
+        self._random = random.Random(seed)
+        self._began = time.monotonic()
+        self._held: set[str] = set()
+
+    @property
+    def unplanned(self) -> list[Callable[[], Awaitable[None]]]:
+        """Faults that nobody announced."""
+        return [
+            self.kill_host,
+            self.kill_host,
+            self.lose_power,
+            self.freeze_host,
+            self.freeze_host,
+            self.freeze_leader,
+            self.kill_many,
+            self.cut_host,
+            self.cut_host_from_store,
+            self.cut_domain,
+            self.cut_host_from_workers,
+            self.delay_hosts,
+            self.reset_connections,
+            self.silence_connections,
+            self.break_store,
+            self.break_store_for_one,
+            self.forget_history,
+            self.lapse_entries,
+            self.crash_worker,
+            self.sicken_workers,
+            self.sicken_workers,
+            self.burst,
+            self.callers_leave,
+        ]
+
+    @property
+    def planned(self) -> list[Callable[[], Awaitable[None]]]:
+        """Work that operators and the platform announce."""
+        return [
+            self.stop_host,
+            self.stop_host,
+            self.reload_host,
+            self.change_routes,
+            self.change_routes,
+            self.drain_worker,
+        ]
+
+    async def run(self, seconds: float, *, gap_s: float, planned_only: bool) -> None:
+        """Inject faults for a time, overlapping and in series; returns when all are undone."""
+        self._began = time.monotonic()
+        kinds = self.planned if planned_only else [*self.unplanned, *self.planned]
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() - self._began < seconds:
+                kind = self._random.choice(kinds)
+                for _ in range(self._random.choice((1, 1, 1, 2, 3))):
+                    group.create_task(self._inject(kind))
+                    await asyncio.sleep(self._random.expovariate(1.0 / gap_s))
+
+    async def _inject(self, kind: Callable[[], Awaitable[None]]) -> None:
+        calm = self._site.ledger.calm
+        is_planned = kind.__name__ in {known.__name__ for known in self.planned}
+        if not is_planned:
+            calm.began()
+        try:
+            await kind()
+        finally:
+            if not is_planned:
+                calm.ended()
+
+    def _note(self, text: str) -> None:
+        self.log.append(f"{time.monotonic() - self._began:.2f} {time.time():.3f} {text}")
+
+    def _duration(self, longest: float = LONGEST_S) -> float:
+        return self._random.uniform(SHORTEST_S, longest)
+
+    @contextlib.contextmanager
+    def _hold_host(self) -> Iterator[HostProcess | None]:
+        """A host whose process no other fault handles at the moment."""
+        free = [host for host in self._site.hosts if host.name not in self._held and host.is_up]
+        host = self._random.choice(free) if free else None
+        if host is None:
+            yield None
+            return
+        self._held.add(host.name)
+        try:
+            yield host
+        finally:
+            self._held.discard(host.name)
+
+    # --- processes ---
+
+    async def kill_host(self) -> None:
+        """SIGKILL, and a new process."""
+        with self._hold_host() as host:
+            if host is not None:
+                await self._kill(host, self._duration(2.5))
+
+    async def _kill(self, host: HostProcess, down_s: float) -> None:
+        self._note(f"kill {host.name} for {down_s:.2f} s")
+        await host.kill()
+        await asyncio.sleep(down_s)
+        await host.start()
+
+    async def lose_power(self) -> None:
+        """The host goes dark: its connections say nothing, and a new process starts later."""
+        with self._hold_host() as host:
+            if host is None:
+                return
+            dark_s = self._duration()
+            self._note(f"power {host.name} for {dark_s:.2f} s")
+            with self._site.network.cut(self._around(host.name)):
+                await host.kill()
+                await asyncio.sleep(dark_s)
+                for connection in self._site.network.open_connections({host.name}):
+                    connection.reset()
+            await host.start()
+
+    async def kill_many(self) -> None:
+        """All processes of a domain, or of the site, are killed at the same moment."""
+        domains = self._site.domains
+        struck = set(self._random.choice((domains, self._random.sample(domains, 1))))
+        hosts = [
+            host
+            for host in self._site.hosts
+            if host.domain in struck and host.name not in self._held and host.is_up
+        ]
+        self._held.update(host.name for host in hosts)
+        try:
+            await asyncio.gather(*(self._kill(host, self._duration(2.0)) for host in hosts))
+        finally:
+            self._held.difference_update(host.name for host in hosts)
+
+    async def freeze_host(self) -> None:
+        """SIGSTOP, and SIGCONT later."""
+        with self._hold_host() as host:
+            if host is not None:
+                await self._freeze(host)
+
+    async def _freeze(self, host: HostProcess) -> None:
+        still_s = self._duration(4.0)
+        self._note(f"freeze {host.name} for {still_s:.2f} s")
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(still_s)
+        host.signal(signal.SIGCONT)
+
+    async def freeze_leader(self) -> None:
+        """Freeze the host of a domain that is likely to lead it."""
+        domain = self._random.choice(self._site.domains)
+        members = [
+            host
+            for host in self._site.hosts
+            if host.domain == domain and host.is_up and host.name not in self._held
+        ]
+        if members:
+            host = min(members, key=lambda host: (-host.weight, host.name))
+            self._held.add(host.name)
+            try:
+                await self._freeze(host)
+            finally:
+                self._held.discard(host.name)
+
+    async def stop_host(self) -> None:
+        """SIGTERM, SIGKILL after the grace, and a new process."""
+        with self._hold_host() as host:
+            if host is None:
+                return
+            self._note(f"SIGTERM {host.name}")
+            ledger = self._site.ledger
+            ledger.term_at[host.name] = time.monotonic()
+            problem = await host.stop()
+            if problem:
+                ledger.breach("STOP", problem)
+            await asyncio.sleep(self._duration(1.5))
+            await host.start()
+
+    async def reload_host(self) -> None:
+        """A changed settings file, with or without SIGHUP."""
+        with self._hold_host() as host:
+            if host is None:
+                return
+            host.weight = self._random.choice((0.4, 0.6, 1.0))
+            host.write_settings()
+            quietly = self._random.random() < 0.5
+            self._note(f"settings of {host.name} {'without' if quietly else 'with'} SIGHUP")
+            if not quietly:
+                host.signal(signal.SIGHUP)
+
+    # --- connections ---
+
+    def _around(self, name: str) -> list[tuple[str, str]]:
+        others = [host.name for host in self._site.hosts if host.name != name]
+        others += [worker.name for worker in self._site.workers]
+        others += [STORE, CALLERS]
+        return [(name, other) for other in others] + [(other, name) for other in others]
+
+    def _directions(self, ends: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Both directions of pairs, or only one."""
+        back = [(target, source) for source, target in ends]
+        return self._random.choice((ends + back, ends + back, ends, back))
+
+    async def _cut(self, text: str, ends: list[tuple[str, str]]) -> None:
+        cut_s = self._duration()
+        chosen = self._directions(ends)
+        self._note(f"cut {text} for {cut_s:.2f} s, {len(chosen)} paths of {len(ends)} pairs")
+        with self._site.network.cut(chosen):
+            await asyncio.sleep(cut_s)
+
+    async def cut_host(self) -> None:
+        """One host is cut off from the other hosts, sometimes from all but its callers."""
+        host = self._random.choice(self._site.hosts)
+        ends = [(host.name, other.name) for other in self._site.hosts if other is not host]
+        if self._random.random() < 0.4:
+            ends += [(host.name, worker.name) for worker in self._site.workers]
+            ends.append((host.name, STORE))
+        await self._cut(host.name, ends)
+
+    async def cut_host_from_store(self) -> None:
+        """One host is cut off from the store."""
+        host = self._random.choice(self._site.hosts)
+        await self._cut(f"{host.name} from the store", [(host.name, STORE)])
+
+    async def cut_domain(self) -> None:
+        """A domain is cut off from the others, sometimes from the store as well."""
+        domain = self._random.choice(self._site.domains)
+        inside = [host.name for host in self._site.hosts if host.domain == domain]
+        outside = [host.name for host in self._site.hosts if host.domain != domain]
+        far = [worker.name for worker in self._site.workers if worker.domain != domain]
+        ends = [(name, other) for name in inside for other in [*outside, *far]]
+        if self._random.random() < 0.6:
+            ends += [(name, STORE) for name in inside]
+        await self._cut(domain, ends)
+
+    async def cut_host_from_workers(self) -> None:
+        """Some hosts do not reach some workers."""
+        hosts = self._random.sample(self._site.hosts, self._random.randint(1, 3))
+        workers = self._some_workers()
+        ends = [(host.name, worker.name) for host in hosts for worker in workers]
+        await self._cut(f"{len(hosts)} hosts from {len(workers)} workers", ends)
+
+    async def delay_hosts(self) -> None:
+        """Everything between one host and the others takes longer."""
+        host = self._random.choice(self._site.hosts)
+        delay_s, for_s = self._random.uniform(0.005, 0.3), self._duration()
+        self._note(f"delay {host.name} by {delay_s:.3f} s for {for_s:.2f} s")
+        with self._site.network.delayed(self._around(host.name), delay_s):
+            await asyncio.sleep(for_s)
+
+    async def reset_connections(self) -> None:
+        """Connections of some hosts are reset."""
+        self._strike_connections("reset", lambda connection: connection.reset())
+
+    async def silence_connections(self) -> None:
+        """Connections of some hosts carry nothing any more, while new ones work."""
+
+        def silence(connection: object) -> None:
+            connection.silenced = True  # type: ignore[attr-defined]
+
+        self._strike_connections("silence", silence)
+
+    def _strike_connections(self, what: str, strike: Callable[..., None]) -> None:
+        names = {host.name for host in self._random.sample(self._site.hosts, 2)}
+        share = self._random.choice((0.3, 1.0))
+        struck = 0
+        for connection in self._site.network.open_connections(names):
+            if self._random.random() < share and connection.source != CALLERS:
+                strike(connection)
+                struck += 1
+        self._note(f"{what} {struck} connections of {sorted(names)}")
+
+    # --- the store ---
+
+    async def break_store(self) -> None:
+        """The store is down, slow, or loses answers, for all."""
+        await self._break_store("")
+
+    async def break_store_for_one(self) -> None:
+        """The store turns one host away and serves the others."""
+        await self._break_store(self._random.choice(self._site.hosts).name)
+
+    async def _break_store(self, client: str) -> None:
+        faults = self._site.store.fault_by_client
+        if client in faults:
+            return
+        fault, for_s = self._random.choice(list(StoreFault)), self._duration(8.0)
+        self._note(f"store {fault.name} for {client or 'all'} for {for_s:.2f} s")
+        faults[client] = fault
+        if self._random.random() < 0.3:
+            self._site.store.end_leases()
+        await asyncio.sleep(for_s)
+        faults.pop(client, None)
+
+    async def forget_history(self) -> None:
+        """The store drops its history and cuts the watches."""
+        self._note("history forgotten")
+        self._site.store.forget_history()
+
+    async def lapse_entries(self) -> None:
+        """Workers do not reach the store, so their entries lapse; they serve on."""
+        if self._site.registry_lapses:
+            return
+        for_s = self._random.uniform(4.0, 8.0)
+        self._note(f"entries of workers lapse for {for_s:.2f} s")
+        self._site.registry_lapses = True
+        await asyncio.sleep(for_s)
+        self._site.registry_lapses = False
+        for worker in self._site.workers:
+            if worker.up:
+                self._site.register(worker)
+
+    # --- workers ---
+
+    def _some_workers(self) -> list[StandinRunner]:
+        workers = self._site.workers
+        most = max(1, int(len(workers) * SPARED_SHARE / 2))
+        return self._random.sample(workers, self._random.randint(1, most))
+
+    async def crash_worker(self) -> None:
+        """A worker loses everything, and begins again under its id or a new one."""
+        up = [worker for worker in self._site.workers if worker.up]
+        worker = self._random.choice(up)
+        new_id = self._random.random() < 0.5
+        down_s = self._duration(2.0)
+        self._note(f"crash {worker.id} for {down_s:.2f} s, new id {new_id}")
+        worker.crash()
+        await asyncio.sleep(down_s)
+        if new_id:
+            self._site.remove(worker)
+        worker.begin(new_id=new_id)
+        self._site.register(worker)
+
+    async def sicken_workers(self) -> None:
+        """Some workers fail, hang, refuse, answer nothing, act late or run slowly."""
+        fault = self._random.choice(list(WorkerFault))
+        share = self._random.choice((0.1, 0.5, 1.0))
+        workers = [worker for worker in self._some_workers() if worker.fault is None]
+        for_s = self._duration()
+        names = [worker.name for worker in workers]
+        self._note(f"{names} {fault.name} with {share} for {for_s:.2f} s")
+        for worker in workers:
+            worker.fault, worker.fault_share = fault, share
+        await asyncio.sleep(for_s)
+        for worker in workers:
+            worker.fault = None
+
+    async def drain_worker(self) -> None:
+        """A worker says that it is leaving, serves on for the notice, and is gone."""
+        ledger = self._site.ledger
+        free = [w for w in self._site.workers if w.up and not w.draining]
+        worker = self._random.choice(free)
+        self._note(f"drain {worker.id}")
+        worker.draining = True
+        self._site.register(worker)
+        ledger.draining_since[worker.name] = time.monotonic()
+        await asyncio.sleep(DRAIN_S + self._duration(2.0))
+        if not worker.up:
+            return
+        ledger.draining_since.pop(worker.name, None)
+        worker.crash()
+        self._site.remove(worker)
+        await asyncio.sleep(self._duration(2.0))
+        worker.begin(new_id=True)
+        self._site.register(worker)
+
+    # --- callers and operators ---
+
+    async def burst(self) -> None:
+        """Callers send more for a while."""
+        for_s = self._duration()
+        self._note(f"burst for {for_s:.2f} s")
+        self._site.callers.rate *= CALLERS_BURST
+        await asyncio.sleep(for_s)
+        self._site.callers.rate /= CALLERS_BURST
+
+    async def callers_leave(self) -> None:
+        """Part of the callers close their connections before the answer."""
+        for_s = self._duration()
+        self._note(f"callers leave for {for_s:.2f} s")
+        self._site.callers.leave_share = 0.3
+        await asyncio.sleep(for_s)
+        self._site.callers.leave_share = 0.0
+
+    async def change_routes(self) -> None:
+        """The operator adds a route, and takes an earlier one away."""
+        self._note("configuration changes")
+        self._site.change_routes(time.monotonic())
--- /dev/null
+++ b/soak/_hosts.py
@@ -0,0 +1,201 @@
+"""Host processes of a soak run: settings, start, signals, readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+import pathlib
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+
+import httpx
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_ports = itertools.count(20_000)
+
+GRACE_S = 6.0
+"""Time between SIGTERM and SIGKILL (users' bounds)."""
+
+EXIT_MARGIN_S = 0.5
+"""Time that a process may take beyond the grace to be seen as ended by its parent."""
+
+READY_POLL_S = 0.5
+MISSES = 2
+"""Balancers take a host out of rotation after so many polls without a 200."""
+
+SETTINGS = """\
+node = "{name}"
+role = "host"
+zone = "{domain}"
+seeds = [{seeds}]
+[listen]
+front = "{front}"
+ready = "{ready}"
+control = "{peer}"
+control_bind = "{peer_bind}"
+[limits]
+cpu_share = {weight}
+cores = 1
+[bounds]
+stop_ms = 50
+remote_slowdown = 1.5
+grace_s = 6
+[platform]
+address = "{store}"
+ttl_min_ms = 1000
+"""
+
+
+def free_addresses(count: int) -> list[str]:
+    """Loopback addresses of this run, each given out once."""
+    pid = os.getpid()
+    # Runs beside each other have loopback numbers of their own, and ports below the ephemeral ones.
+    number = f"127.{100 + (pid >> 16) % 100}.{(pid >> 8) % 256}.{pid % 256}"
+    return [f"{number}:{next(_ports)}" for _ in range(count)]
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class HostProcess:
+    """One host: its addresses, and the process while there is one.
+
+    :param front: where callers connect, through a proxy.
+    :param front_bind: where the process listens for them.
+    :param peer: address that other hosts know, which is a proxy's.
+    :param expected: whether the end of the process was asked for.
+    """
+
+    name: str
+    domain: str
+    folder: pathlib.Path
+    front: str
+    front_bind: str
+    ready: str
+    peer: str
+    peer_bind: str
+    store: str
+    seeds: tuple[str, ...] = ()
+    weight: float = 1.0
+    process: asyncio.subprocess.Process | None = None
+    expected: bool = False
+    misses: int = MISSES
+    incarnation: int = 0
+    started_at: float = 0.0
+    ends: list[str] = field(default_factory=list)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def settings_path(self) -> pathlib.Path:
+        """The settings file of the process."""
+        return self.folder / f"{self.name}.toml"
+
+    def write_settings(self) -> None:
+        """Write the settings file as the platform would."""
+        text = SETTINGS.format(
+            name=self.name,
+            domain=self.domain,
+            seeds=", ".join(f'"{seed}"' for seed in self.seeds),
+            front=self.front_bind,
+            ready=self.ready,
+            peer=self.peer,
+            peer_bind=self.peer_bind,
+            weight=self.weight,
+            store=self.store,
+        )
+        self.settings_path.write_text(text, encoding="utf-8")
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """Output of the latest process."""
+        return self.folder / f"{self.name}-{self.incarnation}.log"
+
+    async def start(self) -> None:
+        """Start a new process; its output goes to a file of its own."""
+        self.write_settings()
+        self.incarnation += 1
+        with self.log_path.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "deploy" / "host.py"),
+                cwd=ROOT,
+                env={"PATH": os.environ["PATH"], "EELGRASSYARD_SETTINGS": str(self.settings_path)},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=asyncio.subprocess.STDOUT,
+            )
+        # The end of the process before was expected until now.
+        self.process = process
+        self.expected = False
+        self.started_at = time.monotonic()
+        self.misses = MISSES
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process without notice."""
+        self.expected = True
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    async def stop(self) -> str:
+        """End the process as planned; tells what was wrong with the way it ended."""
+        process = self.process
+        if process is None or process.returncode is not None:
+            return ""
+        self.expected = True
+        process.send_signal(signal.SIGTERM)
+        try:
+            code = await asyncio.wait_for(process.wait(), GRACE_S + EXIT_MARGIN_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+            return f"{self.name} was still there {GRACE_S + EXIT_MARGIN_S} s after SIGTERM"
+        # The signal also ends a process that has not begun to serve; its output is empty then.
+        is_new = code == -signal.SIGTERM and not self.log_path.stat().st_size
+        return "" if code == 0 or is_new else f"{self.name} ended with {code} after SIGTERM"
+
+
+class Balancer:
+    """Polls the hosts, and names those that get new connections of a domain's callers."""
+
+    def __init__(self, *, hosts: list[HostProcess]) -> None:
+        self._hosts = hosts
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        async with httpx.AsyncClient(trust_env=False, timeout=READY_POLL_S) as client:
+            while True:
+                await asyncio.gather(*(self._poll(client, host) for host in self._hosts))
+                await asyncio.sleep(READY_POLL_S)
+
+    async def _poll(self, client: httpx.AsyncClient, host: HostProcess) -> None:
+        try:
+            reply = await client.get(f"http://{host.ready}/api/ready")
+            ready = reply.status_code == 200
+        except httpx.HTTPError:
+            # No answer counts like any answer but 200.
+            ready = False
+        host.misses = 0 if ready else host.misses + 1
+
+    def candidates(self, domain: str) -> list[HostProcess]:
+        """Hosts for new connections, after the platform's rules of rotation."""
+        members = [host for host in self._hosts if host.domain == domain]
+        ready = [host for host in members if host.misses < MISSES]
+        if ready:
+            return ready if 2 * len(ready) >= len(members) else members
+        others = [host for host in self._hosts if host.misses < MISSES]
+        return others or members
+
+    def all_ready(self) -> bool:
+        """Tell whether each host is in rotation."""
+        return all(host.misses == 0 for host in self._hosts)
--- /dev/null
+++ b/soak/_proxy.py
@@ -0,0 +1,208 @@
+"""Loopback proxy that delays, holds, resets or silences the connections between two parties."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+logger = logging.getLogger(__name__)
+
+CHUNK_BYTES = 65_536
+RESET_LINGER = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+"""SO_LINGER on with zero seconds: closing sends a reset."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Path:
+    """One direction between two parties.
+
+    :param cuts: faults that hold all bytes back; they go on when the last one ends.
+    :param delay_s: added to each chunk.
+    """
+
+    cuts: int = 0
+    delay_s: float = 0.0
+    opened: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.opened.set()
+
+    async def traverse(self) -> None:
+        """Wait as long as a chunk needs."""
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        await self.opened.wait()
+
+
+class Network:
+    """Paths between parties, and the connections that use them."""
+
+    def __init__(self) -> None:
+        self._path_by_ends: dict[tuple[str, str], Path] = {}
+        self._connections: set[_Connection] = set()
+
+    def path(self, source: str, target: str) -> Path:
+        """The path from one party to another."""
+        return self._path_by_ends.setdefault((source, target), Path())
+
+    @contextlib.contextmanager
+    def cut(self, ends: list[tuple[str, str]]) -> Iterator[None]:
+        """Hold back all bytes on paths while the context lasts."""
+        paths = [self.path(source, target) for source, target in ends]
+        for path in paths:
+            path.cuts += 1
+            path.opened.clear()
+        try:
+            yield
+        finally:
+            for path in paths:
+                path.cuts -= 1
+                if not path.cuts:
+                    path.opened.set()
+
+    @contextlib.contextmanager
+    def delayed(self, ends: list[tuple[str, str]], delay_s: float) -> Iterator[None]:
+        """Delay each chunk on paths while the context lasts."""
+        paths = [self.path(source, target) for source, target in ends]
+        for path in paths:
+            path.delay_s += delay_s
+        try:
+            yield
+        finally:
+            for path in paths:
+                path.delay_s = max(0.0, path.delay_s - delay_s)
+
+    def open_connections(self, parties: set[str]) -> list[_Connection]:
+        """Connections with one end among the parties, in a stable order."""
+        chosen = [c for c in self._connections if c.source in parties or c.target in parties]
+        return sorted(chosen, key=lambda connection: connection.number)
+
+    def joined(self, connection: _Connection) -> None:
+        """Note an open connection."""
+        self._connections.add(connection)
+
+    def left(self, connection: _Connection) -> None:
+        """Forget a closed connection."""
+        self._connections.discard(connection)
+
+
+class _Connection:
+    """Two streams that are copied into each other."""
+
+    numbers = 0
+
+    def __init__(self, *, network: Network, source: str, target: str) -> None:
+        _Connection.numbers += 1
+        self.number = _Connection.numbers
+        self.source = source
+        self.target = target
+        self.silenced = False
+        self._network = network
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def run(
+        self,
+        first: bytes,
+        near: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        far: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> None:
+        """Copy both ways until one end closes."""
+        self._writers = [near[1], far[1]]
+        self._network.joined(self)
+        there = self._network.path(self.source, self.target)
+        back = self._network.path(self.target, self.source)
+        pumps = [
+            asyncio.ensure_future(self._pump(there, near[0], far[1], first)),
+            asyncio.ensure_future(self._pump(back, far[0], near[1], b"")),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            self._network.left(self)
+            for writer in self._writers:
+                writer.close()
+
+    async def _pump(
+        self, path: Path, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, first: bytes
+    ) -> None:
+        data = first
+        try:
+            while True:
+                if data:
+                    await path.traverse()
+                    if self.silenced:
+                        # Neither end learns that the connection carries nothing any more.
+                        await asyncio.Event().wait()
+                    writer.write(data)
+                    await writer.drain()
+                data = await reader.read(CHUNK_BYTES)
+                if not data:
+                    await path.traverse()
+                    return
+        except ConnectionError as error:
+            logger.debug("%s to %s: %s", self.source, self.target, error)
+            await path.traverse()
+
+    def reset(self) -> None:
+        """Reset both ends."""
+        for writer in self._writers:
+            raw = writer.get_extra_info("socket")
+            if raw is not None:
+                with contextlib.suppress(OSError):
+                    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            writer.transport.abort()
+
+
+class Proxy:
+    """Listens for one party and forwards to another.
+
+    :param source: party that connects, or empty if the first bytes tell it.
+    :param target: party at the far end.
+    :param address: where the far end really listens.
+    :param identify: finds the connecting party in the first bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: Network,
+        source: str,
+        target: str,
+        address: str,
+        identify: Callable[[bytes], str] | None = None,
+    ) -> None:
+        self._network = network
+        self._source = source
+        self._target = target
+        self._address = address
+        self._identify = identify
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Accept connections at ``host:port``."""
+        host, _, port = address.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        source, first = self._source, b""
+        try:
+            if self._identify is not None:
+                first = await reader.read(CHUNK_BYTES)
+                source = self._identify(first)
+            await self._network.path(source, self._target).traverse()
+            host, _, port = self._address.rpartition(":")
+            far = await asyncio.open_connection(host, int(port))
+        except OSError as error:
+            # The far end does not listen: the near end sees a reset, as it would without the proxy.
+            logger.debug("%s to %s: %s", source, self._target, error)
+            writer.transport.abort()
+            return
+        connection = _Connection(network=self._network, source=source, target=self._target)
+        with contextlib.suppress(asyncio.CancelledError):
+            await connection.run(first, (reader, writer), far)
--- /dev/null
+++ b/soak/_seeds.py
@@ -0,0 +1,18 @@
+"""Seeds of soak runs, and those that once broke a promise."""
+
+from __future__ import annotations
+
+REGRESSIONS: dict[int, str] = {}
+"""Cause of the broken promise by seed; all of them are played again before each landing."""
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Seeds from numbers and ranges such as ``1-5,9``.
+
+    :raises ValueError: if a part is neither.
+    """
+    seeds: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds.extend(range(int(first), int(last or first) + 1))
+    return seeds
--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -67,6 +67,11 @@
         self._answered = True
         self._connection.respond(status, body, headers=headers, keep=self._keep and not close)
 
+    def abort(self) -> None:
+        """Reset the connection instead of an answer."""
+        self._answered = True
+        self._connection.abort()
+
 
 Handler = Callable[[Exchange], None]
 
@@ -123,12 +128,21 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def is_listening(self) -> bool:
+        """Tell whether new connections are accepted."""
+        return self._server is not None
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; open ones are still served."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and watching the time limits."""
         if self._sweeper is not None:
             self._sweeper.cancel()
-        if self._server is not None:
-            self._server.close()
+        self.stop_listening()
 
 
 @dataclass(slots=True)
@@ -297,6 +311,11 @@
 
     # --- time and shutdown ---
 
+    def abort(self) -> None:
+        """Close at once, without what is still to be sent."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def is_busy(self) -> bool:
         """Tell whether a request waits for its answer."""
         return self._current is not None
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -55,6 +55,10 @@
 """After SIGTERM new requests are refused when so much of the grace is left that a job of the
 longest kind, and then the end of the process, still fit in."""
 
+ROTATION_S = 2.2
+"""The balancer polls readiness once a second and takes a host out after two misses; until then new
+connections come in."""
+
 STATE_POLL_S = 0.05
 
 METRICS_TYPE = "Content-Type: text/plain; version=0.0.4\r\n"
@@ -96,7 +100,7 @@
             calls=self._calls,
             clock=self._clock,
             journal=self._journal,
-            peer_address=settings.peer_address,
+            peer_address=settings.peer_bind_address,
         )
         self._front = Front(driver=self._driver, note=self._journal.write)
         self._front_server = HttpServer(
@@ -134,6 +138,8 @@
             group.start_soon(self._poll)
             await self._serve_until_stopped()
             group.cancel_scope.cancel()
+        self._front_server.close()
+        self._ready_server.close()
         self._journal.write("stop", {})
         self._journal.flush()
 
@@ -172,7 +178,8 @@
                 return
 
     async def _drain(self) -> None:
-        """Serve open connections for a while, then refuse, then end when all is answered."""
+        """Serve until the host is out of rotation and idle; refuse new requests late in the
+        grace."""
         began = self._clock.now()
         self._journal.write("drain", {"busy": self._front_server.busy()})
         self._front.draining = True
@@ -187,8 +194,13 @@
                 self._front.refusing = True
                 self._front_server.close_idle()
             pool = self._core.pool
-            if not self._front_server.connections and (pool is None or pool.is_idle()):
+            busy = self._front_server.connections or not (pool is None or pool.is_idle())
+            if busy or self._clock.now() < began + ROTATION_S:
+                continue
+            if not self._front_server.is_listening():
                 break
+            # Connections that were accepted before this still get answers to what they send.
+            self._front_server.stop_listening()
         self._front_server.close_idle()
         await anyio.sleep(STATE_POLL_S)
 
--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -14,6 +14,8 @@
     front: str = ""
     ready: str = ""
     control: str = ""
+    # Not of the platform: where to listen if `control` is the address of a port mapping.
+    control_bind: str = ""
 
 
 class _Limits(msgspec.Struct):
@@ -66,6 +68,7 @@
 
     :param domain: failure domain; the platform calls it a zone.
     :param peer_address: where other hosts open sessions; the platform calls it control.
+    :param peer_bind_address: where this host listens for them; differs behind a port mapping.
     :param seeds: peer addresses of up to three hosts, which may be stale.
     :param weight: processor share in cores.
     :param lease_least_s: shortest lease that the store gives.
@@ -76,6 +79,7 @@
     front_address: str
     ready_address: str
     peer_address: str
+    peer_bind_address: str
     seeds: tuple[str, ...]
     weight: float
     store_address: str
@@ -99,6 +103,7 @@
         ("front", file.listen.front),
         ("ready", file.listen.ready),
         ("control", file.listen.control),
+        ("control_bind", file.listen.control_bind or file.listen.control),
         ("platform", file.platform.address),
     ):
         if not _is_address(address):
@@ -111,6 +116,7 @@
             front_address=file.listen.front,
             ready_address=file.listen.ready,
             peer_address=file.listen.control,
+            peer_bind_address=file.listen.control_bind or file.listen.control,
             seeds=tuple(seed for seed in file.seeds if _is_address(seed)),
             weight=file.limits.cpu_share * file.limits.cores,
             store_address=file.platform.address,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
+from soak._store import StandinStore
 
 from eelgrassyard.net import CallError, HttpClient, Response
 from eelgrassyard.platform._host import PlatformHost
 from eelgrassyard.platform._settings import HostSettings
-from platform_standin import StandinStore, StandinWorker, config
+from platform_standin import StandinWorker, config
 
 JOB = {"spec": "text", "phases": [{"count": 3, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60}]}
 
@@ -37,7 +40,8 @@
             domain="patan",
             front_address=free_address(),
             ready_address=free_address(),
-            peer_address=free_address(),
+            peer_address=(peer_address := free_address()),
+            peer_bind_address=peer_address,
             seeds=(),
             weight=1.0,
             store_address=self.store_address,
@@ -258,3 +262,29 @@
             await anyio.sleep(0.02)
 
     play(scenario)
+
+
+def test_a_stopping_host_answers_what_it_reads_until_it_is_out_of_rotation() -> None:
+    """Guards against requests cut off by the end of an idle host (soak seed 1: a job that came in
+    0.62 s after SIGTERM was passed on to a worker, and its connection broke)."""
+    late_job = "5c0e7a21d94b36f8"
+
+    async def scenario(site: Site) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        await anyio.sleep(0.5)
+        body = {**JOB, "best_effort": True}
+        answer = await site.front("POST", f"/lohu930/{late_job}", body)
+        assert (answer.status, json.loads(answer.body)) == (200, {"state": "completed"})
+        for number in range(1000):
+            job = f"{number:016x}"
+            try:
+                answer = await site.front("POST", f"/lohu930/{job}", body)
+            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                # The host no longer listens; it must not have started what it left unanswered.
+                assert not [s for s in site.worker.starts if s["task"].startswith(job)]
+                return
+            assert answer.status in (200, 503)
+            await anyio.sleep(0.01)
+        raise AssertionError("the host goes on after its grace")
+
+    play(scenario)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,152 @@
+"""The soak's own checks, and a short seeded run of it on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from soak._hosts import free_addresses
+from soak._ledger import JobEntry, Ledger
+from soak._proxy import Network, Proxy
+from soak._run import play
+from soak._seeds import parse_seeds
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def ledger_with_job(**changes: object) -> tuple[Ledger, JobEntry]:
+    """A ledger that knows one job of two steps."""
+    fields: dict[str, object] = {
+        "id": JOB,
+        "spec": "text",
+        "counts": (2, 1),
+        "work_s": (0.1, 0.1),
+        "cpu": 1000,
+        "max_attempts": 3,
+        "attempts": ["open"],
+    }
+    ledger = Ledger()
+    job = JobEntry(**{**fields, **changes})  # type: ignore[arg-type]
+    ledger.job_by_id[JOB] = job
+    return ledger, job
+
+
+def names(ledger: Ledger) -> list[str]:
+    """Names of the promises that did not hold."""
+    return [text.partition(" at ")[0] for text in ledger.broken]
+
+
+def test_two_runs_at_once_are_noticed() -> None:
+    """Guards against a soak that overlooks doubled work."""
+    ledger, _ = ledger_with_job()
+    ledger.run_began("w1", f"{JOB}.0.0.0", 1, "text", draining=False)
+    ledger.run_over("w1", f"{JOB}.0.0.0", 1, "stopped")
+    ledger.run_began("w2", f"{JOB}.0.0.0", 2, "text", draining=False)
+    assert names(ledger) == []
+    ledger.run_began("w1", f"{JOB}.0.0.0", 3, "text", draining=False)
+    assert names(ledger) == ["TWICE"]
+
+
+def test_work_that_nobody_sent_is_noticed() -> None:
+    """Guards against a soak that overlooks foreign tasks, texts and orders of steps."""
+    ledger, _ = ledger_with_job()
+    ledger.run_began("w1", f"{JOB}.0.0.0", 1, "other", draining=False)
+    ledger.run_began("w1", f"{JOB}.0.0.7", 1, "text", draining=False)
+    ledger.run_began("w1", f"{JOB}.0.1.0", 1, "text", draining=False)
+    assert names(ledger) == ["UNASKED", "UNASKED", "ORDER"]
+
+
+def test_false_answers_are_noticed() -> None:
+    """Guards against a soak that believes partial answers, failures and refusals."""
+    ledger, job = ledger_with_job()
+    ledger.told(job, 0, "completed")
+    ledger.told(job, 0, "failed")
+    ledger.told(job, 0, "refused")
+    ledger.check_refusals()
+    assert names(ledger) == ["PARTIAL", "FALSE FAILURE"]
+    ledger.run_began("w1", f"{JOB}.0.0.0", 1, "text", draining=False)
+    ledger.check_refusals()
+    assert names(ledger)[2:] == ["REFUSED"]
+
+
+def test_a_request_cut_off_by_a_planned_stop_is_noticed() -> None:
+    """Guards against a soak that takes a stopped host's broken connections for granted."""
+    ledger, job = ledger_with_job(starts=1)
+    ledger.calm.ended_at -= 60.0
+    now = ledger.calm.ended_at + 60.0
+    ledger.broke_off("h1", now, job)
+    assert names(ledger) == []
+    ledger.term_at["h1"] = now
+    ledger.calm.began()
+    ledger.broke_off("h1", now, job)
+    assert names(ledger) == []
+    ledger.calm.active = 0
+    ledger.broke_off("h1", now, job)
+    assert names(ledger) == ["LOST"]
+
+
+def test_a_cut_path_holds_bytes_back_and_a_silenced_connection_drops_them() -> None:
+    """Guards against faults of the network that are not injected."""
+
+    async def scenario() -> None:
+        received = bytearray()
+
+        async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                received.extend(data)
+                writer.write(b"!")
+
+        near, far = free_addresses(2)
+        server = await asyncio.start_server(take, *far.split(":"))
+        network = Network()
+        proxy = Proxy(network=network, source="a", target="b", address=far)
+        await proxy.listen(near)
+        reader, writer = await asyncio.open_connection(*near.split(":"))
+        writer.write(b"1")
+        assert await reader.read(1) == b"!"
+        with network.cut([("a", "b")]):
+            writer.write(b"2")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.1)
+            assert received == b"1"
+        assert await reader.read(1) == b"!"
+        (connection,) = network.open_connections({"b"})
+        connection.silenced = True
+        writer.write(b"3")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.1)
+        assert received == b"12"
+        connection.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.readexactly(1)
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_seeds_are_read_from_numbers_and_ranges() -> None:
+    """Guards against a soak that plays other seeds than it was told to."""
+    assert parse_seeds("3,7-9") == [3, 7, 8, 9]
+    with pytest.raises(ValueError, match="x"):
+        parse_seeds("x")
+
+
+@pytest.mark.parametrize("seed", [101, 102])
+def test_promises_hold_on_real_processes_under_faults(tmp_path: Path, seed: int) -> None:
+    """Guards against doubled, partial, unasked or falsely refused work when real hosts are killed,
+    frozen, cut off and stopped. Time bounds are left to the soak itself."""
+    result = asyncio.run(
+        play(
+            seed=seed,
+            folder=tmp_path,
+            fault_s=5.0,
+            domains=2,
+            hosts_a_domain=2,
+            workers_a_domain=3,
+            rate=10.0,
+            timed=False,
+        )
+    )
+    assert result.broken == []
+    assert result.counts["completed"] > 0
