Judge lost requests of the soak by what reached the host

The users' rule counts requests that a process has read whole. Change: the proxy notes when a request goes on into the host, and the slack counts from then.

--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -85,6 +85,7 @@
         self.counts: dict[str, int] = {}
         self.draining_since: dict[str, float] = {}
         self.term_at: dict[str, float] = {}
+        self.reached_at: dict[str, float] = {}
         self._alive: dict[str, set[tuple[str, int]]] = {}
 
     def breach(self, promise: str, text: str) -> None:
@@ -140,6 +141,10 @@
 
     # --- callers ---
 
+    def forwarded(self, job_id: str) -> None:
+        """The request of a job is on its way into the process of a host."""
+        self.reached_at[job_id] = time.monotonic()
+
     def told(self, job: JobEntry, attempt: int, outcome: str) -> None:
         """An attempt has ended."""
         job.attempts[attempt] = outcome
@@ -164,7 +169,11 @@
         term_at = self.term_at.get(host)
         if term_at is None or now - term_at > GRACE_S + 1.0 or not self.calm.holds_at(sent_at):
             return
-        if now - sent_at <= LOSS_SLACK_S and job.starts == starts_before:
+        reached_at = self.reached_at.get(job.id, 0.0)
+        if reached_at < sent_at:
+            # The host closed an idle connection before the request got there.
+            return
+        if now - reached_at <= LOSS_SLACK_S and job.starts == starts_before:
             return
         if sent_at - term_at <= LATE_IN_GRACE_S and now - term_at >= GRACE_S * 5 / 6:
             return
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -20,10 +20,12 @@
 class Path:
     """One direction between two parties.
 
+    :param source: party that sends.
     :param cuts: faults that hold all bytes back; they go on when the last one ends.
     :param delay_s: added to each chunk.
     """
 
+    source: str
     cuts: int = 0
     delay_s: float = 0.0
     opened: asyncio.Event = field(default_factory=asyncio.Event)
@@ -39,15 +41,19 @@
 
 
 class Network:
-    """Paths between parties, and the connections that use them."""
+    """Paths between parties, and the connections that use them.
 
-    def __init__(self) -> None:
+    :param on_forward: gets the source and the bytes of each chunk as it goes on.
+    """
+
+    def __init__(self, *, on_forward: Callable[[str, bytes], None] | None = None) -> None:
+        self.on_forward = on_forward
         self._path_by_ends: dict[tuple[str, str], Path] = {}
         self._connections: set[_Connection] = set()
 
     def path(self, source: str, target: str) -> Path:
         """The path from one party to another."""
-        return self._path_by_ends.setdefault((source, target), Path())
+        return self._path_by_ends.setdefault((source, target), Path(source=source))
 
     @contextlib.contextmanager
     def cut(self, ends: list[tuple[str, str]]) -> Iterator[None]:
@@ -139,6 +145,8 @@
                     if self.silenced:
                         # Neither end learns that the connection carries nothing any more.
                         await asyncio.Event().wait()
+                    if self._network.on_forward is not None:
+                        self._network.on_forward(path.source, data)
                     writer.write(data)
                     await writer.drain()
                 data = await reader.read(CHUNK_BYTES)
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -6,6 +6,7 @@
 import json
 import pathlib
 import random
+import re
 
 from eelgrassyard.net import HttpServer
 
@@ -29,6 +30,8 @@
 CPU = 64_000
 MEMORY_MB = 131_072
 
+_REQUEST = re.compile(rb"POST \S*/([0-9a-f]{16}) ")
+
 
 class Site:
     """Everything that runs in one soak run.
@@ -50,7 +53,7 @@
     ) -> None:
         self.random = random.Random(seed)
         self.ledger = Ledger(timed=timed)
-        self.network = Network()
+        self.network = Network(on_forward=self._note_request)
         self.domains = [f"d{number}" for number in range(domains)]
         self.store = StandinStore(view=self._view, seed=seed)
         self.hosts = self._make_hosts(folder, hosts_a_domain)
@@ -160,6 +163,11 @@
         await server.listen(address)
         self._servers.append(server)
 
+    def _note_request(self, source: str, data: bytes) -> None:
+        found = _REQUEST.match(data) if source == CALLERS else None
+        if found is not None:
+            self.ledger.forwarded(found[1].decode())
+
     def _identify(self, first: bytes) -> str:
         """The host whose greeting opens a session: its name is in it."""
         found = [name for name in self.host_by_name if name.encode() in first]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,7 @@
     ledger, job = ledger_with_job(starts=1)
     ledger.calm.ended_at -= 60.0
     now = ledger.calm.ended_at + 60.0
+    ledger.reached_at[JOB] = now
     ledger.broke_off("h1", now, job, starts_before=0)
     assert names(ledger) == []
     ledger.term_at["h1"] = now
