--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 SITE ?= bagmati
+SEEDS ?= 1-50
 
 export PYTHONPATH := src:.
 
-.PHONY: setup test check demo bench capacity clean
+.PHONY: setup test check demo bench soak capacity clean
 
 setup: $(VENV)/.installed
 
@@ -30,6 +31,9 @@
 bench: setup
 	$(BIN)/python -m bench.run_all
 
+soak: setup
+	$(BIN)/python -m soak --seeds=$(SEEDS) --jobs=2
+
 capacity: setup
 	$(BIN)/python -m bench.capacity --write
 
--- a/soak/_seeds.py
+++ b/soak/_seeds.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS: dict[int, str] = {
+    1: "LOST: an idle host ended 0.05 s after SIGTERM although new connections still came in",
+    4: "jobs given up: a leader that resigned stopped lent tasks and did not report it",
+}
 """Cause of the broken promise by seed; all of them are played again before each landing."""
 
 
