Scan only workers with room when tasks wait

Change: one scan for usable workers with room for the smallest waiting task; nothing is tried if there is none and no other pool has room; the fastest worker is found once a tick; stops are counted by task; tasks of begun jobs are queued in front at once; whether a job can ever fit is read from the records.

--- a/src/eelgrassyard/dispatch/_placing.py
+++ b/src/eelgrassyard/dispatch/_placing.py
@@ -25,21 +25,17 @@
     """Placement of waiting tasks."""
 
     def _can_ever_fit(self, job: Job) -> bool:
-        workers = [
-            Worker(record=record)
-            for record in self._records.values()
-            if record.service == job.service
-        ]
-        if not workers:
-            return True
-        return all(any(worker.could_hold(step) for worker in workers) for step in job.steps)
+        records = [r for r in self._records.values() if r.service == job.service]
+        return not records or all(
+            any(record.could_hold(step) for record in records) for step in job.steps
+        )
 
     def _queue(self, now: float, task: Task) -> None:
         service = task.owner.job.service
         task.phase = Phase.WAITING
         task.owner.waiting += 1
         waiting = self._waiting_by_service.setdefault(service, WaitingTasks())
-        waiting.add(task, start_by=self._start_by(task.owner))
+        waiting.add(task, start_by=self._start_by(task.owner), in_front=task.owner.orders > 0)
 
     def _start_by(self, owner: PoolJob) -> float:
         """Time by which a job must start to be answered on time."""
@@ -54,15 +50,21 @@
         waiting = self._waiting_by_service.get(service)
         if not waiting:
             return
+        workers = self._open_workers(now, service, least_cpu=waiting.least_cpu)
+        lendable = self._may_lend(service)
+        if not workers and not lendable:
+            return
         placed: set[int] = set()
         unplaced: list[Task] = []
         misses = 0
         for task in waiting:
             if task.phase is not Phase.WAITING:
                 placed.add(id(task))
+            elif misses >= MAX_MISSES and not lendable:
+                unplaced.append(task)
             elif self._must_wait(now, task):
                 continue
-            elif misses < MAX_MISSES and self._start_somewhere(now, task):
+            elif misses < MAX_MISSES and self._start_somewhere(now, task, workers):
                 placed.add(id(task))
             else:
                 misses += 1
@@ -76,12 +78,16 @@
     def _must_wait(self, now: float, task: Task) -> bool:
         return now < task.not_before or self.stops.is_stopping(task.id)
 
-    def _start_somewhere(self, now: float, task: Task) -> bool:
+    def _open_workers(self, now: float, service: str, *, least_cpu: int = 0) -> list[Worker]:
+        """Workers that may get a task now and have room for the smallest one."""
+        workers = self.workers_by_service.get(service, [])
+        self._limit_ejections(now, workers)
+        return [w for w in workers if w.free_cpu(least_cpu) >= least_cpu and w.is_usable(now)]
+
+    def _start_somewhere(self, now: float, task: Task, workers: Iterable[Worker]) -> bool:
+        """Start a task on one of the workers, if one has room and time for it."""
         owner = task.owner
-        service = owner.job.service
         step = task.step
-        workers = self.workers_by_service.get(service, ())
-        self._limit_ejections(now, workers)
         count_by_worker: dict[str, int] | None = None
         racks: set[str] = set()
         if step.max_per_worker or step.same_rack:
@@ -122,15 +128,16 @@
         if places < len(tasks):
             return False
         owner.orders += 1
-        started = [task for task in tasks if self._start_somewhere(now, task)]
+        workers = self._open_workers(now, owner.job.service)
+        started = [task for task in tasks if self._start_somewhere(now, task, workers)]
         owner.orders -= 1
         self._waiting_by_service[owner.job.service].remove({id(task) for task in started})
         return bool(started)
 
-    def _limit_ejections(self, now: float, workers: Iterable[Worker]) -> None:
+    def _limit_ejections(self, now: float, workers: list[Worker]) -> None:
         """Use ejected workers after all if they are more than half of the service."""
         ejected = [w for w in workers if now < w.ejected_until or w.on_trial]
-        if len(ejected) * 2 > len(list(workers)):
+        if len(ejected) * 2 > len(workers):
             for worker in ejected:
                 worker.ejected_until = 0.0
                 worker.on_trial = False
@@ -170,6 +177,13 @@
         )
         self.looks.expect(now, worker)
 
+    def _may_lend(self, service: str) -> bool:
+        """Tell whether another pool has said that it has room for tasks of a service."""
+        return self.lends and any(
+            neighbour.free_by_service.get(service, 0) > 0
+            for neighbour in self.neighbour_by_domain.values()
+        )
+
     def _lend_out(self, now: float, service: str, tasks: list[Task]) -> list[Task]:
         """Ask other pools with room to run tasks that find none here."""
         lent: list[Task] = []
--- a/src/eelgrassyard/dispatch/_pool.py
+++ b/src/eelgrassyard/dispatch/_pool.py
@@ -164,8 +164,9 @@
         else:
             self.lent_by_id[job.id] = owner
         busy = bool(len(self._waiting_by_service.get(job.service, ())))
+        workers = self._open_workers(now, job.service)
         for task in list(owner.task_by_id.values()):
-            if busy or not self.lends or not self._start_somewhere(now, task):
+            if busy or not self.lends or not self._start_somewhere(now, task, workers):
                 self._lent_over(task, TaskEnd.NO_ROOM)
 
     def cancel(self, now: float, requester: str, job_id: str) -> None:
@@ -228,6 +229,7 @@
 
     def advance(self, now: float) -> None:
         """Refuse and give up jobs whose time has passed, repeat stops, look at workers."""
+        self._fastest_by_service.clear()
         for requester, lost_at in list(self._orphaned_at.items()):
             if now >= lost_at + ORPHAN_S:
                 del self._orphaned_at[requester]
--- a/src/eelgrassyard/dispatch/_poolstate.py
+++ b/src/eelgrassyard/dispatch/_poolstate.py
@@ -64,6 +64,7 @@
         self._usual_cpu: dict[str, float] = {}
         self._found_end: dict[TaskId, TaskEnd] = {}
         self._closing: list[Task] = []
+        self._fastest_by_service: dict[str, float] = {}
         self.stops = Stops(epoch=epoch, stop_s=stop_s + STOP_MARGIN_S, actions=self.actions)
 
     def live_runs(self, worker: Worker) -> list[Task]:
@@ -86,6 +87,7 @@
 
     def _index_workers(self) -> None:
         self.workers_by_service = {}
+        self._fastest_by_service.clear()
         for worker in self.worker_by_id.values():
             if worker.is_registered:
                 self.workers_by_service.setdefault(worker.record.service, []).append(worker)
@@ -95,9 +97,13 @@
         yield from self.lent_by_id.values()
 
     def fastest(self, service: str) -> float:
-        """Slowness of the fastest worker of a service."""
-        workers = self.workers_by_service.get(service, ())
-        return min((w.speed.slowness() for w in workers), default=1.0)
+        """Slowness of the fastest worker of a service, at most one tick old."""
+        fastest = self._fastest_by_service.get(service)
+        if fastest is None:
+            workers = self.workers_by_service.get(service, ())
+            fastest = min((w.speed.slowness() for w in workers), default=1.0)
+            self._fastest_by_service[service] = fastest
+        return fastest
 
     def dump(self) -> dict[str, object]:
         """State of workers and jobs, for operators."""
--- a/src/eelgrassyard/dispatch/_stops.py
+++ b/src/eelgrassyard/dispatch/_stops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from ._actions import Action, StopRun
@@ -36,13 +37,14 @@
         self._stop_s = stop_s
         self._actions = actions
         self._stop_by_key: dict[_Key, _Stop] = {}
+        self._count_by_task: Counter[TaskId] = Counter()
 
     def __len__(self) -> int:
         return len(self._stop_by_key)
 
     def is_stopping(self, task_id: TaskId) -> bool:
         """Tell whether an earlier run of a task may still be going on."""
-        return any(key[1] == task_id for key in self._stop_by_key)
+        return task_id in self._count_by_task
 
     def includes(self, worker_id: str, task_id: TaskId, run: int) -> bool:
         """Tell whether a run was told to stop."""
@@ -56,6 +58,8 @@
         """Stop a run that holds room for a step."""
         key = (worker.record.id, task_id, run)
         # Without any answer the run ends with its lease; renewals for other runs move that on.
+        if key not in self._stop_by_key:
+            self._count_by_task[task_id] += 1
         self._stop_by_key[key] = _Stop(worker=worker, step=step, over_at=worker.clock.lapses_at)
         self._send(key)
 
@@ -79,7 +83,7 @@
 
     def over(self, worker_id: str, task_id: TaskId, run: int) -> bool:
         """The run is listed as ended; True if it had been told to stop."""
-        stop = self._stop_by_key.pop((worker_id, task_id, run), None)
+        stop = self._take((worker_id, task_id, run))
         if stop is None:
             return False
         if stop.worker.run_by_task.get(task_id) == run:
@@ -89,7 +93,15 @@
     def forget_worker(self, worker_id: str) -> None:
         """Drop the stops on a worker whose process is gone."""
         for key in [key for key in self._stop_by_key if key[0] == worker_id]:
-            del self._stop_by_key[key]
+            self._take(key)
+
+    def _take(self, key: _Key) -> _Stop | None:
+        stop = self._stop_by_key.pop(key, None)
+        if stop is not None:
+            self._count_by_task[key[1]] -= 1
+            if not self._count_by_task[key[1]]:
+                del self._count_by_task[key[1]]
+        return stop
 
     def advance(self, now: float) -> None:
         """End the stops that are over, and repeat the unanswered ones."""
--- a/src/eelgrassyard/dispatch/_waiting.py
+++ b/src/eelgrassyard/dispatch/_waiting.py
@@ -14,8 +14,12 @@
 
 @dataclass(slots=True)
 class WaitingTasks:
-    """Waiting tasks of one service, the one that must start first in front."""
+    """Waiting tasks of one service, the one that must start first in front.
 
+    :ivar least_cpu: no waiting task takes less, in thousandths of a core.
+    """
+
+    least_cpu: int = 0
     _order: list[tuple[float, int, Task]] = field(default_factory=list)
     _numbers: int = 0
 
@@ -25,10 +29,15 @@
     def __iter__(self) -> Iterator[Task]:
         return iter([task for _, _, task in self._order])
 
-    def add(self, task: Task, *, start_by: float) -> None:
-        """Queue a task."""
+    def add(self, task: Task, *, start_by: float, in_front: bool) -> None:
+        """Queue a task.
+
+        :param in_front: whether its job has begun, so that it goes before all others.
+        """
         self._numbers += 1
-        bisect.insort(self._order, (start_by, self._numbers, task))
+        self.least_cpu = min(self.least_cpu, task.step.cpu) if self._order else task.step.cpu
+        rank = start_by - FRONT_S if in_front else start_by
+        bisect.insort(self._order, (rank, self._numbers, task))
 
     def move_to_front(self, tasks: list[Task]) -> None:
         """Put tasks of jobs that have begun before all others: what has run of them is lost if the
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -62,6 +62,15 @@
     draining: bool = False
     guards: bool = True
 
+    def could_hold(self, step: Step) -> bool:
+        """Tell whether one task of a step fits on the worker while it is empty."""
+        return (
+            self.cpu >= step.cpu
+            and self.memory_mb >= step.memory_mb
+            and self.gpu >= step.gpu
+            and (not step.label or step.label in self.labels)
+        )
+
 
 @dataclass(slots=True, kw_only=True)
 class Worker:
@@ -98,13 +107,17 @@
     next_look: float = 0.0
     is_registered: bool = True
 
+    def free_cpu(self, cpu: int) -> int:
+        """Room in thousandths of a core, if each run of unknown size takes as much as given."""
+        return self.record.cpu - self.held_cpu - len(self.unclaimed) * cpu
+
     def has_room(self, step: Step) -> bool:
         """Tell whether one task of a step fits beside what is held."""
         record = self.record
         # Runs of an earlier leader take room of unknown size; tasks of a service are alike.
         count = 1 + len(self.unclaimed)
         return (
-            record.cpu - self.held_cpu >= count * step.cpu
+            self.free_cpu(step.cpu) >= step.cpu
             and record.memory_mb - self.held_memory_mb >= count * step.memory_mb
             and record.gpu - self.held_gpu >= count * step.gpu
         )
@@ -115,16 +128,6 @@
         memory = (self.record.memory_mb - self.held_memory_mb) // max(1, step.memory_mb)
         return max(0, min(cpu, memory) - len(self.unclaimed))
 
-    def could_hold(self, step: Step) -> bool:
-        """Tell whether one task of a step fits on the worker while it is empty."""
-        record = self.record
-        return (
-            record.cpu >= step.cpu
-            and record.memory_mb >= step.memory_mb
-            and record.gpu >= step.gpu
-            and (not step.label or step.label in record.labels)
-        )
-
     def hold(self, step: Step, task: TaskId, run: int) -> None:
         """Count a run against the room."""
         self.held_cpu += step.cpu
