Ignore answers to orders of an earlier pool of the same process

Cause, found by reading after the two looks: a host that is fenced out, or freezes, may lead again 0.3 s later while a look of its earlier pool waits at a worker. That report made the worker ready for the new pool although the worker had not seen the new fence, and was judged by the time of the new look; an old refusal for a low fence would have ended the new lead. Change: the answer is handed to the pool only if it gave the order (its epoch is the order's fence). Test: test_answers_to_orders_of_an_earlier_pool_are_ignored fails before.

An address that is taken ends the process with exit code 3 and one line instead of a traceback, which the soak showed when ports collided.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Iterable, Mapping
 
-from ._actions import LookResult, OrderResult
-from ._jobs import Job, TaskId
+from ._actions import Look, LookResult, OrderResult, StartRun, StopRun
+from ._jobs import Job
 from ._messages import (
     HostRecord,
 )
 from ._opened import Opened
+from ._pool import Pool
 from ._workers import WorkerRecord
 
 SESSION_SILENT_S = 0.45
@@ -63,27 +64,30 @@
         """A caller has closed its connection before the answer."""
         self.entry.caller_left(now, ticket)
 
-    def start_answered(
-        self, now: float, worker_id: str, task: TaskId, run: int, result: OrderResult
-    ) -> None:
+    def start_answered(self, now: float, order: StartRun, result: OrderResult) -> None:
         """A worker has answered a start, or has not."""
-        self._notice_gap(now)
-        if self.pool is not None:
-            self.pool.start_answered(now, worker_id, task, run, result)
+        pool = self._pool_of(now, order)
+        if pool is not None:
+            pool.start_answered(now, order.worker_id, order.task, order.run, result)
 
-    def stop_answered(
-        self, now: float, worker_id: str, task: TaskId, run: int, result: OrderResult
-    ) -> None:
+    def stop_answered(self, now: float, order: StopRun, result: OrderResult) -> None:
         """A worker has answered a stop, or has not."""
-        self._notice_gap(now)
-        if self.pool is not None:
-            self.pool.stop_answered(now, worker_id, task, run, result)
+        pool = self._pool_of(now, order)
+        if pool is not None:
+            pool.stop_answered(now, order.worker_id, order.task, order.run, result)
 
-    def look_answered(self, now: float, worker_id: str, result: LookResult) -> None:
+    def look_answered(self, now: float, order: Look, result: LookResult) -> None:
         """A worker has answered a look, or has not."""
+        pool = self._pool_of(now, order)
+        if pool is not None:
+            pool.look_answered(now, order.worker_id, result)
+
+    def _pool_of(self, now: float, order: StartRun | StopRun | Look) -> Pool | None:
+        """The pool that gave an order, unless it was dropped since."""
         self._notice_gap(now)
-        if self.pool is not None:
-            self.pool.look_answered(now, worker_id, result)
+        # A host may lose the lead and take it again while an order of its earlier pool is under
+        # way. Its answer tells the new pool nothing: the worker had not seen the new fence.
+        return self.pool if self.pool is not None and self.pool.epoch == order.fence else None
 
     def advance(self, now: float) -> None:
         """Do what is due."""
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -142,21 +142,21 @@
 
     def _start(self, order: StartRun) -> None:
         def on_result(result: OrderResult) -> None:
-            self.core.start_answered(self.now(), order.worker_id, order.task, order.run, result)
+            self.core.start_answered(self.now(), order, result)
             self.plan_pump()
 
         self._calls.start(order, on_result)
 
     def _stop(self, order: StopRun) -> None:
         def on_result(result: OrderResult) -> None:
-            self.core.stop_answered(self.now(), order.worker_id, order.task, order.run, result)
+            self.core.stop_answered(self.now(), order, result)
             self.plan_pump()
 
         self._calls.stop(order, on_result)
 
     def _look(self, order: Look) -> None:
         def on_result(result: LookResult) -> None:
-            self.core.look_answered(self.now(), order.worker_id, result)
+            self.core.look_answered(self.now(), order, result)
             self.plan_pump()
 
         self._calls.look(order, on_result)
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -61,6 +61,9 @@
 
 STATE_POLL_S = 0.05
 
+EXIT_NO_ADDRESS = 3
+"""Exit code if an address of the settings is taken or not of this machine."""
+
 METRICS_TYPE = "Content-Type: text/plain; version=0.0.4\r\n"
 
 
@@ -363,5 +366,9 @@
         print(f"eelgrassyard: {result.unwrap_err()}", flush=True)
         return 2
     host = PlatformHost(settings=result.unwrap(), path=path)
-    anyio.run(host.run)
+    try:
+        anyio.run(host.run)
+    except OSError as error:
+        print(f"eelgrassyard: {path}: listen: {error}", flush=True)
+        return EXIT_NO_ADDRESS
     return 0
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -88,6 +88,7 @@
         self._all_pipes: list[Pipe] = []
         self._work: dict[str, float] = {}
         self._cpu: dict[str, int] = {}
+        self._looks: set[tuple[str, int, int, str]] = set()
         for d in range(domains):
             for h in range(hosts):
                 name = f"d{d}-h{h}"
@@ -343,9 +344,9 @@
 
             def tell(core: DispatchHost) -> None:
                 if isinstance(order, StartRun):
-                    core.start_answered(self.now, order.worker_id, order.task, order.run, result)
+                    core.start_answered(self.now, order, result)
                 else:
-                    core.stop_answered(self.now, order.worker_id, order.task, order.run, result)
+                    core.stop_answered(self.now, order, result)
 
             self._on_host(name, life, tell)
 
@@ -388,13 +389,19 @@
         name, life = host.record.name, host.life
         worker = self.worker_by_id[order.worker_id]
         done = [False]
+        key = (name, life, order.fence, order.worker_id)
+        if key in self._looks:
+            self.broken.append(f"{self.now:.3f} {name} has two looks at {order.worker_id}")
+        self._looks.add(key)
+
+        def deliver(core: DispatchHost, result: object) -> None:
+            self._looks.discard(key)
+            core.look_answered(self.now, order, result)
 
         def finish(result: object) -> None:
             if not done[0]:
                 done[0] = True
-                self._on_host(
-                    name, life, lambda c: c.look_answered(self.now, order.worker_id, result)
-                )
+                self._on_host(name, life, lambda core: deliver(core, result))
 
         def poll(until: float) -> None:
             if not worker.up:
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from dispatch_world import World
-from eelgrassyard.dispatch._actions import StartRun
+from eelgrassyard.dispatch._actions import Look, Report, StartRun
 from eelgrassyard.dispatch._jobs import Outcome
 from eelgrassyard.dispatch._tasks import Phase
+from eelgrassyard.dispatch._workers import WorkerState
 
 FAULTS = (
     "drain",
@@ -215,6 +218,31 @@
     assert not core.is_ready()
 
 
+def test_answers_to_orders_of_an_earlier_pool_are_ignored() -> None:
+    """Guards against a report of a look with the old fence that makes a worker ready for a new lead
+    of the same process, and that is judged by the time of the new look."""
+    world = World(seed=8, domains=1, hosts=1)
+    world.run(2.0)
+    core = world.host_by_name["d0-h0"].core
+    assert core is not None
+    assert core.pool is not None
+    old_epoch = core.pool.epoch
+    core.pool.fenced_out = True
+    now = world.now
+    core.advance(now)
+    assert core.pool is None
+    while core.pool is None:
+        now += 0.02
+        core.advance(now)
+    worker_id, worker = next(iter(core.pool.worker_by_id.items()))
+    old = Look(worker_id=worker_id, fence=old_epoch, deadline_s=None, ends_seen=0, wait_s=0.3)
+    report = Report(clock_s=1000.0, life=1, running=(), ended=())
+    core.look_answered(now, old, report)
+    assert worker.state is WorkerState.UNFENCED
+    core.look_answered(now, dataclasses.replace(old, fence=core.pool.epoch), report)
+    assert worker.state is WorkerState.READY
+
+
 def test_a_host_that_stood_still_orders_nothing_on_old_beliefs() -> None:
     """Guards against starts for requests that lay in the socket (virtual site, seed 349)."""
     world = World(seed=8, domains=1, hosts=1)
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -7,13 +7,14 @@
 import signal
 import socket
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 import anyio
 import pytest
 from soak._store import StandinStore
 
 from eelgrassyard.net import CallError, HttpClient, Response
-from eelgrassyard.platform._host import PlatformHost
+from eelgrassyard.platform._host import EXIT_NO_ADDRESS, PlatformHost, run_host
 from eelgrassyard.platform._settings import HostSettings
 from platform_standin import StandinWorker, config
 
@@ -250,6 +251,26 @@
     play(scenario)
 
 
+def test_a_taken_address_ends_the_process_with_one_line(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a traceback that hides which address is taken (soak with colliding ports)."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        path = tmp_path / "local.toml"
+        path.write_text(
+            f'node = "front-1"\nzone = "patan"\n[listen]\nfront = "{free_address()}"\n'
+            f'ready = "{address}"\ncontrol = "{free_address()}"\n'
+            f'[platform]\naddress = "{free_address()}"\n'
+        )
+        assert run_host(str(path)) == EXIT_NO_ADDRESS
+    last = capfd.readouterr().out.splitlines()[-1]
+    assert last.startswith(f"eelgrassyard: {path}: listen: ")
+    assert address.rpartition(":")[2] in last
+
+
 def test_a_host_registers_itself() -> None:
     """Guards against hosts that cannot find each other through the store."""
 
