--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -31,7 +31,7 @@
 class Site:
     """A store, a worker and a host."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, grace_s: float = 6.0) -> None:
         self.store = StandinStore()
         self.worker = StandinWorker(worker_id="i-1")
         self.store_address = free_address()
@@ -48,7 +48,7 @@
             store_address=self.store_address,
             stop_s=0.05,
             far_factor=1.5,
-            grace_s=6.0,
+            grace_s=grace_s,
             lease_least_s=1.0,
         )
         self.host = PlatformHost(settings=self.settings, path="/nonexistent")
@@ -120,12 +120,14 @@
     return read, pending.append
 
 
-def play(scenario: Callable[[Site], Awaitable[None]], *, configured: bool = True) -> Site:
+def play(
+    scenario: Callable[[Site], Awaitable[None]], *, configured: bool = True, grace_s: float = 6.0
+) -> Site:
     """Run a scenario against a host that is up."""
     site_of_run: list[Site] = []
 
     async def main() -> None:
-        site = Site()
+        site = Site(grace_s=grace_s)
         site_of_run.append(site)
         await site.store.server.listen(site.store_address)
         await site.worker.server.listen(site.worker_address)
@@ -309,3 +311,24 @@
         raise AssertionError("the host goes on after its grace")
 
     play(scenario)
+
+
+def test_a_request_that_no_longer_fits_into_the_grace_is_refused() -> None:
+    """Guards against a job that is begun and cut off by the end of the grace (savlane-cards,
+    trouble-2: a request taken 3.7 s after SIGTERM was lost)."""
+
+    async def scenario(site: Site) -> None:
+        os.kill(os.getpid(), signal.SIGTERM)
+        body = {**JOB, "best_effort": True}
+        number = 0
+        while (await site.front("POST", f"/lohu930/{number:016x}", body)).status == 200:
+            number += 1
+            await anyio.sleep(0.02)
+        starts = len(site.worker.starts)
+        answer = await site.front("POST", f"/lohu930/{number + 1:016x}", body)
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        assert len(site.worker.starts) == starts
+        assert number > 0
+
+    play(scenario, grace_s=3.0)
