--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,7 @@
 
 from ._clients import CALLERS_BURST
 from ._hosts import HostProcess
+from ._proxy import Connection
 from ._site import CALLERS, STORE, Site
 from ._store import StoreFault
 from ._worker import StandinRunner, WorkerFault
@@ -280,17 +281,13 @@
 
     async def reset_connections(self) -> None:
         """Connections of some hosts are reset."""
-        self._strike_connections("reset", lambda connection: connection.reset())
+        self._strike_connections("reset", Connection.reset)
 
     async def silence_connections(self) -> None:
         """Connections of some hosts carry nothing any more, while new ones work."""
+        self._strike_connections("silence", Connection.silence)
 
-        def silence(connection: object) -> None:
-            connection.silenced = True  # type: ignore[attr-defined]
-
-        self._strike_connections("silence", silence)
-
-    def _strike_connections(self, what: str, strike: Callable[..., None]) -> None:
+    def _strike_connections(self, what: str, strike: Callable[[Connection], None]) -> None:
         names = {host.name for host in self._random.sample(self._site.hosts, 2)}
         share = self._random.choice((0.3, 1.0))
         struck = 0
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -49,7 +49,7 @@
     def __init__(self, *, on_forward: Callable[[str, bytes], None] | None = None) -> None:
         self.on_forward = on_forward
         self._path_by_ends: dict[tuple[str, str], Path] = {}
-        self._connections: set[_Connection] = set()
+        self._connections: set[Connection] = set()
 
     def path(self, source: str, target: str) -> Path:
         """The path from one party to another."""
@@ -82,31 +82,31 @@
             for path in paths:
                 path.delay_s = max(0.0, path.delay_s - delay_s)
 
-    def open_connections(self, parties: set[str]) -> list[_Connection]:
+    def open_connections(self, parties: set[str]) -> list[Connection]:
         """Connections with one end among the parties, in a stable order."""
         chosen = [c for c in self._connections if c.source in parties or c.target in parties]
         return sorted(chosen, key=lambda connection: connection.number)
 
-    def joined(self, connection: _Connection) -> None:
+    def joined(self, connection: Connection) -> None:
         """Note an open connection."""
         self._connections.add(connection)
 
-    def left(self, connection: _Connection) -> None:
+    def left(self, connection: Connection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
 
 
-class _Connection:
+class Connection:
     """Two streams that are copied into each other."""
 
     numbers = 0
 
     def __init__(self, *, network: Network, source: str, target: str) -> None:
-        _Connection.numbers += 1
-        self.number = _Connection.numbers
+        Connection.numbers += 1
+        self.number = Connection.numbers
         self.source = source
         self.target = target
-        self.silenced = False
+        self._silenced = False
         self._network = network
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -142,8 +142,7 @@
             while True:
                 if data:
                     await path.traverse()
-                    if self.silenced:
-                        # Neither end learns that the connection carries nothing any more.
+                    if self._silenced:
                         await asyncio.Event().wait()
                     if self._network.on_forward is not None:
                         self._network.on_forward(path.source, data)
@@ -157,6 +156,10 @@
             logger.debug("%s to %s: %s", self.source, self.target, error)
             await path.traverse()
 
+    def silence(self) -> None:
+        """Carry nothing any more; neither end learns of it."""
+        self._silenced = True
+
     def reset(self) -> None:
         """Reset both ends."""
         for writer in self._writers:
@@ -211,6 +214,6 @@
             logger.debug("%s to %s: %s", source, self._target, error)
             writer.transport.abort()
             return
-        connection = _Connection(network=self._network, source=source, target=self._target)
+        connection = Connection(network=self._network, source=source, target=self._target)
         with contextlib.suppress(asyncio.CancelledError):
             await connection.run(first, (reader, writer), far)
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -10,8 +10,7 @@
 
 from eelgrassyard.net import HttpServer
 
-from ._clients import HOST_HEADER as ROUTE_HOST
-from ._clients import MAX_ATTEMPTS, SHAPES, TIMEOUT_S, Callers, ExtraRoute, Prober
+from ._clients import HOST_HEADER, MAX_ATTEMPTS, SHAPES, TIMEOUT_S, Callers, ExtraRoute, Prober
 from ._hosts import Balancer, HostProcess, free_addresses
 from ._ledger import Ledger
 from ._proxy import Network, Proxy
@@ -218,7 +217,7 @@
         routes = [
             {
                 "name": f"route-{prefix.strip('/')}",
-                "host": ROUTE_HOST,
+                "host": HOST_HEADER,
                 "prefix": prefix,
                 "kind": "unsafe",
                 "service": SERVICE,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -113,7 +113,7 @@
             assert received == b"1"
         assert await reader.read(1) == b"!"
         (connection,) = network.open_connections({"b"})
-        connection.silenced = True
+        connection.silence()
         writer.write(b"3")
         with pytest.raises(TimeoutError):
             await asyncio.wait_for(reader.read(1), 0.1)
