--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -107,6 +107,8 @@
         self.source = source
         self.target = target
         self._silenced = False
+        # Held here, since a task that waits for an event that only it knows is collected.
+        self._never = asyncio.Event()
         self._network = network
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -130,6 +132,7 @@
         finally:
             for pump in pumps:
                 pump.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
             self._network.left(self)
             for writer in self._writers:
                 writer.close()
@@ -143,7 +146,7 @@
                 if data:
                     await path.traverse()
                     if self._silenced:
-                        await asyncio.Event().wait()
+                        await self._never.wait()
                     if self._network.on_forward is not None:
                         self._network.on_forward(path.source, data)
                     writer.write(data)
