--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -157,7 +157,8 @@
         try:
             code = await asyncio.wait_for(process.wait(), GRACE_S + EXIT_MARGIN_S)
         except TimeoutError:
-            process.kill()
+            if process.returncode is None:
+                process.kill()
             await process.wait()
             return f"{self.name} was still there {GRACE_S + EXIT_MARGIN_S} s after SIGTERM"
         # The signal also ends a process that has not begun to serve; its output is empty then.
