Judge the end of a host after a stall of the soak by the host's own line

Change: after a time-out the last line of the host tells when it ended. Test: one end inside the grace and one beyond it.

--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 import os
 import pathlib
 import signal
@@ -135,6 +136,12 @@
         self.started_at = time.monotonic()
         self.misses = MISSES
 
+    def stopped_at(self) -> float:
+        """Unix time of the last line of the latest process, if it says that the process ends."""
+        lines = self.log_path.read_bytes().splitlines()
+        last = json.loads(lines[-1]) if lines else {}
+        return float(last["at"]) if last.get("event") == "stop" else 0.0
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.returncode is None:
@@ -153,10 +160,14 @@
         if process is None or process.returncode is not None:
             return ""
         self.expected = True
+        sent_at = time.time()
         process.send_signal(signal.SIGTERM)
         try:
             code = await asyncio.wait_for(process.wait(), GRACE_S + EXIT_MARGIN_S)
         except TimeoutError:
+            # A run that stalls sees the end and the time-out together; the host's own line tells.
+            if process.returncode == 0 and 0.0 <= self.stopped_at() - sent_at <= GRACE_S:
+                return ""
             if process.returncode is None:
                 process.kill()
             await process.wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
+from collections.abc import Coroutine
 from pathlib import Path
 
 import pytest
-from soak._hosts import free_addresses
+from soak._hosts import HostProcess, free_addresses
 from soak._ledger import JobEntry, Ledger
 from soak._proxy import Network, Proxy
 from soak._run import play
@@ -126,6 +129,46 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("end_s", "problem"), [(5.6, False), (6.2, True)])
+def test_a_stalled_run_judges_the_end_of_a_host_by_its_own_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end_s: float, problem: bool
+) -> None:
+    """Guards against a false finding, and against a missed one, when the end of a process and the
+    time-out are seen together after a stall of the run (soak seed 42, seen once)."""
+
+    class EndedProcess:
+        returncode: int | None = None
+
+        def send_signal(self, number: int) -> None:
+            """Leave the line of an end after so many seconds."""
+            line = {"at": time.time() + end_s, "event": "stop"}
+            host.log_path.write_text(json.dumps(line) + "\n")
+
+        async def wait(self) -> int:
+            """End."""
+            self.returncode = 0
+            return 0
+
+    async def time_out(awaitable: Coroutine[object, object, int], timeout: float) -> int:
+        await awaitable
+        raise TimeoutError
+
+    host = HostProcess(
+        name="h",
+        domain="d",
+        folder=tmp_path,
+        front="",
+        front_bind="",
+        ready="",
+        peer="",
+        peer_bind="",
+        store="",
+        process=EndedProcess(),  # type: ignore[arg-type]
+    )
+    monkeypatch.setattr(asyncio, "wait_for", time_out)
+    assert bool(asyncio.run(host.stop())) is problem
+
+
 def test_seeds_are_read_from_numbers_and_ranges() -> None:
     """Guards against a soak that plays other seeds than it was told to."""
     assert parse_seeds("3,7-9") == [3, 7, 8, 9]
