State the users' bounds of the soak once

Cause: the grace and the drain notice stood both in the ledger and beside their other use. Change: the ledger's are imported; values and checks stay.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,6 +11,7 @@
 
 from ._clients import CALLERS_BURST
 from ._hosts import HostProcess
+from ._ledger import DRAIN_S
 from ._proxy import Connection
 from ._site import CALLERS, STORE, Site
 from ._store import StoreFault
@@ -18,7 +19,6 @@
 
 LONGEST_S = 5.0
 SHORTEST_S = 0.3
-DRAIN_S = 2.0
 SPARED_SHARE = 0.5
 """Faults of workers strike at most this share of them at once; more leave nothing to serve with."""
 
--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -14,12 +14,11 @@
 
 import httpx
 
+from ._ledger import GRACE_S
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _ports = itertools.count(20_000)
 
-GRACE_S = 6.0
-"""Time between SIGTERM and SIGKILL (users' bounds)."""
-
 EXIT_MARGIN_S = 0.5
 """Time that a process may take beyond the grace to be seen as ended by its parent."""
 
--- a/soak/_ledger.py
+++ b/soak/_ledger.py
@@ -16,6 +16,8 @@
 
 LOSS_SLACK_S = 0.2
 GRACE_S = 6.0
+"""Time between SIGTERM and SIGKILL (users' bounds)."""
+
 LATE_IN_GRACE_S = 3.0
 """A request sent up to this long after SIGTERM may be cut in the last sixth of the grace if its
 task is still at work (users' page of rules)."""
