Keep the ejection limit when other upstreams leave

Cause: the limit counts live and ejected upstreams, but it was only checked when one was ejected. When others left or became unreachable afterwards, more stayed ejected than max_ejected_ratio allows, and the last upstreams in use got all the work. Ruled out: the check of the test; its bound is max_ejected() of the same moment. Change: upstreams that exceed the limit after a change return to use as last resorts. Their failures stay recorded, so that they are ejected again once the limit permits it. After: tests/test_upstreams.py and tests/test_scheduler.py pass.

--- a/src/eelgrassyard/policy/_upstream_table.py
+++ b/src/eelgrassyard/policy/_upstream_table.py
@@ -74,6 +74,7 @@
             self._set_entry(entry)
         for name in [name for name in self.by_name if name not in seen]:
             self._remove(self.by_name[name])
+        self._enforce_ejection_limit()
 
     def _set_entry(self, entry: UpstreamEntry) -> None:
         slots = slots_of(entry)
@@ -312,18 +313,38 @@
         self._out_of_use[name] = None
         self.speeds.update(upstream)
         self._report(upstream, why, f"upstream.{state.value}")
+        self._enforce_ejection_limit()
+
+    def _enforce_ejection_limit(self) -> None:
+        """Return ejected upstreams to use as last resorts while more are ejected than allowed.
+
+        The limit falls when other upstreams leave or become unreachable. The failures stay
+        recorded, so that the upstream is ejected again once the limit permits it.
+        """
+        excess = self.ejected_count() - self.max_ejected()
+        if excess <= 0:
+            return
+        ejected = [u for u in self.by_name.values() if u.state is UpstreamState.EJECTED]
+        ejected.sort(key=lambda u: (u.stalled, u.health.relapses, u.name))
+        for upstream in ejected[:excess]:
+            upstream.state = UpstreamState.LIVE
+            upstream.stalled = False
+            upstream.health.probe_at = math.inf
+            self._clear_probe_state(upstream)
+            self._keep_as_last_resort(upstream, "ejected, but too few others are in use")
+
+    def _keep_as_last_resort(self, upstream: Upstream, why: str) -> None:
+        upstream.last_resort = True
+        self._last_resort[upstream.name] = None
+        self._report(upstream, why, "upstream.kept_by_floor")
+        self.speeds.update(upstream)
 
     def _eject(self, now: float, upstream: Upstream, why: str, *, stalled: bool = False) -> None:
         if self.ejected_count() >= self.max_ejected():
             if not upstream.last_resort:
-                upstream.last_resort = True
-                self._last_resort[upstream.name] = None
-                self._report(
-                    upstream,
-                    why + "; not ejected, max_ejected_ratio is reached",
-                    "upstream.kept_by_floor",
+                self._keep_as_last_resort(
+                    upstream, why + "; not ejected, max_ejected_ratio is reached"
                 )
-                self.speeds.update(upstream)
             return
         upstream.stalled = stalled
         self._set_out_of_use(now, upstream, UpstreamState.EJECTED, why)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -13,7 +13,7 @@
     make_runners,
     make_scheduler,
 )
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from eelgrassyard.policy import (
@@ -663,6 +663,17 @@
 
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(ACTIONS)
+@example(
+    [
+        *[("ask", 0)] * 4,
+        ("wait", 9),
+        ("list", 164),
+        ("ask", 0),
+        ("fail", 0),
+        ("list", 1),
+        ("wait", 10),
+    ]
+)
 def test_slots_floor_and_progress_hold_for_any_order_of_messages(actions):
     """Guards against leaked or doubled slots when messages repeat, delay and reorder."""
     owners = RandomOwners()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -198,6 +198,25 @@
     assert driver.table.ejected_count() == 2
 
 
+@pytest.mark.parametrize("evidence", ["marked", "unlisted", "removed"])
+def test_ejected_upstreams_return_when_others_leave(evidence):
+    """Guards against more ejected upstreams than allowed after others have left the pool."""
+    driver = Driver(count=6)
+    driver.list()
+    for name in ("runner-0", "runner-1", "runner-2"):
+        driver.fail_until_ejected(name)
+    gone = {"runner-4", "runner-5"}
+    if evidence == "marked":
+        driver.list(leaving=gone)
+    elif evidence == "unlisted":
+        driver.list(without=gone)
+    else:
+        kept = [entry for entry in driver.entries if entry.name not in gone]
+        driver.table.configure(kept, driver.config.kinds_by_name.values(), 0.5)
+    assert driver.table.ejected_count() == driver.table.max_ejected() == 2
+    assert driver.choose() == "runner-3"
+
+
 def test_stalled_upstream_is_ejected_and_restored_when_a_start_succeeds():
     """Guards against a stalled upstream that accumulates tasks."""
     driver = Driver()
