Stop the driver before the event loop of a host ends

Cause: the timer of the driver went on while the loop cancelled its other tasks. Ruled out: the session client by itself; nothing opens a session but an action of the core. Change: a host stops its driver when its own tasks have ended: timer, server and sessions are closed, and no session is opened any more. Before: the new test fails without the stop (the core is driven on).

--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -63,6 +63,8 @@
         self._last_ticket = 0
         self._answer_by_ticket: dict[int, Callable[[AnswerCaller], None]] = {}
         self._actions_scheduled = False
+        self._stopped = False
+        self._timer: asyncio.TimerHandle | None = None
         self._server = SessionServer(
             on_message=self._session_message, on_close=self._session_closed
         )
@@ -75,12 +77,20 @@
         await self._server.listen(self._peer_address)
         self._tick()
 
+    def stop(self) -> None:
+        """Stop the timer and close all sessions; the core is not driven any more."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._server.stop()
+        self._client.stop()
+
     def now(self) -> float:
         """Current time of the core's clock."""
         return self._clock.now()
 
     def _tick(self) -> None:
-        asyncio.get_running_loop().call_later(TICK_S, self._tick)
+        self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
         self.core.advance(self.now())
         self.perform_actions()
 
@@ -117,6 +127,8 @@
     def perform_actions(self) -> None:
         """Perform all pending actions of the core, and send messages in one frame a session."""
         self._actions_scheduled = False
+        if self._stopped:
+            return
         messages_by_session: dict[str, list[Message]] = {}
         messages_by_link: dict[str, list[Message]] = {}
         for action in self.core.take_actions(self.now()):
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -106,6 +106,13 @@
             lambda: _InboundSession(server=self), host, int(port)
         )
 
+    def stop(self) -> None:
+        """Stop listening and close all sessions, after their unsent messages have been written."""
+        if self._server is not None:
+            self._server.close()
+        for session_id in list(self.session_by_id):
+            self.close(session_id)
+
     def next_id(self) -> str:
         """Return a new session id."""
         self._last_number += 1
@@ -161,10 +168,20 @@
         self.on_close = on_close
         self._session_by_name: dict[str, _OutboundSession] = {}
         self._task_by_name: dict[str, asyncio.Task[None]] = {}
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Close all sessions, and open no more: a task that is created while the event loop ends
+        would never be cancelled."""
+        self._stopped = True
+        for name in [*self._task_by_name, *self._session_by_name]:
+            self.close(name)
 
     def open(self, name: str, address: str) -> None:
         """Open a session to a host, and close the previous one."""
         self.close(name)
+        if self._stopped:
+            return
         task = asyncio.get_running_loop().create_task(self._connect(name, address))
         self._task_by_name[name] = task
 
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -143,14 +143,17 @@
         await self._driver.start()
         await self._ready_server.listen(self._settings.ready_address)
         await self._caller_server.listen(self._settings.front_address)
-        async with anyio.create_task_group() as group:
-            for mirror in self._mirrors():
-                group.start_soon(mirror.run)
-            group.start_soon(self._maintain_registration)
-            group.start_soon(self._poll_settings)
-            group.start_soon(self._run_housekeeping)
-            await self._serve_until_stopped()
-            group.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as group:
+                for mirror in self._mirrors():
+                    group.start_soon(mirror.run)
+                group.start_soon(self._maintain_registration)
+                group.start_soon(self._poll_settings)
+                group.start_soon(self._run_housekeeping)
+                await self._serve_until_stopped()
+                group.cancel_scope.cancel()
+        finally:
+            self._driver.stop()
         self._caller_server.close()
         self._ready_server.close()
         self._journal.write("stop", {})
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -6,14 +6,18 @@
 import json
 import os
 import socket
+from typing import cast
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from eelgrassyard._clock import Clock
 from eelgrassyard._journal import BURST_LINES, Journal
+from eelgrassyard.dispatch._host import DispatchHost
 from eelgrassyard.dispatch._messages import HostRecord, Message, Ping, Pong
 from eelgrassyard.net import SessionClient, SessionServer
+from eelgrassyard.net._driver import TICK_S, Driver, WorkerCalls
 
 
 def free_address() -> str:
@@ -49,6 +53,40 @@
         await asyncio.sleep(0.002)
 
 
+def test_a_driver_that_ends_leaves_no_task_behind() -> None:
+    """Guards against a tick that opens a session while the loop ends its other tasks: nobody
+    cancels the new task, and its error is written to the log as plain text."""
+    own = HostRecord(name="a", address=free_address(), domain="d", incarnation=1)
+    peer = HostRecord(name="b", address=free_address(), domain="d", incarnation=1)
+    calls = cast(WorkerCalls, None)
+    reading, writing = os.pipe()
+    journal = Journal(host="a", descriptor=writing)
+
+    async def main() -> set[asyncio.Task[None]]:
+        core = DispatchHost(own=own, now=0.0, stop_s=0.05, far_factor=1.0)
+        driver = Driver(
+            core=core, calls=calls, clock=Clock(), journal=journal, peer_address=own.address
+        )
+        await driver.start()
+        driver.stop()
+        stopped_at = core._last_called_at
+        core.set_hosts(driver.now(), [peer])
+        core.advance(driver.now())
+        driver.perform_actions()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        called_at = core._last_called_at
+        assert called_at > stopped_at
+        await asyncio.sleep(3 * TICK_S)
+        assert core._last_called_at == called_at
+        return tasks
+
+    try:
+        assert asyncio.run(main()) == set()
+    finally:
+        os.close(reading)
+        os.close(writing)
+
+
 def test_messages_pass_both_ways_and_a_close_is_seen() -> None:
     """Guards against a closed session that only one side detects."""
 
