Announce a new leader to the hosts of its domain

Cause: when all hosts of a domain start within a second, as after a loss of power, a host that starts last and ranks first took the lead at once, but told nobody: its links closed, and the others went on searching, with an attempt to reach it that hung since it had been down. After 0.5 s the next one took the lead too and fenced it out; the jobs of the first were held up or refused. Ruled out: the store (the registry is read in 8 ms), the start of the processes. Change: a new leader pings all hosts of its domain that it is connected to; one that searches follows it, and replaces a hanging attempt to reach it. Before: six new cases of test_dispatch_faults fail (two leaders).

--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -90,6 +90,9 @@
     def _ping(self, now: float, session_id: str, session: Session, ping: Ping) -> None:
         session.leads_epoch = ping.leads_epoch
         session.ready = ping.ready
+        if session.host is not None and session.host.domain == self.own.domain:
+            if self.leadership.leader_announced(now, session.host, ping.leads_epoch):
+                self.links.reopen(now, session.host.name)
         leader = self.leadership.leader
         if self.leadership.role is Role.FOLLOWING and not self._confirmed_epoch():
             leader = None
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -169,6 +169,17 @@
             self._search_started_at = now
             self.follow(now, leader, pong.epoch)
 
+    def leader_announced(self, now: float, host: HostRecord, epoch: int) -> bool:
+        """Follow a host of this domain that has just taken the lead; True if it is followed now.
+
+        :param epoch: epoch of that host, or 0 if it does not lead.
+        """
+        if self.role is not Role.SEARCHING or epoch <= self.highest_epoch:
+            return False
+        self._search_started_at = now
+        self.follow(now, host, epoch)
+        return True
+
     def advance(self, now: float, links: Links) -> bool:
         """Become leader if no host of higher rank does; True if this host has just become it."""
         if self.role is not Role.SEARCHING or self.draining or now < self._claim_backoff_until:
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -109,6 +109,16 @@
             self.actions.append(CloseLink(name=link.host.name))
             link.is_open = link.connected = False
 
+    def reopen(self, now: float, name: str) -> None:
+        """Replace an attempt to open a session that is still unanswered: it may have begun while
+        the host was down, and then hangs."""
+        link = self.link_by_name.get(name)
+        if link is not None and not link.connected:
+            self._close(link)
+            link.is_open = True
+            link.opened_at = link.last_heard = now
+            self.actions.append(OpenLink(host=link.host))
+
     def connected(self, now: float, name: str) -> None:
         """Handle a session that the transport has opened."""
         link = self.link_by_name.get(name)
@@ -163,18 +173,21 @@
                 self._mark_lost(now, link, refused=False)
                 link.opened_at = now
             elif link.connected and now >= link.next_ping:
-                link.number += 1
-                link.next_ping = now + (
-                    REMOTE_PING_INTERVAL_S if link.is_remote else PING_INTERVAL_S
-                )
-                self.actions.append(
-                    SendLink(
-                        name=link.host.name,
-                        message=Ping(
-                            number=link.number,
-                            config_version=config_version,
-                            leads_epoch=leads_epoch,
-                            ready=ready,
-                        ),
-                    )
-                )
+                self._ping(now, link, config_version, leads_epoch, ready)
+
+    def _ping(
+        self, now: float, link: Link, config_version: int, leads_epoch: int, ready: bool
+    ) -> None:
+        link.number += 1
+        link.next_ping = now + (REMOTE_PING_INTERVAL_S if link.is_remote else PING_INTERVAL_S)
+        ping = Ping(
+            number=link.number, config_version=config_version, leads_epoch=leads_epoch, ready=ready
+        )
+        self.actions.append(SendLink(name=link.host.name, message=ping))
+
+    def announce_leadership(self, now: float, *, config_version: int, epoch: int) -> None:
+        """Ping all hosts of the own domain at once, so that those that still search for a leader
+        follow this host instead of claiming leadership as well."""
+        for link in self.link_by_name.values():
+            if link.connected and not link.is_remote:
+                self._ping(now, link, config_version, epoch, ready=True)
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -40,6 +40,9 @@
             far_factor=self._far_factor,
         )
         self.pool.set_workers(now, self._record_by_id)
+        self.links.announce_leadership(
+            now, config_version=self.config_version, epoch=self.leadership.epoch
+        )
 
     def _stop_leading(self, now: float) -> None:
         """Discard the pool; its runs are adopted by the next leader or expire with their leases."""
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -145,6 +145,28 @@
     assert {domain: world.leaders(domain) for domain in ("d0", "d1", "d2")} == first
 
 
+@pytest.mark.parametrize("late_s", [0.2, 0.25, 0.3, 0.35, 0.4, 0.45])
+def test_one_host_leads_when_a_domain_starts_at_different_moments(late_s: float) -> None:
+    """Guards against two hosts that claim leadership one after the other, because the first one
+    tells nobody: the second fences it out, and the jobs that it has just started are held up. Seen
+    in all three domains on the day trouble-2 of hwangto-yard after the loss of power."""
+    world = World(seed=1, domains=1, hosts=3)
+    for name in world.host_by_name:
+        world.kill(name, silent=True)
+    world.notes.clear()
+    paths = {frozenset(("d0-h0", other)) for other in ("d0-h1", "d0-h2")}
+    world.cut_paths |= paths
+    world.boot("d0-h1")
+    world.boot("d0-h2")
+    world.run(late_s)
+    world.cut_paths -= paths
+    world.boot("d0-h0")
+    world.run(2.0)
+    events = [event for _, _, event, _ in world.notes]
+    assert events.count("leads") == 1
+    assert "fenced_out" not in events
+
+
 def test_a_planned_stop_hands_the_pool_over_without_loss() -> None:
     """Guards against a planned handover that runs tasks again or delays their jobs."""
     world = World(seed=5, domains=1, hosts=3)
