Lend tasks where a worker has room and is fast enough

Cause: pools told each other how many tasks of typical size they could start, whatever the speed and room of the workers. Long or large tasks were lent to pools that refused them, again and again, and missed the room that became free at home meanwhile; some were given up so. The learned speeds were too low by a fifth: the mean of the ratios of measured to declared times is too high when the declared ones are off by 40%, and the transit of 4 ms counted as run time. Change: the report lists the room of single workers by speed class; a task is lent only where it fits and can end in time, and not again within 0.25 s to a pool that refused it. Learned speeds weight a run by its declared time and leave out the transit.

--- a/bench/bench_peer_codec.py
+++ b/bench/bench_peer_codec.py
@@ -30,7 +30,9 @@
 
 MESSAGES = {
     "ping": Ping(number=77, config_version=7),
-    "pong": Pong(number=77, config_version=7, free_by_service={"huvo11a": 12}),
+    "pong": Pong(
+        number=77, config_version=7, room_by_service={"huvo11a": {-3: (32000, 64000), 4: (40000,)}}
+    ),
     "submit": Submit(job=JOB, waited_s=0.001, caller_waits_s=1.5),
     "job ended": JobEnded(job_id=JOB.id, outcome=Outcome.COMPLETE),
 }
--- a/src/eelgrassyard/_speeds.py
+++ b/src/eelgrassyard/_speeds.py
@@ -57,13 +57,13 @@
     total: float = 0.0
     weight: float = 0.0
 
-    def add(self, value: float, window: float) -> None:
-        if self.weight >= window - 1.0:
-            keep = 1.0 - 1.0 / window
+    def add(self, value: float, window: float, weight: float = 1.0) -> None:
+        if self.weight >= window - weight:
+            keep = max(0.0, 1.0 - weight / window)
             self.total *= keep
             self.weight *= keep
-        self.total += value
-        self.weight += 1.0
+        self.total += weight * value
+        self.weight += weight
 
     def scale(self, factor: float) -> None:
         self.total *= factor
@@ -103,14 +103,17 @@
             )
         return min(MAX_SPEED, max(MIN_SPEED, 1.0 / slowness)) if slowness > 0.0 else MAX_SPEED
 
-    def add(self, kind: str, slowness: float) -> None:
-        """Add a successful run."""
+    def add(self, kind: str, slowness: float, *, weight: float = 1.0) -> None:
+        """Add a successful run.
+
+        :param weight: of the run, as a multiple of a typical one.
+        """
         self._track_outliers(slowness * self.speed(kind))
-        self.overall.add(slowness, UPSTREAM_WINDOW_RUNS)
+        self.overall.add(slowness, UPSTREAM_WINDOW_RUNS, weight)
         average = self.slowness_by_kind.get(kind)
         if average is None:
             average = self.slowness_by_kind[kind] = _MovingAverage()
-        average.add(slowness, UPSTREAM_WINDOW_RUNS)
+        average.add(slowness, UPSTREAM_WINDOW_RUNS, weight)
 
     def _track_outliers(self, change: float) -> None:
         if change >= OUTLIER_RATIO:
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -90,9 +90,12 @@
     def _ping(self, now: float, session_id: str, session: Session, ping: Ping) -> None:
         session.leads_epoch = ping.leads_epoch
         session.ready = ping.ready
-        if session.host is not None and session.host.domain == self.own.domain:
-            if self.leadership.leader_announced(now, session.host, ping.leads_epoch):
-                self.links.reopen(now, session.host.name)
+        if (
+            session.host is not None
+            and session.host.domain == self.own.domain
+            and self.leadership.leader_announced(now, session.host, ping.leads_epoch)
+        ):
+            self.links.reopen(now, session.host.name)
         leader = self.leadership.leader
         if self.leadership.role is Role.FOLLOWING and not self._confirmed_epoch():
             leader = None
@@ -103,7 +106,7 @@
             leader=leader,
             epoch=self.leadership.epoch if leader is not None else 0,
             draining=self.draining,
-            free_by_service=pool.free_by_service(now) if pool and ping.leads_epoch else {},
+            room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
         )
         self._send_session(session_id, pong)
         if ping.config_version < self.config_version:
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -56,7 +56,8 @@
     :param leader: leader of the answering host's domain, or None if it knows none.
     :param epoch: epoch of that leader, or 0.
     :param draining: whether the answering host is about to end.
-    :param free_by_service: tasks of typical size that the answering pool could start at once.
+    :param room_by_service: free thousandths of a core of single workers of the answering pool, by
+        service and speed class of the worker.
     """
 
     number: int
@@ -64,7 +65,7 @@
     leader: HostRecord | None = None
     epoch: int = 0
     draining: bool = False
-    free_by_service: dict[str, int] = {}
+    room_by_service: dict[str, dict[int, tuple[int, ...]]] = {}
 
 
 class KnownHosts(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -11,16 +11,26 @@
 )
 from ._jobs import Job
 from ._messages import Lend
+from ._peer_pools import RoomByClass, summarize_room
 from ._pool_state import PoolState, round_s
 from ._tasks import Phase, PoolJob, Task
 from ._waiting import WaitingTasks
-from ._workers import Worker, choose_worker
+from ._workers import OPTIMISTIC_FACTOR, Worker, choose_worker
 
 MAX_MISSES = 6
 """Tasks without a suitable worker after which a placement pass tries no more workers; task sizes
 within a service are alike, so the next ones would not fit either."""
 
 
+LEND_TRANSIT_S = 0.004
+"""Time that a task takes to another domain, and its end back, beyond a local run: one to three
+milliseconds each way between domains."""
+
+
+MIN_LENT_SIZE = 0.6
+"""Least room that is reported to other domains, as a multiple of the typical size of a task."""
+
+
 class TaskPlacement(PoolState):
     """Starts waiting tasks on workers with free capacity, and lends the others to pools that
     have some."""
@@ -108,9 +118,7 @@
             step,
             now=now,
             budget_s=pool_job.due_at - now,
-            # A job that has not begun starts only where it can meet its objective; one that has
-            # goes on as long as its caller waits.
-            limit_s=(pool_job.caller_deadline if pool_job.started_runs else pool_job.due_at) - now,
+            limit_s=self._useful_s(now, pool_job, begun=pool_job.started_runs > 0),
             avoid=task.avoid,
             racks=racks,
             count_by_worker=count_by_worker,
@@ -121,6 +129,12 @@
         self._start(now, task, worker)
         return True
 
+    @staticmethod
+    def _useful_s(now: float, pool_job: PoolJob, *, begun: bool) -> float:
+        """Seconds in which a run that starts now must end. A job that has not begun starts only
+        where it can meet its objective; one that has goes on as long as its caller waits."""
+        return (pool_job.caller_deadline if begun else pool_job.due_at) - now
+
     def _start_late(self, now: float, pool_job: PoolJob) -> bool:
         """Start a job that will miss its objective, if there is capacity for all of its waiting
         tasks; a late answer is worth more to the caller than none."""
@@ -128,7 +142,7 @@
         limit_s = pool_job.caller_deadline - now
         slots = 0
         for worker in self.workers_by_service.get(pool_job.job.service, ()):
-            run_s = tasks[0].step.estimate_s * worker.speed.slowness()
+            run_s = tasks[0].step.estimate_s * worker.slowness
             if worker.is_usable(now) and run_s <= limit_s:
                 slots += worker.free_slots(tasks[0].step)
         if slots < len(tasks):
@@ -180,43 +194,45 @@
             task=str(task.id),
             run=task.run,
             worker=worker.record.id,
-            slowness=round_s(worker.speed.slowness()),
+            slowness=round_s(worker.slowness),
             left_s=round_s(pool_job.due_at - now),
         )
         self.poller.poll_now(now, worker)
 
     def _may_lend(self, service: str) -> bool:
         """Tell whether lending is enabled and another pool reports free capacity for a service."""
-        return self.lending_enabled and any(
-            peer.free_by_service.get(service, 0) > 0 for peer in self.peer_pool_by_domain.values()
-        )
+        return self.lending_enabled and self.peers.has_room(service)
 
     def _lend_tasks(self, now: float, service: str, tasks: list[Task]) -> list[Task]:
-        """Lend tasks to the pools with the most free capacity; returns those that were lent."""
+        """Lend tasks to pools with workers that are free and fast enough; returns those that were
+        lent."""
         lent: list[Task] = []
-        if not tasks or not self.lending_enabled:
-            return lent
         groups: dict[tuple[str, str, int], list[Task]] = {}
-        for domain, peer in sorted(
-            self.peer_pool_by_domain.items(),
-            key=lambda item: -item[1].free_by_service.get(service, 0),
-        ):
-            free = peer.free_by_service.get(service, 0)
-            for task in tasks:
-                if free <= 0:
-                    break
-                if task.phase is not Phase.WAITING or domain in task.avoid or task.pool_job.is_lent:
-                    continue
-                free -= 1
-                task.phase = Phase.LENT
-                task.run += 1
-                task.location = domain
-                task.ordered_at = now
-                task.pool_job.waiting = max(0, task.pool_job.waiting - 1)
-                task.pool_job.started_runs += 1
-                lent.append(task)
-                groups.setdefault((domain, task.id.job, task.id.step), []).append(task)
-            peer.free_by_service[service] = max(0, free)
+        begun_by_job: dict[str, bool] = {}
+        for task in tasks:
+            if not self._may_lend(service):
+                break
+            if task.phase is not Phase.WAITING or task.pool_job.is_lent:
+                continue
+            begun = begun_by_job.setdefault(task.id.job, task.pool_job.started_runs > 0)
+            useful_s = self._useful_s(now, task.pool_job, begun=begun) - LEND_TRANSIT_S
+            domain = self.peers.take_room(
+                service,
+                cpu=task.step.cpu,
+                max_slowness=useful_s / max(0.001, task.step.estimate_s * OPTIMISTIC_FACTOR),
+                excluded=task.avoid
+                | {d for d, until in task.refused_until_by_domain.items() if now < until},
+            )
+            if domain is None:
+                continue
+            task.phase = Phase.LENT
+            task.run += 1
+            task.location = domain
+            task.ordered_at = now
+            task.pool_job.waiting = max(0, task.pool_job.waiting - 1)
+            task.pool_job.started_runs += 1
+            lent.append(task)
+            groups.setdefault((domain, task.id.job, task.id.step), []).append(task)
         for (domain, job_id, step), members in groups.items():
             pool_job = members[0].pool_job
             self.note("tasks_lent", job=job_id, step=step, count=len(members), to=domain)
@@ -229,28 +245,28 @@
                         tasks=tuple((task.id.index, task.run) for task in members),
                         waited_s=now - pool_job.arrived_at,
                         caller_waits_s=pool_job.caller_deadline - now,
-                        begun=pool_job.started_runs > len(members),
+                        begun=begun_by_job[job_id],
                     ),
                 )
             )
         return lent
 
-    def free_by_service(self, now: float) -> dict[str, int]:
-        """Number of tasks of typical size that could start at once, by service."""
-        free: dict[str, int] = {}
+    def room_by_service(self, now: float) -> dict[str, RoomByClass]:
+        """Room on single workers, by service and speed class; none for a service whose own tasks
+        wait."""
+        report: dict[str, RoomByClass] = {}
         if not self.lending_enabled:
-            return free
+            return report
         for service, workers in self.workers_by_service.items():
+            if self._waiting_by_service.get(service):
+                continue
             typical_cpu = self._typical_cpu_by_service.get(service, 1000.0)
-            busy = len(self._waiting_by_service.get(service, ()))
-            slots = sum(
-                max(
-                    0,
-                    math.floor((worker.record.cpu - worker.reserved_cpu) / typical_cpu)
-                    - len(worker.orphan_run_by_task),
-                )
+            room = [
+                (worker.speed_class, free)
                 for worker in workers
-                if worker.is_usable(now)
-            )
-            free[service] = max(0, slots) if not busy else 0
-        return free
+                if (free := worker.free_cpu(math.ceil(typical_cpu))) >= MIN_LENT_SIZE * typical_cpu
+                and worker.is_usable(now)
+            ]
+            if room:
+                report[service] = summarize_room(room)
+        return report
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -135,7 +135,7 @@
     def _wait_s(self, now: float, worker: Worker) -> float:
         wait_s = POLL_WAIT_S
         for task in self._pool.active_tasks(worker):
-            expected_s = task.step.estimate_s * worker.speed.slowness()
+            expected_s = task.step.estimate_s * worker.slowness
             overdue_s = task.ordered_at + OVERDUE_FACTOR * expected_s - now
             wait_s = min(wait_s, max(OVERDUE_POLL_WAIT_S, overdue_s))
         return wait_s
@@ -241,7 +241,7 @@
         time."""
         estimate_s = task.step.estimate_s
         elapsed_s = now - task.ordered_at
-        expected_s = estimate_s * worker.speed.slowness()
+        expected_s = estimate_s * worker.slowness
         if elapsed_s < max(STUCK_MIN_S, OVERDUE_FACTOR * expected_s) and (
             elapsed_s < PROGRESS_CHECK_AFTER_S or task.percent == 0
         ):
@@ -250,7 +250,7 @@
         stuck = task.percent == 0 and elapsed_s > max(STUCK_MIN_S, STUCK_FACTOR * expected_s)
         left_s = elapsed_s * (100 - task.percent) / max(1, task.percent)
         # Work derived from the progress, which is more reliable than the declared run time.
-        work_s = estimate_s if stuck else (elapsed_s + left_s) / worker.speed.slowness()
+        work_s = estimate_s if stuck else (elapsed_s + left_s) / worker.slowness
         pool = self._pool
         rerun_s = MIGRATION_S + work_s * pool.fastest_slowness(pool_job.job.service)
         limit = pool_job.due_at if now + rerun_s <= pool_job.due_at else pool_job.caller_deadline
@@ -270,7 +270,7 @@
             expected_s=round(expected_s, 3),
         )
         slowness = min(MAX_SLOWNESS, (elapsed_s + left_s) / max(0.01, estimate_s))
-        worker.speed.add(pool_job.job.kind, slowness)
+        worker.learn_speed(pool_job.job.kind, slowness, estimate_s)
         if stuck:
             pool.record_failure(now, worker, pool_job)
         task.avoid.add(worker.record.id)
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 
 from ._actions import (
     Action,
     Note,
 )
 from ._jobs import TaskEnd, TaskId
+from ._peer_pools import PeerPools
 from ._polling import WorkerPoller
 from ._stops import STOP_MARGIN_S, PendingStops
 from ._tasks import PoolJob, Task
@@ -17,16 +17,6 @@
 from ._workers import Worker, WorkerRecord, WorkerState
 
 
-@dataclass(slots=True, kw_only=True)
-class PeerPool:
-    """Pool of another failure domain, as its leader last reported it.
-
-    :param free_by_service: tasks of typical size that it could start at once.
-    """
-
-    free_by_service: dict[str, int] = field(default_factory=dict)
-
-
 def round_s(seconds: float) -> float:
     """Round seconds to milliseconds, for log lines and dumps."""
     return round(seconds, 3)
@@ -58,7 +48,7 @@
         self.workers_by_service: dict[str, list[Worker]] = {}
         self.job_by_id: dict[str, PoolJob] = {}
         self.lent_job_by_id: dict[str, PoolJob] = {}
-        self.peer_pool_by_domain: dict[str, PeerPool] = {}
+        self.peers = PeerPools()
         self.counts: dict[str, int] = {}
         self._far_factor = far_factor
         self._record_by_id: Mapping[str, WorkerRecord] = {}
@@ -105,7 +95,7 @@
         fastest_slowness = self._fastest_slowness_by_service.get(service)
         if fastest_slowness is None:
             workers = self.workers_by_service.get(service, ())
-            fastest_slowness = min((w.speed.slowness() for w in workers), default=1.0)
+            fastest_slowness = min((w.slowness for w in workers), default=1.0)
             self._fastest_slowness_by_service[service] = fastest_slowness
         return fastest_slowness
 
@@ -119,7 +109,7 @@
                     "state": worker.state.value,
                     "draining": worker.record.draining,
                     "registered": worker.is_registered,
-                    "slowness": round_s(worker.speed.slowness()),
+                    "slowness": round_s(worker.slowness),
                     "ejected_until": round_s(worker.ejected_until),
                     "held_cpu": worker.reserved_cpu,
                     "lapses_at": round_s(worker.clock.leases_expire_at),
@@ -138,9 +128,7 @@
                 }
                 for job_id, pool_job in self.job_by_id.items()
             },
-            "neighbours": {
-                domain: peer.free_by_service for domain, peer in self.peer_pool_by_domain.items()
-            },
+            "neighbours": self.peers.room_by_service,
         }
 
     def _count(self, name: str) -> None:
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -20,6 +20,13 @@
 """Smallest unit of the Retry-After header."""
 
 
+ORDER_TRANSIT_S = 0.004
+"""Part of the measured time of a run in which its start travels to the worker and its end back."""
+
+MIN_RUN_S = 0.002
+"""Lower limit of a measured run time; the end of a run may be listed as it is ordered."""
+
+
 class RunLifecycle(TaskPlacement):
     """Ends runs: requeues or finishes their tasks, unblocks later steps, and answers jobs."""
 
@@ -104,10 +111,9 @@
         pool_job = task.pool_job
         if end is TaskEnd.DONE:
             if task.started_at > task.ordered_at:
-                took_s = now - task.ordered_at
-                worker.speed.add(
-                    pool_job.job.kind, max(0.02, took_s / max(0.001, task.step.estimate_s))
-                )
+                took_s = max(MIN_RUN_S, now - task.ordered_at - ORDER_TRANSIT_S)
+                estimate_s = max(0.001, task.step.estimate_s)
+                worker.learn_speed(pool_job.job.kind, took_s / estimate_s, estimate_s)
             worker.record_success()
         elif end is TaskEnd.FAILED:
             self.record_failure(now, worker, pool_job)
--- a/src/eelgrassyard/dispatch/_tasks.py
+++ b/src/eelgrassyard/dispatch/_tasks.py
@@ -41,6 +41,8 @@
     :param avoid: workers and failure domains that are excluded from its next run.
     :param not_before: time until which an earlier run may still be alive.
     :param percent: progress of the latest run.
+    :param refused_until_by_domain: failure domains that have refused it, and until when it is not
+        offered to them again.
     """
 
     id: TaskId
@@ -56,6 +58,7 @@
     avoid: set[str] = field(default_factory=set)
     not_before: float = 0.0
     percent: int = 0
+    refused_until_by_domain: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -6,8 +6,9 @@
 
 from ._jobs import Job, Outcome, TaskEnd, TaskId
 from ._messages import JobEnded, Progress
+from ._peer_pools import RoomByClass
 from ._polling import WorkerPoller
-from ._pool_state import PeerPool, round_s
+from ._pool_state import round_s
 from ._tasks import Phase, new_lent_job, new_pool_job
 from ._worker_answers import WorkerAnswers
 from ._workers import Worker, WorkerRecord, WorkerState
@@ -24,6 +25,11 @@
 """Time in which a requester whose connection broke may reconnect before its jobs are stopped."""
 
 
+LEND_RETRY_S = 0.25
+"""Pause before a task is offered again to a pool that has refused it. Pools report the number of
+places for tasks of typical size, so a refusal means that this one does not fit."""
+
+
 class WorkerPool(WorkerAnswers):
     """Dispatches the jobs of one failure domain to its workers, while this host leads it.
 
@@ -175,11 +181,25 @@
                 task.pool_job = existing
         else:
             self.lent_job_by_id[job.id] = pool_job
-        busy = bool(len(self._waiting_by_service.get(job.service, ())))
+        reason = ""
+        if not self.lending_enabled:
+            reason = "the leader resigns"
+        elif self._waiting_by_service.get(job.service):
+            reason = "tasks of this domain wait"
         workers = self._available_workers(now, job.service)
+        refused = 0
         for task in list(pool_job.task_by_id.values()):
-            if busy or not self.lending_enabled or not self._try_start(now, task, workers):
+            if reason or not self._try_start(now, task, workers):
+                refused += 1
                 self._lent_run_ended(task, TaskEnd.NO_ROOM)
+        if refused:
+            self.note(
+                "lent_tasks_refused",
+                routine=True,
+                job=job.id,
+                count=refused,
+                reason=reason or "no worker has room and is fast enough",
+            )
 
     def cancel(self, now: float, requester: str, job_id: str) -> None:
         """Stop a job whose caller has left, or lent tasks that the lender no longer needs."""
@@ -211,17 +231,19 @@
         for service in {pool_job.job.service for pool_job in pool_jobs}:
             self._place(now, service)
 
-    def peer_pool_updated(self, now: float, domain: str, free_by_service: dict[str, int]) -> None:
+    def peer_pool_updated(
+        self, now: float, domain: str, room_by_service: Mapping[str, RoomByClass]
+    ) -> None:
         """Record the free capacity that another pool reports, and use it for waiting tasks."""
-        self.peer_pool_by_domain[domain] = PeerPool(free_by_service=dict(free_by_service))
-        for service, free in free_by_service.items():
-            if free > 0 and self._waiting_by_service.get(service):
+        self.peers.update(domain, room_by_service)
+        for service, room in room_by_service.items():
+            if room and self._waiting_by_service.get(service):
                 self._place(now, service)
 
     def peer_pool_lost(self, now: float, domain: str) -> None:
         """Handle a broken session to another pool: requeue the tasks lent to it, which may still
         run there for ``LENT_RUN_EXPIRY_S``."""
-        self.peer_pool_by_domain.pop(domain, None)
+        self.peers.remove(domain)
         for pool_job in list(self.job_by_id.values()):
             for task in list(pool_job.task_by_id.values()):
                 if task.phase is Phase.LENT and task.location == domain:
@@ -243,9 +265,8 @@
             return
         if end is TaskEnd.NO_ROOM:
             task.pool_job.started_runs -= 1
-            peer = self.peer_pool_by_domain.get(domain)
-            if peer is not None:
-                peer.free_by_service[task.pool_job.job.service] = 0
+            self.peers.mark_full(domain, task.pool_job.job.service)
+            task.refused_until_by_domain[domain] = now + LEND_RETRY_S
         elif end is TaskEnd.FAILED:
             task.avoid.add(domain)
         self.run_ended(now, task, end, f"reported by {domain}")
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from .._speeds import UpstreamSpeed
+from .._speeds import UpstreamSpeed, speed_class
 from ._jobs import Step, TaskId
 from ._leases import WorkerClock
 
@@ -31,6 +31,13 @@
 """Interval of polls of a worker that does not answer; each attempt may open a connection."""
 
 
+TYPICAL_RUN_S = 0.2
+MIN_RUN_WEIGHT = 0.2
+MAX_RUN_WEIGHT = 4.0
+"""Weight of a run in the learned speed: its declared time as a multiple of a typical one, within
+these limits."""
+
+
 class WorkerState(enum.StrEnum):
     """Whether the pool may use a worker, and whether runs may be alive on it."""
 
@@ -89,6 +96,8 @@
         task at a time.
     :param backoff_until: time until which it gets no task after a refused or unanswered start.
     :param unanswered: consecutive starts that it has not answered.
+    :param slowness: learned run time as a multiple of the declared one.
+    :param speed_class: class of the learned speed; a lower number is faster.
     """
 
     record: WorkerRecord
@@ -113,6 +122,19 @@
     poll_sent_at: float = 0.0
     next_poll_at: float = 0.0
     is_registered: bool = True
+    slowness: float = 1.0
+    speed_class: int = 0
+
+    def learn_speed(self, kind: str, slowness: float, estimate_s: float) -> None:
+        """Learn from a run: its time as a multiple of the declared one, weighted by the latter.
+
+        Declared times are too short as often as too long, so the sum of many is about right, while
+        the mean of the single ratios is too high.
+        """
+        weight = min(MAX_RUN_WEIGHT, max(MIN_RUN_WEIGHT, estimate_s / TYPICAL_RUN_S))
+        self.speed.add(kind, slowness, weight=weight)
+        self.slowness = self.speed.slowness()
+        self.speed_class = speed_class(1.0 / self.slowness)
 
     def free_cpu(self, cpu: int) -> int:
         """Free thousandths of a core, if each orphaned run takes ``cpu``."""
@@ -218,7 +240,7 @@
             continue
         if count_by_worker and count_by_worker.get(record.id, 0) >= step.max_per_worker:
             continue
-        run_s = step.estimate_s * worker.speed.slowness()
+        run_s = step.estimate_s * worker.slowness
         if (step.rack and step.rack not in record.labels) or (
             step.same_rack and racks and record.rack not in racks
         ):
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from eelgrassyard.dispatch._actions import (
@@ -306,7 +307,7 @@
     """Guards against waiting for a lent task that the other pool refused (bagmati-ruling
     quiet-1)."""
     driver = PoolDriver(record("w0", cpu=1000))
-    driver.pool.peer_pool_updated(1.0, "d1", {"s": 1})
+    driver.pool.peer_pool_updated(1.0, "d1", {"s": {0: (1000,)}})
     driver.submit(1.0, job(tasks=2))
     assert len(driver.take(StartRun)) == 1
     (ask,) = driver.take(SendPeerLeader)
@@ -316,6 +317,42 @@
     assert driver.pool.job_by_id[JOB_ID].waiting == 1
 
 
+@pytest.mark.parametrize(
+    "speed_class, room, lent",
+    [(-3, 1000, True), (0, 1000, True), (4, 1000, False), (-3, 999, False)],
+)
+def test_a_task_is_lent_only_where_a_worker_has_room_and_is_fast_enough(
+    speed_class: int, room: int, lent: bool
+) -> None:
+    """Guards against a long task that goes to and fro between pools whose free workers are all too
+    slow for it, and misses each place at home meanwhile (bagmati-ruling-large scale-1: 18 refusals
+    of one task within a second)."""
+    driver = PoolDriver(record("w0", cpu=1000))
+    driver.submit(1.0, job(estimate_s=0.9))
+    driver.take(StartRun)
+    other = msgspec.structs.replace(job(estimate_s=0.9), id="00000000000000aa")
+    driver.pool.peer_pool_updated(1.0, "d1", {"s": {speed_class: (500, room)}})
+    driver.submit(1.0, other)
+    assert bool(driver.take(SendPeerLeader)) is lent
+
+
+def test_a_task_is_not_offered_again_at_once_to_a_pool_that_refused_it() -> None:
+    """Guards against a task that is lent to a pool again and again, each time the pool reports
+    places for tasks of another size, and is not placed at home meanwhile."""
+    driver = PoolDriver(record("w0", cpu=1000))
+    driver.submit(1.0, job(tasks=2, estimate_s=0.5))
+    driver.take(StartRun)
+    driver.pool.peer_pool_updated(1.0, "d1", {"s": {0: (4000,)}})
+    (ask,) = driver.take(SendPeerLeader)
+    assert isinstance(ask.message, Lend)
+    ((index, run),) = ask.message.tasks
+    driver.pool.lent_ended(1.01, "d1", JOB_ID, 0, index, run, TaskEnd.NO_ROOM)
+    driver.pool.peer_pool_updated(1.05, "d1", {"s": {0: (4000,)}})
+    assert driver.take(SendPeerLeader) == []
+    driver.pool.peer_pool_updated(1.06, "d2", {"s": {0: (1000,)}})
+    assert [ask.domain for ask in driver.take(SendPeerLeader)] == ["d2"]
+
+
 def test_a_refused_lent_task_is_reported_with_the_lenders_run_number() -> None:
     """Guards against a refusal with another run number, which the lender cannot match to its task
     (bagmati-ruling quiet-1)."""
@@ -376,7 +413,7 @@
     driver.take(PollWorker)
     other = TaskId("0000000000000001", 0, 0)
     driver.report(0.11, "w0", running=(RunningEntry(task=other, run=1, percent=10),))
-    assert driver.pool.free_by_service(0.11) == {"s": 1}
+    assert driver.pool.room_by_service(0.11) == {"s": {0: (1000,)}}
     driver.submit(0.11, job(tasks=2))
     assert len(driver.take(StartRun)) == 1
     driver.report(0.12, "w0", ended=(EndedEntry(number=1, task=other, run=1, end=TaskEnd.DONE),))
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -99,9 +99,14 @@
         await until(lambda: len(pair.server_messages) == 2)
         session = pair.server_messages[0][0]
         host = HostRecord(name="a", address="b", domain="c", incarnation=1)
-        pair.server.send(session, [Pong(number=2, leader=host, free_by_service={"s": 3})])
+        pair.server.send(
+            session,
+            [Pong(number=2, leader=host, room_by_service={"s": {-3: (64000, 32000), 0: (96000,)}})],
+        )
         await until(lambda: pair.client_messages)
-        assert pair.client_messages == [Pong(number=2, leader=host, free_by_service={"s": 3})]
+        assert pair.client_messages == [
+            Pong(number=2, leader=host, room_by_service={"s": {-3: (64000, 32000), 0: (96000,)}})
+        ]
         pair.server.close(session)
         await until(lambda: pair.lost)
         assert pair.lost == [("h", False)]
