Start nothing in a failure domain that operators evacuate

Change: hosts watch all operator keys with the call that watched the configuration. The leader of an evacuated domain starts nothing there, whether own, late or lent tasks, reports no room, lends what waits, and lets runs end. Hosts pass evacuations on with pings, by the store's revision, so a next leader knows them while the store is out. Ruled out: a key or an answer of ours as acknowledgement; the store's answer to the operator is it. Tests: pool, virtual site with the leader killed, powered off, frozen, drained or cut off while evacuated, a whole host against the stand-in store. The host's test fails before (the job runs).

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -127,6 +127,7 @@
         self.links.advance(
             now,
             config_version=self.config_version,
+            evacuation_revision=self.evacuations.revision,
             leads_epoch=self.leadership.epoch if self.pool is not None else 0,
             ready=self.is_ready(),
         )
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from ._actions import Action, Note
@@ -11,6 +11,7 @@
 from ._links import CloseLink, Links, OpenLink, SendLink
 from ._messages import (
     ConfigDocument,
+    Evacuations,
     HostRecord,
     ToClient,
 )
@@ -75,6 +76,7 @@
         self.config_version = 0
         self.config_document = b""
         self.new_config: ConfigDocument | None = None
+        self.evacuations = Evacuations(revision=0, domains=())
         self.draining = False
         self._resign_deadline = 0.0
         self._stop_s = stop_s
@@ -128,6 +130,17 @@
         if message.version > newest:
             self.new_config = message
 
+    def set_evacuations(self, now: float, *, revision: int, domains: Collection[str]) -> None:
+        """Set the failure domains in which nothing may start, unless newer ones are known.
+
+        :param revision: revision of the store at which they changed.
+        """
+        if revision <= self.evacuations.revision:
+            return
+        self.evacuations = Evacuations(revision=revision, domains=tuple(sorted(domains)))
+        if self.pool is not None:
+            self.pool.set_evacuated(now, self.own.domain in domains)
+
     def _send_session(self, session_id: str, message: ToClient) -> None:
         self._actions.append(SendSession(session=session_id, message=message))
 
@@ -152,6 +165,7 @@
             "ready": self.is_ready(),
             "draining": self.draining,
             "config_version": self.config_version,
+            "evacuated_domains": self.evacuations.domains,
             "hosts": sorted(self._host_by_name),
             "links": {
                 name: {"alive": link.is_alive(), "last_heard": round(link.last_heard, 3)}
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -9,6 +9,7 @@
 from ._messages import (
     Cancel,
     ConfigDocument,
+    Evacuations,
     Hello,
     JobReturned,
     KnownHosts,
@@ -41,6 +42,8 @@
                 self._ping(now, session_id, session, message)
             case ConfigDocument():
                 self._config_received(message)
+            case Evacuations():
+                self.set_evacuations(now, revision=message.revision, domains=message.domains)
             case Submit() | Cancel() | Lend():
                 self._request(now, session_id, message)
 
@@ -103,11 +106,14 @@
         pong = Pong(
             number=ping.number,
             config_version=self.config_version,
+            evacuation_revision=self.evacuations.revision,
             leader=leader,
             epoch=self.leadership.epoch if leader is not None else 0,
             draining=self.draining,
             room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
         )
         self._send_session(session_id, pong)
+        if ping.evacuation_revision < self.evacuations.revision:
+            self._send_session(session_id, self.evacuations)
         if ping.config_version < self.config_version:
             self._send_session(session_id, self._config_message())
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -157,7 +157,15 @@
         lost, self.lost = self.lost, []
         return lost
 
-    def advance(self, now: float, *, config_version: int, leads_epoch: int, ready: bool) -> None:
+    def advance(
+        self,
+        now: float,
+        *,
+        config_version: int,
+        evacuation_revision: int,
+        leads_epoch: int,
+        ready: bool,
+    ) -> None:
         """Send the pings that are due, detect silent hosts, and reopen lost links."""
         for link in self.link_by_name.values():
             if not link.is_open:
@@ -173,21 +181,37 @@
                 self._mark_lost(now, link, refused=False)
                 link.opened_at = now
             elif link.connected and now >= link.next_ping:
-                self._ping(now, link, config_version, leads_epoch, ready)
-
-    def _ping(
-        self, now: float, link: Link, config_version: int, leads_epoch: int, ready: bool
-    ) -> None:
-        link.number += 1
+                self._ping(
+                    now,
+                    link,
+                    Ping(
+                        number=link.number + 1,
+                        config_version=config_version,
+                        leads_epoch=leads_epoch,
+                        ready=ready,
+                        evacuation_revision=evacuation_revision,
+                    ),
+                )
+
+    def _ping(self, now: float, link: Link, ping: Ping) -> None:
+        link.number = ping.number
         link.next_ping = now + (REMOTE_PING_INTERVAL_S if link.is_remote else PING_INTERVAL_S)
-        ping = Ping(
-            number=link.number, config_version=config_version, leads_epoch=leads_epoch, ready=ready
-        )
         self.actions.append(SendLink(name=link.host.name, message=ping))
 
-    def announce_leadership(self, now: float, *, config_version: int, epoch: int) -> None:
+    def announce_leadership(
+        self, now: float, *, config_version: int, evacuation_revision: int, epoch: int
+    ) -> None:
         """Ping all hosts of the own domain at once, so that those that still search for a leader
         follow this host instead of claiming leadership as well."""
         for link in self.link_by_name.values():
             if link.connected and not link.is_remote:
-                self._ping(now, link, config_version, epoch, ready=True)
+                self._ping(
+                    now,
+                    link,
+                    Ping(
+                        number=link.number + 1,
+                        config_version=config_version,
+                        leads_epoch=epoch,
+                        evacuation_revision=evacuation_revision,
+                    ),
+                )
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -42,12 +42,14 @@
     :param config_version: version of the configuration in force at the sender.
     :param leads_epoch: epoch in which the sender leads its domain's pool, or 0.
     :param ready: whether the sender can serve new callers.
+    :param evacuation_revision: revision of the evacuations that the sender knows.
     """
 
     number: int
     config_version: int = 0
     leads_epoch: int = 0
     ready: bool = True
+    evacuation_revision: int = 0
 
 
 class Pong(_Message, frozen=True):
@@ -58,6 +60,7 @@
     :param draining: whether the answering host is about to end.
     :param room_by_service: free thousandths of a core of single workers of the answering pool, by
         service and speed class of the worker.
+    :param evacuation_revision: revision of the evacuations that the answering host knows.
     """
 
     number: int
@@ -66,6 +69,7 @@
     epoch: int = 0
     draining: bool = False
     room_by_service: dict[str, dict[int, tuple[int, ...]]] = {}
+    evacuation_revision: int = 0
 
 
 class KnownHosts(_Message, frozen=True):
@@ -81,6 +85,16 @@
     document: bytes
 
 
+class Evacuations(_Message, frozen=True):
+    """Failure domains in which nothing may start, newer than what the receiver knows.
+
+    :param revision: revision of the store at which the domains changed.
+    """
+
+    revision: int
+    domains: tuple[str, ...]
+
+
 class Progress(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Progress of a job at the resignation of its leader; tasks are pairs of step and index.
 
@@ -177,8 +191,16 @@
     epoch: int
 
 
-ToServer = Hello | Ping | Submit | Cancel | Lend | ConfigDocument
+ToServer = Hello | Ping | Submit | Cancel | Lend | ConfigDocument | Evacuations
 ToClient = (
-    Pong | KnownHosts | JobEnded | JobReturned | LentEnded | ConfigDocument | Resigned | TakeOver
+    Pong
+    | KnownHosts
+    | JobEnded
+    | JobReturned
+    | LentEnded
+    | ConfigDocument
+    | Evacuations
+    | Resigned
+    | TakeOver
 )
 Message = ToServer | ToClient
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -7,6 +7,7 @@
 from ._links import SendLink
 from ._messages import (
     ConfigDocument,
+    Evacuations,
     Hello,
     JobEnded,
     JobReturned,
@@ -53,6 +54,8 @@
                 self._lent_ended(now, name, message)
             case ConfigDocument():
                 self._config_received(message)
+            case Evacuations():
+                self.set_evacuations(now, revision=message.revision, domains=message.domains)
             case Resigned():
                 self._resigned(now, name, message)
             case TakeOver():
@@ -65,6 +68,8 @@
     def _pong(self, now: float, name: str, pong: Pong) -> None:
         self.links.pong_received(now, name, pong)
         self.leadership.pong_received(now, name, pong)
+        if pong.evacuation_revision < self.evacuations.revision:
+            self._actions.append(SendLink(name=name, message=self.evacuations))
         if pong.config_version < self.config_version:
             self._actions.append(SendLink(name=name, message=self._config_message()))
         if self.pool is None:
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -95,6 +95,8 @@
 
     def _available_workers(self, now: float, service: str, *, least_cpu: int = 0) -> list[Worker]:
         """Workers that may get a task now and have ``least_cpu`` free."""
+        if self.evacuated:
+            return []
         workers = self.workers_by_service.get(service, [])
         self._limit_ejections(now, workers)
         return [w for w in workers if w.free_cpu(least_cpu) >= least_cpu and w.is_usable(now)]
@@ -138,6 +140,8 @@
     def _start_late(self, now: float, pool_job: PoolJob) -> bool:
         """Start a job that will miss its objective, if there is capacity for all of its waiting
         tasks; a late answer is worth more to the caller than none."""
+        if self.evacuated:
+            return False
         tasks = [task for task in pool_job.task_by_id.values() if task.phase is Phase.WAITING]
         limit_s = pool_job.caller_deadline - now
         slots = 0
@@ -255,7 +259,7 @@
         """Room on single workers, by service and speed class; none for a service whose own tasks
         wait."""
         report: dict[str, RoomByClass] = {}
-        if not self.lending_enabled:
+        if not self.lending_enabled or self.evacuated:
             return report
         for service, workers in self.workers_by_service.items():
             if self._waiting_by_service.get(service):
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -31,6 +31,7 @@
     :param far_factor: factor on the run time of a task placed outside its rack.
 
     :ivar lending_enabled: whether tasks are lent to other pools, and accepted from them.
+    :ivar evacuated: whether operators evacuate the domain, so that nothing may start there.
     :ivar fenced_out: whether a worker has refused this leader's epoch as outdated.
     """
 
@@ -44,6 +45,7 @@
         self.actions: list[Action] = []
         self.fenced_out = False
         self.lending_enabled = True
+        self.evacuated = False
         self.worker_by_id: dict[str, Worker] = {}
         self.workers_by_service: dict[str, list[Worker]] = {}
         self.job_by_id: dict[str, PoolJob] = {}
@@ -103,6 +105,7 @@
         """State of workers and jobs, for operators."""
         return {
             "epoch": self.epoch,
+            "evacuated": self.evacuated,
             "counts": self.counts,
             "workers": {
                 worker.record.id: {
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -39,9 +39,13 @@
             stop_s=self._stop_s,
             far_factor=self._far_factor,
         )
+        self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
         self.pool.set_workers(now, self._record_by_id)
         self.links.announce_leadership(
-            now, config_version=self.config_version, epoch=self.leadership.epoch
+            now,
+            config_version=self.config_version,
+            evacuation_revision=self.evacuations.revision,
+            epoch=self.leadership.epoch,
         )
 
     def _stop_leading(self, now: float) -> None:
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -69,6 +69,14 @@
         self.poller.advance(now)
         self._place_all(now)
 
+    def set_evacuated(self, now: float, evacuated: bool) -> None:
+        """Start nothing on the workers of this domain while operators evacuate it; runs in progress
+        end, and waiting tasks are lent to other domains."""
+        if evacuated != self.evacuated:
+            self.note("evacuation", domain=self.domain, evacuated=evacuated)
+            self.evacuated = evacuated
+            self._place_all(now)
+
     def _remove_departed_workers(self, now: float) -> None:
         """Remove workers that have left the registry once none of their runs can be alive."""
         for worker in list(self.worker_by_id.values()):
@@ -184,6 +192,8 @@
         reason = ""
         if not self.lending_enabled:
             reason = "the leader resigns"
+        elif self.evacuated:
+            reason = "the domain is being evacuated"
         elif self._waiting_by_service.get(job.service):
             reason = "tasks of this domain wait"
         workers = self._available_workers(now, job.service)
--- a/src/eelgrassyard/platform/_documents.py
+++ b/src/eelgrassyard/platform/_documents.py
@@ -9,7 +9,13 @@
 from ..dispatch._routes import Kind, RouteTable
 from ..dispatch._workers import WorkerRecord
 
-CONFIG_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+"""Prefix of the keys that operators write."""
+
+CONFIG_KEY = OPERATOR_PREFIX + "config"
+EVACUATION_PREFIX = OPERATOR_PREFIX + "evacuate/"
+"""Prefix of the keys that name the failure domains in which nothing may start."""
+
 WORKER_PREFIX = "servers/"
 HOST_PREFIX = "hosts/"
 """Prefix of the entries that the hosts write for each other."""
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -18,7 +18,9 @@
 from ._caller_api import CallerApi
 from ._documents import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     HOST_PREFIX,
+    OPERATOR_PREFIX,
     WORKER_PREFIX,
     decode_config,
     decode_host,
@@ -164,8 +166,8 @@
         return [
             Mirror(
                 store=store,
-                prefix=CONFIG_KEY,
-                on_change=self._config_changed,
+                prefix=OPERATOR_PREFIX,
+                on_change=self._operator_keys_changed,
                 on_availability=on_availability,
             ),
             Mirror(
@@ -254,7 +256,17 @@
             event = "store_answers" if up else "store_lost"
             self._journal.write(event, {"reason": reason, "calls": self._store.calls})
 
-    def _config_changed(self, items: dict[str, Item]) -> None:
+    def _operator_keys_changed(self, items: dict[str, Item], revision: int) -> None:
+        domains = {
+            key.removeprefix(EVACUATION_PREFIX)
+            for key in items
+            if key.startswith(EVACUATION_PREFIX)
+        }
+        known = self._core.evacuations
+        if not known.revision or domains != set(known.domains):
+            self._journal.write("evacuated_domains", {"domains": sorted(domains)})
+            self._core.set_evacuations(self._clock.now(), revision=revision, domains=domains)
+            self._driver.schedule_actions()
         item = items.get(CONFIG_KEY)
         if item is not None:
             self._apply_config(item.content(), "store")
@@ -284,7 +296,7 @@
         self._core.set_config(routes.version, document)
         self._set_workers()
 
-    def _workers_changed(self, items: dict[str, Item]) -> None:
+    def _workers_changed(self, items: dict[str, Item], _: int) -> None:
         now = self._clock.now()
         for key, item in items.items():
             worker_id = key.removeprefix(WORKER_PREFIX)
@@ -317,7 +329,7 @@
         self._core.set_workers(self._clock.now(), records)
         self._driver.schedule_actions()
 
-    def _hosts_changed(self, items: dict[str, Item]) -> None:
+    def _hosts_changed(self, items: dict[str, Item], _: int) -> None:
         hosts = []
         for key, item in items.items():
             result = decode_host(item.content())
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -202,7 +202,7 @@
 class Mirror:
     """Keeps a copy of the items under one prefix up to date, by a read and then watches.
 
-    :param on_change: called with all items by key after each change.
+    :param on_change: called after each change with all items by key and the store's revision.
     :param on_availability: called after each call with whether the store answered, and the error.
     :param wait_s: long-poll time of one watch.
     :param pause_s: returns the pause between two watches, for items that change continuously; it
@@ -214,7 +214,7 @@
         *,
         store: StoreClient,
         prefix: str,
-        on_change: Callable[[dict[str, Item]], None],
+        on_change: Callable[[dict[str, Item], int], None],
         on_availability: Callable[[bool, str], None],
         wait_s: float = WATCH_WAIT_S,
         pause_s: Callable[[], float] | None = None,
@@ -249,7 +249,7 @@
     async def _read_or_watch(self) -> None:
         if self._revision is None:
             self._items, self._revision = await self._store.read_prefix(self._prefix)
-            self._on_change(self._items)
+            self._on_change(self._items, self._revision)
             return
         events, revision = await self._store.watch(self._prefix, self._revision, self._wait_s)
         for item in events:
@@ -259,7 +259,7 @@
                 self._items[item.key] = item
         self._revision = max(self._revision, revision)
         if events:
-            self._on_change(self._items)
+            self._on_change(self._items, self._revision)
         if self._pause_s is not None:
             paused_s = 0.0
             while paused_s < self._pause_s():
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -167,6 +167,49 @@
     assert "fenced_out" not in events
 
 
+@pytest.mark.parametrize("fault", ["none", "killed", "powered off", "frozen", "drained", "cut"])
+def test_nothing_starts_in_an_evacuated_domain_whoever_leads_it(fault: str) -> None:
+    """Guards against starts by the next leader of an evacuated domain, which knows of the
+    evacuation only from its peers while the store is out."""
+    world = World(seed=9, domains=2, hosts=3)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    for name in ("d0-h0", "d0-h1", "d0-h2", "d1-h0"):
+        core = world.host_by_name[name].core
+        assert core is not None
+        if name == leader:
+            core.set_evacuations(world.now, revision=5, domains=frozenset({"d0"}))
+    world.run(0.5)
+    match fault:
+        case "killed" | "powered off":
+            world.kill(leader, silent=fault == "powered off")
+            world.at(0.4, lambda: world.boot(leader))
+        case "frozen":
+            world.freeze(leader, 2.0)
+        case "drained":
+            world.drain(leader)
+        case "cut":
+            others = {frozenset((leader, name)) for name in world.host_by_name if name != leader}
+            world.cut_paths |= others
+            world.at(2.0, lambda: world.cut_paths.difference_update(others))
+    before = {w: len(worker.starts) for w, worker in world.worker_by_id.items()}
+    for step in range(40):
+        world.submit(f"d0-h{step % 3}", tasks=2, work_s=0.2)
+        world.run(0.1)
+    started = {w: len(worker.starts) - before[w] for w, worker in world.worker_by_id.items()}
+    assert all(count == 0 for worker, count in started.items() if worker.startswith("d0"))
+    assert any(count for worker, count in started.items() if worker.startswith("d1"))
+    for name in world.leaders("d0"):
+        core = world.host_by_name[name].core
+        assert core is not None
+        core.set_evacuations(world.now, revision=9, domains=frozenset())
+    world.submit("d0-h1", tasks=2, work_s=0.2)
+    world.run(1.0)
+    again = {w: len(worker.starts) - before[w] for w, worker in world.worker_by_id.items()}
+    assert any(count for worker, count in again.items() if worker.startswith("d0"))
+    assert world.violations == []
+
+
 def test_a_planned_stop_hands_the_pool_over_without_loss() -> None:
     """Guards against a planned handover that runs tasks again or delays their jobs."""
     world = World(seed=5, domains=1, hosts=3)
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -208,6 +208,42 @@
     assert {order.worker_id for order in driver.take(StartRun)} == {"w1"}
 
 
+def test_an_evacuated_domain_starts_nothing_and_lends_its_waiting_tasks() -> None:
+    """Guards against starts in a domain that is being evacuated (bagmati-ruling-now-grown
+    trouble-1: 1,746 starts after the bound), whether own, late or for another domain."""
+    driver = PoolDriver(record("w0"))
+    driver.submit(1.0, job())
+    (running,) = driver.take(StartRun)
+    driver.pool.set_evacuated(1.1, True)
+    other = msgspec.structs.replace(job(), id="00000000000000aa")
+    driver.submit(1.1, other)
+    lent = msgspec.structs.replace(job(), id="00000000000000bb")
+    driver.pool.lend(1.1, "r", lent, 0, ((0, 1),), waited_s=0.0, caller_waits_s=1.5)
+    (reply,) = driver.take(Reply)
+    assert isinstance(reply.message, LentEnded)
+    assert reply.message.end is TaskEnd.NO_ROOM
+    assert driver.pool.room_by_service(1.1) == {}
+    driver.pool.peer_pool_updated(1.12, "d1", {"s": {0: (1000,)}})
+    assert [ask.domain for ask in driver.take(SendPeerLeader)] == ["d1"]
+    driver.pool.lent_ended(1.13, "d1", other.id, 0, 0, 1, TaskEnd.NO_ROOM)
+    driver.pool.advance(1.2)
+    driver.pool.advance(1.5)
+    assert driver.take(StartRun) == []
+    assert driver.pool.job_by_id.get(other.id) is None
+    driver.report(1.6, "w0", ended=(ended(running, 1),))
+    assert Outcome.COMPLETE in driver.outcomes()
+
+
+def test_a_domain_that_is_taken_back_starts_waiting_tasks() -> None:
+    """Guards against a domain that stays without work after its evacuation has ended."""
+    driver = PoolDriver(record("w0"))
+    driver.pool.set_evacuated(1.0, True)
+    driver.submit(1.0, job(estimate_s=0.5))
+    assert driver.take(StartRun) == []
+    driver.pool.set_evacuated(1.05, False)
+    assert len(driver.take(StartRun)) == 1
+
+
 def test_a_refused_run_number_leaves_no_table_entry() -> None:
     """Guards against a stale table entry of the refused run number, which made the new run count as
     lost (virtual site, seed 2)."""
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -168,6 +168,25 @@
     run_scenario(scenario)
 
 
+def test_an_evacuated_domain_gets_no_work_until_it_is_taken_back() -> None:
+    """Guards against starts on the workers of a domain that operators evacuate."""
+
+    async def scenario(site: Site) -> None:
+        job = {**JOB, "best_effort": True}
+        site.store.put("op/evacuate/thamel", b"{}")
+        site.store.put("op/evacuate/patan", b"{}")
+        await anyio.sleep(0.5)
+        answer = await site.request_as_caller("POST", "/lohu930/5c0e7a21d94b36f8", job)
+        assert answer.status == 503
+        assert site.worker.starts == []
+        site.store.delete("op/evacuate/patan")
+        await anyio.sleep(0.5)
+        answer = await site.request_as_caller("POST", "/lohu930/5c0e7a21d94b36f9", job)
+        assert (answer.status, json.loads(answer.body)) == (200, {"state": "completed"})
+
+    run_scenario(scenario)
+
+
 def test_jobs_that_must_be_stored_are_refused_and_never_run() -> None:
     """Guards against the acceptance of jobs that must be stored, which hosts cannot do."""
 
