--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -26,8 +26,8 @@
 
 
 LEND_RETRY_S = 0.25
-"""Pause before a task is offered again to a pool that has refused it. Pools report the number of
-places for tasks of typical size, so a refusal means that this one does not fit."""
+"""Pause before a task is offered again to a pool that has refused it. The pool may report room
+again that is of no use to this task, such as cores without the memory."""
 
 
 class WorkerPool(WorkerAnswers):
