Keep the ports of tests, demo and bench reserved until their process ends

The tests (and demo and bench) bound a port, closed the socket and let a server listen on the number later. In between the number is free, and the kernel gives numbers of that range to outgoing connections, of which this suite opens thousands. The same was seen once at port 42839, five suites at once.

Ruled out: two tests of one run with the same number (one process, one test after the other); a host that listens twice (the failing line is the first listen of its ready server).

Change: standins.reserve_ports keeps the port bound by a socket that does not listen. Then the kernel assigns it neither to a connection nor to a bind to port 0, and a server with SO_REUSEADDR (asyncio, hypercorn, the daemon) can listen on it. The soak keeps its own addresses, which lie below that range.

Conclusion: this race is closed for tests, demo and bench.

--- a/bench/daemon_site.py
+++ b/bench/daemon_site.py
@@ -8,7 +8,6 @@
 import pathlib
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -30,6 +29,7 @@
     UpstreamEntry,
     UpstreamRole,
 )
+from eelgrassyard.standins import reserve_ports
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
@@ -80,18 +80,6 @@
     key_by_caller: dict[str, str] = field(default_factory=dict)
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that were free when checked; another process may take them before they are bound."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 @contextlib.contextmanager
 def running_site(
     *,
@@ -106,7 +94,7 @@
 
     :param placeholders: upstreams in configuration and host list that have no process.
     """
-    ports = iter(free_ports(2 + runners + workers + 2 * hosts))
+    ports = iter(reserve_ports(2 + runners + workers + 2 * hosts))
     store_port, list_port = next(ports), next(ports)
     runner_ports = [next(ports) for _ in range(runners)]
     worker_ports = [next(ports) for _ in range(workers)]
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -6,13 +6,13 @@
 import pathlib
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass
 from typing import Any
 
 from eelgrassyard.config import demo_questionnaire, generate, new_key, render_document
+from eelgrassyard.standins import reserve_ports
 
 ADDRESS = "127.0.0.1"
 HOST_COUNT = 6
@@ -22,18 +22,6 @@
 STOP_TIMEOUT_S = 20.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports; all are bound until the last is chosen, so that none is returned twice."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((ADDRESS, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
-
-
 @dataclass(kw_only=True)
 class DemoHostProcess:
     """Process of one entry host, with its settings and log."""
@@ -56,7 +44,7 @@
         self.site = site
         self.folder = folder
         runners, workers = len(RUNNER_SPEEDS), len(WORKER_SPEEDS)
-        ports = free_ports(2 * HOST_COUNT + runners + workers + 2)
+        ports = reserve_ports(2 * HOST_COUNT + runners + workers + 2)
         self._host_ports = [(ports.pop(), ports.pop()) for _ in range(HOST_COUNT)]
         self._runner_ports = [ports.pop() for _ in range(runners)]
         self._worker_ports = [ports.pop() for _ in range(workers)]
--- a/tests/test_daemon_process.py
+++ b/tests/test_daemon_process.py
@@ -14,19 +14,15 @@
 import httpx
 
 from eelgrassyard.daemon._server import bind
+from eelgrassyard.standins import reserve_ports
 
 ROOT = pathlib.Path(__file__).parent.parent
 PROCESS_TIMEOUT_S = 30.0
 
 
-def free_port() -> int:
-    with bind("127.0.0.1", 0) as probe:
-        return probe.getsockname()[1]
-
-
 def test_process_starts_without_platform_and_ends_on_sigterm(tmp_path):
     """Guards against a daemon that does not start without the platform or ignores SIGTERM."""
-    port = free_port()
+    port = reserve_ports(1)[0]
     settings = {
         "name": "patan-1",
         "failure_domain": "patan",
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -11,13 +10,12 @@
 from hypothesis import strategies as st
 
 from eelgrassyard.net import CallError, Exchange, HttpClient, HttpServer, Response, ServerLimits
+from eelgrassyard.standins import reserve_ports
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens on and that stays reserved."""
+    return f"127.0.0.1:{reserve_ports(1)[0]}"
 
 
 def echo(exchange: Exchange) -> None:
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 from typing import cast
 
 import pytest
@@ -18,13 +17,12 @@
 from eelgrassyard.dispatch._messages import HostRecord, Message, Ping, Pong
 from eelgrassyard.net import SessionClient, SessionServer
 from eelgrassyard.net._driver import TICK_S, Driver, WorkerCalls
+from eelgrassyard.standins import reserve_ports
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens on and that stays reserved."""
+    return f"127.0.0.1:{reserve_ports(1)[0]}"
 
 
 class SessionPair:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -18,16 +18,15 @@
 from eelgrassyard.net import CallError, HttpClient, Response
 from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost, run_host
 from eelgrassyard.platform._settings import HostSettings
+from eelgrassyard.standins import reserve_ports
 from platform_standin import StandinWorker, config
 
 JOB = {"spec": "text", "phases": [{"count": 3, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60}]}
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return a loopback address that nothing listens on and that stays reserved."""
+    return f"127.0.0.1:{reserve_ports(1)[0]}"
 
 
 class Site:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import anyio
 import httpx
 import pytest
@@ -11,6 +13,7 @@
     KeyValueStandIn,
     RunnerStandIn,
     WorkerStandIn,
+    reserve_ports,
 )
 from eelgrassyard.standins._keyvalue import AnswerLostError
 
@@ -176,3 +179,21 @@
         assert worker.starts_by_task == {"id/0": 1}
 
     anyio.run(run)
+
+
+def test_a_reserved_port_is_assigned_to_no_other_socket():
+    """Guards against servers that find the port of their test taken ("address already in use"):
+    between the choice of a port and its server, another process connected from that port."""
+    [port] = reserve_ports(1)
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", port))
+
+
+def test_a_server_listens_on_a_reserved_port_again_and_again():
+    """Guards against a reservation that blocks the server it was made for, or its next start."""
+    [port] = reserve_ports(1)
+    for _ in range(2):
+        with socket.create_server(("127.0.0.1", port)):
+            socket.create_connection(("127.0.0.1", port)).close()
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", port))
