Read the worker entries whole and rarely on hosts that do not lead

Each follower read the changes of the worker entries every 4 s. 81 workers update theirs each 1.5 s, so that is about 230 changes of 400 bytes, 0.37 s of a link of 2 Mbit/s, and no pong came through in the 0.34 s after which a leader counts as lost.

Change: a mirror is told how to keep its copy: Watch (changes) or Reread (all items at an interval, varied so that hosts that started together do not read together). Followers reread every 10 s, 3 of 23 KB/s. A mirror that begins to watch after more than 1.5 s reads all items first, since by then all have changed: a new leader gets 32 KB instead of 100 KB and more.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -30,7 +30,7 @@
 )
 from ._metrics import HostMetrics
 from ._settings import HostSettings, read_settings
-from ._store import Item, Mirror, StoreClient, StoreError
+from ._store import Item, Mirror, Reread, StoreClient, StoreError, Watch
 from ._worker_calls import PlatformWorkerCalls
 
 HOST_LEASE_S = 8.0
@@ -43,13 +43,17 @@
 """Time after which a worker whose entry is missing is removed. Entries whose leases expired while
 the store was unavailable are written again within about 2 s of its return."""
 
-LEADER_WATCH_PAUSE_S = 0.8
-FOLLOWER_WATCH_PAUSE_S = 4.0
-"""Pauses between two watches of the worker entries. A leader must start no task on a worker later
-than 2 s after the worker announced that it is draining."""
+LEADER_REGISTRY_MODE = Watch(pause_s=0.8)
+"""A leader must start no task on a worker later than 2 s after the worker announced that it is
+draining."""
 
-HOSTS_WATCH_WAIT_S = 8.0
-"""Long-poll time of a watch of the host entries, which are used only for discovery."""
+FOLLOWER_REGISTRY_MODE = Reread(interval_s=10.0)
+"""A follower needs the worker entries only when it takes the lead, and reads them again then.
+Workers update their entries each 1.5 s; all of these changes would fill a slow link for longer than
+hosts wait for an answer to a ping."""
+
+HOSTS_MODE = Watch(wait_s=8.0)
+"""The host entries are used only for discovery."""
 
 SETTINGS_POLL_INTERVAL_S = 1.0
 """Interval at which the settings file is read, since it may change without a SIGHUP."""
@@ -140,8 +144,7 @@
             prefix=WORKER_PREFIX,
             on_change=self._workers_changed,
             on_availability=self._store_availability_changed,
-            # Workers update their entries continuously, so a watch returns at once.
-            pause_s=lambda: LEADER_WATCH_PAUSE_S if self._core.pool else FOLLOWER_WATCH_PAUSE_S,
+            mode=lambda: LEADER_REGISTRY_MODE if self._core.pool else FOLLOWER_REGISTRY_MODE,
         )
         self._store_available: bool | None = None
         self._record_by_id: dict[str, WorkerRecord] = {}
@@ -188,7 +191,7 @@
                 prefix=HOST_PREFIX,
                 on_change=self._hosts_changed,
                 on_availability=on_availability,
-                wait_s=HOSTS_WATCH_WAIT_S,
+                mode=lambda: HOSTS_MODE,
             ),
         ]
 
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 import binascii
+import math
+import random
 import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -24,8 +26,12 @@
 """Long-poll time of one watch. An open connection may stop delivering data for good, and a
 configuration must be in force 2 s after the store acknowledged it."""
 
-PAUSE_CHECK_INTERVAL_S = 0.1
-"""Interval at which the length of a pause between watches is read again."""
+MODE_CHECK_INTERVAL_S = 0.1
+"""Interval at which a pausing mirror checks whether its mode has changed."""
+
+STALE_AFTER_S = 1.5
+"""Age from which a paused watch reads all items instead of the changes: entries that are updated
+each 1.5 s have all changed by then, and each change is as large as an item."""
 
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.6
@@ -207,14 +213,37 @@
         raise StoreError(step=step, peer=peer, reason=f"invalid response: {error}") from error
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Watch:
+    """Read the changes as they come, or in batches.
+
+    :param wait_s: long-poll time of one watch.
+    :param pause_s: pause between two watches, for items that change continuously.
+    """
+
+    wait_s: float = WATCH_WAIT_S
+    pause_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reread:
+    """Read all items at an interval, which is varied by a quarter so that hosts that started
+    together do not read together. Of items that change continuously this takes fewer bytes than
+    all changes."""
+
+    interval_s: float
+
+
+MirrorMode = Watch | Reread
+
+
 class Mirror:
-    """Keeps a copy of the items under one prefix up to date, by a read and then watches.
+    """Keeps a copy of the items under one prefix up to date.
 
     :param on_change: called after each change with all items by key and the store's revision.
     :param on_availability: called after each call with whether the store answered, and the error.
-    :param wait_s: long-poll time of one watch.
-    :param pause_s: returns the pause between two watches, for items that change continuously; it
-        is called again every :data:`PAUSE_CHECK_INTERVAL_S`.
+    :param mode: returns how the copy is kept up to date; it is called again every
+        :data:`MODE_CHECK_INTERVAL_S`.
     """
 
     def __init__(
@@ -224,8 +253,7 @@
         prefix: str,
         on_change: Callable[[dict[str, Item], int], None],
         on_availability: Callable[[bool, str], None],
-        wait_s: float = WATCH_WAIT_S,
-        pause_s: Callable[[], float] | None = None,
+        mode: Callable[[], MirrorMode] = Watch,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -233,22 +261,24 @@
         self._on_availability = on_availability
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
-        self._wait_s = wait_s
-        self._pause_s = pause_s
+        self._read_at = -math.inf
+        self._mode = mode
         self._woken = anyio.Event()
 
     def wake(self) -> None:
-        """End the pause between two watches now."""
+        """End the pause between two reads or watches now."""
         self._woken.set()
 
     async def run(self) -> None:
-        """Read the items, then watch them, until cancelled; retry with exponential backoff."""
+        """Read the items, then keep them up to date until cancelled; retry with exponential
+        backoff."""
         pause_s = RETRY_MIN_S
         while True:
             try:
                 await self._read_or_watch()
                 self._on_availability(True, "")
                 pause_s = RETRY_MIN_S
+                await self._pause()
             except StoreError as error:
                 if error.status == 410:
                     # The store no longer has the history since the last revision, so all items are
@@ -260,11 +290,21 @@
                 pause_s = min(RETRY_MAX_S, pause_s * 2.0)
 
     async def _read_or_watch(self) -> None:
-        if self._revision is None:
+        mode = self._mode()
+        match mode:
+            case Watch(pause_s=pause_s):
+                age_s = anyio.current_time() - self._read_at
+                read_all = pause_s > 0.0 and age_s > STALE_AFTER_S
+            case Reread():
+                read_all = True
+        if self._revision is None or read_all:
             self._items, self._revision = await self._store.read_prefix(self._prefix)
+            self._read_at = anyio.current_time()
             self._on_change(self._items, self._revision)
             return
-        events, revision = await self._store.watch(self._prefix, self._revision, self._wait_s)
+        assert isinstance(mode, Watch)
+        events, revision = await self._store.watch(self._prefix, self._revision, mode.wait_s)
+        self._read_at = anyio.current_time()
         for item in events:
             if item.deleted:
                 self._items.pop(item.key, None)
@@ -273,10 +313,19 @@
         self._revision = max(self._revision, revision)
         if events:
             self._on_change(self._items, self._revision)
-        if self._pause_s is not None:
-            paused_s = 0.0
-            self._woken = anyio.Event()
-            while paused_s < self._pause_s() and not self._woken.is_set():
-                with anyio.move_on_after(PAUSE_CHECK_INTERVAL_S):
-                    await self._woken.wait()
-                paused_s += PAUSE_CHECK_INTERVAL_S
+
+    async def _pause(self) -> None:
+        paused_s = 0.0
+        variation = random.uniform(0.75, 1.25)
+        self._woken = anyio.Event()
+        while not self._woken.is_set():
+            match self._mode():
+                case Watch(pause_s=pause_s):
+                    left_s = pause_s - paused_s
+                case Reread(interval_s=interval_s):
+                    left_s = interval_s * variation - paused_s
+            if left_s <= 0.0:
+                return
+            with anyio.move_on_after(MODE_CHECK_INTERVAL_S):
+                await self._woken.wait()
+            paused_s += MODE_CHECK_INTERVAL_S
