Have entry hosts send the starts of their jobs beyond a share of the leader's link

Cause: each start holds the whole payload of its job, and one host of a domain sends all of them.

The leader still decides, polls and stops; run number, fence and deadline refuse an outdated start whoever sends it. A carrier does not send a start it knows must not be sent, and says so. A missing report leads to a stop, never to a judgement of the worker. Hosts of earlier releases are not asked. link_mbps of the settings file is read for the first time.

--- a/src/eelgrassyard/dispatch/_actions.py
+++ b/src/eelgrassyard/dispatch/_actions.py
@@ -20,6 +20,7 @@
     :param deadline_s: deadline of the lease on the worker's clock.
     :param fence: fencing epoch of the leader.
     :param timeout_s: time after which the order counts as unanswered.
+    :param carried_for: leader on whose behalf this host sends the order; empty for its own.
     """
 
     worker_id: str
@@ -29,6 +30,7 @@
     deadline_s: float
     fence: int
     timeout_s: float = MIN_TIMEOUT_S
+    carried_for: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +113,8 @@
     OTHER_LIFE = "other_life"
     """The worker process at this address is not the one that the order was meant for."""
     INVALID = "invalid"
+    NOT_SENT = "not_sent"
+    """The host that was asked to carry the order has not sent it to the worker."""
 
 
 class CallFailure(enum.StrEnum):
--- a/src/eelgrassyard/dispatch/_entry.py
+++ b/src/eelgrassyard/dispatch/_entry.py
@@ -136,6 +136,13 @@
             if epoch and now < entry_job.caller_deadline:
                 self._send(now, entry_job)
 
+    def job_at_leader(self, job_id: str, epoch: int) -> Job | None:
+        """The job of a caller, if the leader of this epoch has it."""
+        entry_job = self.job_by_id.get(job_id)
+        if entry_job is None or entry_job.sent_epoch != epoch:
+            return None
+        return entry_job.job
+
     def job_ended(self, now: float, message: JobEnded) -> None:
         """Handle the outcome of a job, as reported by the leader."""
         entry_job = self.job_by_id.pop(message.job_id, None)
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -30,6 +30,7 @@
     :param now: start of the process, in seconds.
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
+    :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
     """
 
     def set_workers(self, now: float, records: Mapping[str, WorkerRecord]) -> None:
@@ -73,6 +74,10 @@
 
     def start_answered(self, now: float, order: StartRun, result: OrderResult) -> None:
         """Handle a worker's answer to a start, or its absence."""
+        if order.carried_for:
+            self._check_suspension(now)
+            self._report_carried(order, result)
+            return
         pool = self._issuing_pool(now, order)
         if pool is not None:
             pool.start_answered(now, order.worker_id, order.task, order.run, result)
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
@@ -63,12 +64,21 @@
     :param now: start of the process, in seconds.
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
+    :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
 
     :ivar pool: worker pool of the domain while this host leads it, otherwise None.
     :ivar new_config: newer configuration received from another host; the driver takes it.
     """
 
-    def __init__(self, *, own: HostRecord, now: float, stop_s: float, far_factor: float) -> None:
+    def __init__(
+        self,
+        *,
+        own: HostRecord,
+        now: float,
+        stop_s: float,
+        far_factor: float,
+        link_bytes_per_s: float = math.inf,
+    ) -> None:
         self.own = own
         self.entry = Entry()
         self.links = Links()
@@ -83,6 +93,7 @@
         self._resign_deadline = 0.0
         self._stop_s = stop_s
         self._far_factor = far_factor
+        self._link_bytes_per_s = link_bytes_per_s
         self._record_by_id: Mapping[str, WorkerRecord] = {}
         self._registry_read_at = now
         self._host_by_name: dict[str, HostRecord] = {own.name: own}
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from ._actions import Answered, CallFailure, OrderResult, Refusal
 from ._delivery import forward_to_pool
 from ._host_state import Session
-from ._jobs import TaskEnd
+from ._jobs import TaskEnd, TaskId
 from ._leadership import Role
 from ._messages import (
     Cancel,
@@ -18,6 +19,7 @@
     Message,
     Ping,
     Pong,
+    StartCarried,
     Submit,
 )
 from ._transitions import LeadershipTransitions
@@ -46,6 +48,8 @@
                 self.set_evacuations(now, revision=message.revision, domains=message.domains)
             case Submit() | Cancel() | Lend():
                 self._request(now, session_id, message)
+            case StartCarried():
+                self._start_carried(now, message)
 
     def _request(self, now: float, session_id: str, message: Submit | Cancel | Lend) -> None:
         pool = self.pool
@@ -85,6 +89,24 @@
             case Cancel():
                 pass
 
+    def _start_carried(self, now: float, message: StartCarried) -> None:
+        """Handle the report of a host on a start that it was asked to carry."""
+        if self.pool is None or self.pool.epoch != message.fence:
+            return
+        result: OrderResult
+        try:
+            result = (
+                CallFailure(message.failure)
+                if message.failure
+                else Answered(refusal=Refusal(message.refusal) if message.refusal else None)
+            )
+        except ValueError as error:
+            # A later release may know more reasons; the start may have been carried out.
+            self._note("carried_start_not_understood", reason=str(error))
+            result = CallFailure.BROKEN
+        task = TaskId(message.job_id, message.step, message.index)
+        self.pool.start_answered(now, message.worker_id, task, message.run, result)
+
     def session_closed(self, now: float, session_id: str) -> None:
         """Handle a broken session."""
         if self._session_by_id.pop(session_id, None) is not None and self.pool is not None:
@@ -93,6 +115,13 @@
     def _ping(self, now: float, session_id: str, session: Session, ping: Ping) -> None:
         session.leads_epoch = ping.leads_epoch
         session.ready = ping.ready
+        if (
+            ping.carries_starts
+            and self.pool is not None
+            and session.host is not None
+            and session.host.domain == self.own.domain
+        ):
+            self.pool.carriers.add(session_id)
         if (
             session.host is not None
             and session.host.domain == self.own.domain
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -190,6 +190,7 @@
                         leads_epoch=leads_epoch,
                         ready=ready,
                         evacuation_revision=evacuation_revision,
+                        carries_starts=True,
                     ),
                 )
 
@@ -213,5 +214,6 @@
                         config_version=config_version,
                         leads_epoch=epoch,
                         evacuation_revision=evacuation_revision,
+                        carries_starts=True,
                     ),
                 )
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -43,6 +43,8 @@
     :param leads_epoch: epoch in which the sender leads its domain's pool, or 0.
     :param ready: whether the sender can serve new callers.
     :param evacuation_revision: revision of the evacuations that the sender knows.
+    :param carries_starts: whether the sender understands :class:`CarryStart`; earlier releases
+        do not send this field.
     """
 
     number: int
@@ -50,6 +52,7 @@
     leads_epoch: int = 0
     ready: bool = True
     evacuation_revision: int = 0
+    carries_starts: bool = False
 
 
 class Pong(_Message, frozen=True):
@@ -182,6 +185,42 @@
     end: TaskEnd
 
 
+class CarryStart(_Message, frozen=True):
+    """Request of the leader to the host that submitted a job: send the start of one of its tasks.
+
+    :param deadline_s: deadline of the lease on the worker's clock.
+    :param fence: epoch of the leader.
+    :param timeout_s: time after which the start counts as unanswered.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    worker_id: str
+    deadline_s: float
+    fence: int
+    timeout_s: float
+
+
+class StartCarried(_Message, frozen=True):
+    """Result of a carried start.
+
+    :param fence: epoch of the leader that requested it.
+    :param refusal: reason for which the worker refused it, or empty.
+    :param failure: reason for which the worker's answer is missing, or empty.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    worker_id: str
+    fence: int
+    refusal: str = ""
+    failure: str = ""
+
+
 class Resigned(_Message, frozen=True):
     """The leader has resigned; without a successor its followers search for a new leader."""
 
@@ -195,13 +234,14 @@
     epoch: int
 
 
-ToServer = Hello | Ping | Submit | Cancel | Lend | ConfigDocument | Evacuations
+ToServer = Hello | Ping | Submit | Cancel | Lend | StartCarried | ConfigDocument | Evacuations
 ToClient = (
     Pong
     | KnownHosts
     | JobEnded
     | JobReturned
     | LentEnded
+    | CarryStart
     | ConfigDocument
     | Evacuations
     | Resigned
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
+
+from ._actions import Answered, CallFailure, OrderResult, Refusal, StartRun
 from ._inbound import InboundSessions
+from ._jobs import TaskId
 from ._leadership import Role
 from ._links import SendLink
 from ._messages import (
+    CarryStart,
     ConfigDocument,
     Evacuations,
     Hello,
@@ -16,6 +21,7 @@
     Message,
     Pong,
     Resigned,
+    StartCarried,
     TakeOver,
 )
 
@@ -52,6 +58,8 @@
                 self.entry.job_returned(now, message)
             case LentEnded():
                 self._lent_ended(now, name, message)
+            case CarryStart():
+                self._carry_start(name, message)
             case ConfigDocument():
                 self._config_received(message)
             case Evacuations():
@@ -95,6 +103,44 @@
                 message.end,
             )
 
+    def _carry_start(self, name: str, message: CarryStart) -> None:
+        """Send a start for the leader of this domain, unless this host knows that it must not be
+        sent: the job has left the leader, or the domain is being evacuated."""
+        order = StartRun(
+            worker_id=message.worker_id,
+            task=TaskId(message.job_id, message.step, message.index),
+            run=message.run,
+            payload="",
+            deadline_s=message.deadline_s,
+            fence=message.fence,
+            timeout_s=message.timeout_s,
+            carried_for=name,
+        )
+        job = self.entry.job_at_leader(message.job_id, message.fence)
+        if (
+            job is None
+            or message.worker_id not in self._record_by_id
+            or self.own.domain in self.evacuations.domains
+        ):
+            self._note("start_not_carried", task=str(order.task), worker=message.worker_id)
+            self._report_carried(order, Answered(refusal=Refusal.NOT_SENT))
+            return
+        self._actions.append(dataclasses.replace(order, payload=job.payload))
+
+    def _report_carried(self, order: StartRun, result: OrderResult) -> None:
+        refusal = result.refusal if isinstance(result, Answered) else None
+        report = StartCarried(
+            job_id=order.task.job,
+            step=order.task.step,
+            index=order.task.index,
+            run=order.run,
+            worker_id=order.worker_id,
+            fence=order.fence,
+            refusal=refusal.value if refusal is not None else "",
+            failure=result.value if isinstance(result, CallFailure) else "",
+        )
+        self._actions.append(SendLink(name=order.carried_for, message=report))
+
     def _resigned(self, now: float, name: str, message: Resigned) -> None:
         leader = self.leadership.leader
         if self.leadership.role is Role.FOLLOWING and leader is not None and leader.name == name:
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -6,11 +6,12 @@
 from collections.abc import Iterable
 
 from ._actions import (
+    Reply,
     SendPeerLeader,
     StartRun,
 )
 from ._jobs import Job
-from ._messages import Lend
+from ._messages import CarryStart, Lend
 from ._peer_pools import RoomByClass, summarize_room
 from ._pool_state import PoolState, round_s
 from ._tasks import Phase, PoolJob, Task
@@ -184,28 +185,57 @@
         self._typical_cpu_by_service[pool_job.job.service] = max(
             1.0, typical_cpu + 0.02 * (task.step.cpu - typical_cpu)
         )
-        self.actions.append(
-            StartRun(
-                worker_id=worker.record.id,
-                task=task.id,
-                run=task.run,
-                payload=pool_job.job.payload,
-                deadline_s=worker.clock.grant_lease(now),
-                fence=self.epoch,
-                timeout_s=self.timing.timeout_s(),
-            )
+        order = StartRun(
+            worker_id=worker.record.id,
+            task=task.id,
+            run=task.run,
+            payload=pool_job.job.payload,
+            deadline_s=worker.clock.grant_lease(now),
+            fence=self.epoch,
+            timeout_s=self.timing.timeout_s(),
         )
+        carried = self.carriers.should_carry(now, pool_job.requester, order.payload)
+        if carried:
+            self._have_carried(now, pool_job.requester, order)
+        else:
+            self.actions.append(order)
         self.note(
             "run_ordered",
             routine=True,
             task=str(task.id),
             run=task.run,
             worker=worker.record.id,
+            carried=carried,
             slowness=round_s(worker.slowness),
             left_s=round_s(pool_job.due_at - now),
         )
         self.poller.poll_now(now, worker)
 
+    def _have_carried(self, now: float, requester: str, order: StartRun) -> None:
+        """Have the host that submitted a job send the start of one of its tasks."""
+        self._count("starts_carried")
+        self.carriers.carried(
+            now,
+            requester,
+            (order.worker_id, order.task, order.run),
+            timeout_s=order.timeout_s,
+        )
+        self.actions.append(
+            Reply(
+                requester=requester,
+                message=CarryStart(
+                    job_id=order.task.job,
+                    step=order.task.step,
+                    index=order.task.index,
+                    run=order.run,
+                    worker_id=order.worker_id,
+                    deadline_s=order.deadline_s,
+                    fence=order.fence,
+                    timeout_s=order.timeout_s,
+                ),
+            )
+        )
+
     def _may_lend(self, service: str) -> bool:
         """Tell whether lending is enabled and another pool reports free capacity for a service."""
         return self.lending_enabled and self.peers.has_room(service)
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 
 from ._actions import (
@@ -9,6 +10,7 @@
     Note,
 )
 from ._jobs import TaskEnd, TaskId
+from ._order_carriers import OrderCarriers
 from ._order_timing import OrderTiming
 from ._peer_pools import PeerPools
 from ._polling import WorkerPoller
@@ -30,6 +32,7 @@
     :param now: time at which the host began to lead.
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
+    :param link_bytes_per_s: capacity of this host's link.
 
     :ivar lending_enabled: whether tasks are lent to other pools, and accepted from them.
     :ivar evacuated: whether operators evacuate the domain, so that nothing may start there.
@@ -40,7 +43,14 @@
     poller: WorkerPoller
 
     def __init__(
-        self, *, domain: str, epoch: int, now: float, stop_s: float, far_factor: float
+        self,
+        *,
+        domain: str,
+        epoch: int,
+        now: float,
+        stop_s: float,
+        far_factor: float,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         self.domain = domain
         self.epoch = epoch
@@ -56,6 +66,7 @@
         self.peers = PeerPools()
         self.counts: dict[str, int] = {}
         self.timing = OrderTiming()
+        self.carriers = OrderCarriers(link_bytes_per_s=link_bytes_per_s)
         self._far_factor = far_factor
         self._record_by_id: Mapping[str, WorkerRecord] = {}
         self._waiting_by_service: dict[str, WaitingTasks] = {}
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -46,6 +46,7 @@
             now=now,
             stop_s=self._stop_s,
             far_factor=self._far_factor,
+            link_bytes_per_s=self._link_bytes_per_s,
         )
         self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
         self.pool.set_workers(now, self._record_by_id)
--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -28,6 +28,7 @@
         self, now: float, worker_id: str, task_id: TaskId, run: int, result: OrderResult
     ) -> None:
         """Handle a worker's answer to a start, or its absence."""
+        carrier = self.carriers.take_carrier((worker_id, task_id, run))
         task = self._task_by_run.get((worker_id, task_id, run))
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
@@ -43,6 +44,10 @@
                 task.phase = Phase.RUNNING
                 task.started_at = now
                 self.poller.poll_now(now, worker)
+            case Answered(refusal=Refusal.NOT_SENT):
+                if carrier is not None:
+                    self.carriers.pause(now, carrier)
+                self._start_refused(now, worker, task, Refusal.NOT_SENT)
             case Answered(refusal=refusal):
                 self._start_refused(now, worker, task, refusal)
             case failure:
@@ -50,7 +55,11 @@
                 # reaches it first.
                 self.stop_run(now, task, f"start unanswered: {failure}")
                 task.avoid.add(worker_id)
-                self.poller.start_unanswered(now, worker)
+                if carrier is None:
+                    self.poller.start_unanswered(now, worker)
+                else:
+                    # The fault may lie with the carrier; the leader's own polls judge the worker.
+                    self.carriers.pause(now, carrier)
                 self.requeue(now, task)
         self._place(now, task.pool_job.job.service)
 
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
+from ._actions import CallFailure
 from ._jobs import Job, Outcome, TaskEnd, TaskId
 from ._messages import JobEnded, Progress
 from ._peer_pools import RoomByClass
@@ -39,9 +41,23 @@
     """
 
     def __init__(
-        self, *, domain: str, epoch: int, now: float, stop_s: float, far_factor: float
+        self,
+        *,
+        domain: str,
+        epoch: int,
+        now: float,
+        stop_s: float,
+        far_factor: float,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
-        super().__init__(domain=domain, epoch=epoch, now=now, stop_s=stop_s, far_factor=far_factor)
+        super().__init__(
+            domain=domain,
+            epoch=epoch,
+            now=now,
+            stop_s=stop_s,
+            far_factor=far_factor,
+            link_bytes_per_s=link_bytes_per_s,
+        )
         self.poller = WorkerPoller(pool=self)
 
     def set_workers(self, now: float, records: Mapping[str, WorkerRecord]) -> None:
@@ -224,6 +240,7 @@
     def requester_lost(self, now: float, requester: str, *, silent: bool) -> None:
         """Stop the jobs of a lost requester: at once if its session went silent, otherwise those
         that no new session has claimed after ``REQUESTER_RECONNECT_S``."""
+        self.carriers.remove(requester)
         if silent:
             self._drop_jobs_of(now, requester)
         elif any(pool_job.requester == requester for pool_job in self._pool_jobs()):
@@ -305,6 +322,8 @@
         for pool_job in list(self.lent_job_by_id.values()):
             if now >= pool_job.caller_deadline:
                 self._remove_job(now, pool_job)
+        for worker_id, task_id, run in self.carriers.overdue(now):
+            self.start_answered(now, worker_id, task_id, run, CallFailure.SILENT)
         self.stops.advance(now)
         stopping, self._stopping_lent_tasks = self._stopping_lent_tasks, []
         for task in stopping:
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -102,7 +102,11 @@
             weight=settings.weight,
         )
         self._core = DispatchHost(
-            own=self._own, now=now, stop_s=settings.stop_s, far_factor=settings.far_factor
+            own=self._own,
+            now=now,
+            stop_s=settings.stop_s,
+            far_factor=settings.far_factor,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self._worker_calls = PlatformWorkerCalls(
             on_invalid_answer=lambda worker, reason: self._journal.write(
--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -9,6 +10,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+BYTES_PER_MBIT = 125_000
+
 
 class _Listen(msgspec.Struct):
     front: str = ""
@@ -23,6 +26,7 @@
     cores: float = 1.0
     memory_mb: int = 256
     max_fds: int = 1024
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
@@ -78,6 +82,7 @@
     :param far_factor: factor on the run time of a task placed outside its rack.
     :param grace_s: grace period between SIGTERM and SIGKILL.
     :param lease_least_s: shortest lease that the store grants.
+    :param link_bytes_per_s: capacity of the machine's link; infinite if the file names none.
     """
 
     name: str
@@ -93,6 +98,7 @@
     far_factor: float
     grace_s: float
     lease_least_s: float
+    link_bytes_per_s: float = math.inf
 
 
 def read_settings(path: str) -> Result[HostSettings, HostSettingsError]:
@@ -130,6 +136,7 @@
             far_factor=file.bounds.remote_slowdown,
             grace_s=file.bounds.grace_s,
             lease_least_s=file.platform.ttl_min_ms / 1000.0,
+            link_bytes_per_s=(max(0.0, file.limits.link_mbps) or math.inf) * BYTES_PER_MBIT,
         )
     )
 
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -27,6 +27,10 @@
 """Connections to one worker: one for a long poll and three for orders. They are kept alive, since
 each new connection is charged."""
 
+CARRIED_CONNECTIONS = 1
+"""Connections to one worker for starts that are carried for the leader. Each host of a domain may
+open them, and a worker accepts 64 in all."""
+
 OCCURRENCE = 0
 """Occurrence number in task names; it is 0 for a job without a schedule."""
 
@@ -128,7 +132,7 @@
     ) -> None:
         self._on_invalid_answer = on_invalid_answer
         self._is_in_use = is_in_use
-        self._client_by_id: dict[str, HttpClient] = {}
+        self._client_by_key: dict[tuple[str, int], HttpClient] = {}
         self._record_by_id: dict[str, WorkerRecord] = {}
 
     def set_workers(self, records: dict[str, WorkerRecord]) -> None:
@@ -140,10 +144,10 @@
             if worker_id not in records and not self._is_in_use(worker_id):
                 del self._record_by_id[worker_id]
         self._record_by_id.update(records)
-        for worker_id, client in list(self._client_by_id.items()):
-            record = self._record_by_id.get(worker_id)
+        for key, client in list(self._client_by_key.items()):
+            record = self._record_by_id.get(key[0])
             if record is None or record.address != client.address:
-                del self._client_by_id[worker_id]
+                del self._client_by_key[key]
                 client.close()
 
     def _call(
@@ -153,15 +157,18 @@
         body: bytes,
         timeout_s: float,
         on_result: Callable[[Response | CallError], None],
+        *,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        client = self._client_by_id.get(worker_id)
+        key = (worker_id, max_connections)
+        client = self._client_by_key.get(key)
         if client is None:
             record = self._record_by_id.get(worker_id)
             if record is None:
                 on_result(CallError.BROKEN)
                 return
-            client = HttpClient(address=record.address, max_connections=MAX_CONNECTIONS)
-            self._client_by_id[worker_id] = client
+            client = HttpClient(address=record.address, max_connections=max_connections)
+            self._client_by_key[key] = client
         client.call(
             "POST",
             path,
@@ -200,7 +207,15 @@
                 return
             on_result(self._decode_order_answer(order.worker_id, response))
 
-        self._call(order.worker_id, path, body, order.timeout_s, on_response)
+        carried = isinstance(order, StartRun) and bool(order.carried_for)
+        self._call(
+            order.worker_id,
+            path,
+            body,
+            order.timeout_s,
+            on_response,
+            max_connections=CARRIED_CONNECTIONS if carried else MAX_CONNECTIONS,
+        )
 
     def _decode_order_answer(self, worker_id: str, response: Response) -> OrderResult:
         answer = _OrderAnswer()
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -4,7 +4,9 @@
 
 import heapq
 import itertools
+import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -67,9 +69,17 @@
     """Runs hosts, workers and callers, and records violated guarantees in :attr:`violations`."""
 
     def __init__(
-        self, *, seed: int, domains: int = 2, hosts: int = 3, workers: int = 4, cpu: int = 4000
+        self,
+        *,
+        seed: int,
+        domains: int = 2,
+        hosts: int = 3,
+        workers: int = 4,
+        cpu: int = 4000,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         self.now = 0.0
+        self.link_bytes_per_s = link_bytes_per_s
         self.random = random.Random(seed)
         self.violations: list[str] = []
         self.notes: list[tuple[float, str, str, dict[str, object]]] = []
@@ -86,6 +96,7 @@
         self._all_pipes: list[Pipe] = []
         self._work: dict[str, float] = {}
         self._cpu: dict[str, int] = {}
+        self.starts_by_host: Counter[str] = Counter()
         self._polls_in_flight: set[tuple[str, int, int, str]] = set()
         for d in range(domains):
             for h in range(hosts):
@@ -135,7 +146,13 @@
         host.record = HostRecord(
             name=name, address=name, domain=host.record.domain, incarnation=host.life
         )
-        host.core = DispatchHost(own=host.record, now=self.now, stop_s=0.05, far_factor=1.5)
+        host.core = DispatchHost(
+            own=host.record,
+            now=self.now,
+            stop_s=0.05,
+            far_factor=1.5,
+            link_bytes_per_s=self.link_bytes_per_s,
+        )
         host.core.set_hosts(self.now, [other.record for other in self.host_by_name.values()])
         host.core.set_workers(self.now, {w.record.id: w.record for w in self.worker_by_id.values()})
         host.core.set_config(1, b"{}")
@@ -334,6 +351,8 @@
         name, life = host.record.name, host.life
         worker = self.worker_by_id[order.worker_id]
         done = [False]
+        if isinstance(order, StartRun):
+            self.starts_by_host[name] += 1
 
         def finish(result: object) -> None:
             if done[0]:
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import pytest
 
@@ -25,10 +26,15 @@
 
 
 def run_scenario(
-    seed: int, *, seconds: float = 14.0, faults: int = 6, jobs_per_s: float = 25.0
+    seed: int,
+    *,
+    seconds: float = 14.0,
+    faults: int = 6,
+    jobs_per_s: float = 25.0,
+    link_bytes_per_s: float = math.inf,
 ) -> World:
     """Simulate jobs of all sizes with faults at random times, then 6 s without new jobs."""
-    world = World(seed=seed, domains=2, hosts=3, workers=4)
+    world = World(seed=seed, domains=2, hosts=3, workers=4, link_bytes_per_s=link_bytes_per_s)
     rng = world.random
     world.run(2.0)
     hosts = sorted(world.host_by_name)
@@ -124,10 +130,22 @@
     assert world.violations == []
 
 
-@pytest.mark.parametrize("seed", range(100, 104))
-def test_jobs_complete_without_faults(seed: int) -> None:
+@pytest.mark.parametrize("seed", range(200, 212))
+def test_carried_starts_run_no_task_twice_and_no_refusal_is_false(seed: int) -> None:
+    """Guards against the same where the leader's link is thin and the entry hosts send the starts
+    of their jobs, while they are killed, frozen, cut off or drained."""
+    world = run_scenario(seed, link_bytes_per_s=1.0)
+    assert world.violations == []
+    assert any(f.get("carried") for _, _, event, f in world.notes if event == "run_ordered")
+
+
+@pytest.mark.parametrize(
+    ("seed", "link_bytes_per_s"),
+    [(seed, link) for seed in range(100, 104) for link in (math.inf, 1.0)],
+)
+def test_jobs_complete_without_faults(seed: int, link_bytes_per_s: float) -> None:
     """Guards against waiting for tasks that no worker runs."""
-    world = run_scenario(seed, faults=0, jobs_per_s=6.0)
+    world = run_scenario(seed, faults=0, jobs_per_s=6.0, link_bytes_per_s=link_bytes_per_s)
     world.late_share = world.lost_share = 0.0
     assert world.violations == []
     ended = [caller for caller in world.callers if caller.answers]
