Count bytes by purpose, and read worker entries in parts that fit the leader's link

Cause: bytes were counted nowhere.

leader, KB/s out in follower, KB/s out in starts 51.1 8.2 starts 8.5 1.2 polls 32.8 31.8 hosts 5.6 2.7 hosts 16.9 28.6 callers 1.0 7.3 worker entries 0.1 25.0 worker entries 0.0 3.6 callers 1.0 7.5 the rest 0.2 0.2 the rest 0.8 0.5

So the link is not full on average. The leader read the changed worker entries each 0.9 s, 22 KB at once: answers of workers and submissions waited 0.09 s behind them in every 0.9 s.

Change: the pause between two watches is such that the changes fill the link for 0.02 s, between 0.2 and 0.8 s (0.23 s for 81 workers at 2 Mbit/s; 0.8 s on all links of the whole sites). The bytes stay the same. Bytes by purpose are on /metrics, in /state and in the line "stop".

--- a/src/eelgrassyard/net/__init__.py
+++ b/src/eelgrassyard/net/__init__.py
@@ -7,6 +7,7 @@
 from ._http_client import CallError, HttpClient, Response
 from ._http_server import Exchange, HttpRequest, HttpServer, ServerLimits
 from ._sessions import SessionClient, SessionServer
+from ._traffic import Traffic, TrafficByPurpose
 
 __all__ = [
     "CallError",
@@ -18,4 +19,6 @@
     "ServerLimits",
     "SessionClient",
     "SessionServer",
+    "Traffic",
+    "TrafficByPurpose",
 ]
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -16,6 +16,7 @@
 from ..dispatch._links import CloseLink, OpenLink, SendLink
 from ..dispatch._messages import Message
 from ._sessions import SessionClient, SessionServer
+from ._traffic import Traffic
 
 TICK_S = 0.02
 """Interval at which the core handles its timers, a fifth of its shortest time limit."""
@@ -44,6 +45,7 @@
     actions that the core returns.
 
     :param peer_address: address to listen on for the sessions of other hosts.
+    :param traffic: counts the bytes of all sessions.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         clock: Clock,
         journal: Journal,
         peer_address: str,
+        traffic: Traffic | None = None,
     ) -> None:
         self.core = core
         self._calls = calls
@@ -66,10 +69,13 @@
         self._stopped = False
         self._timer: asyncio.TimerHandle | None = None
         self._server = SessionServer(
-            on_message=self._session_message, on_close=self._session_closed
+            on_message=self._session_message, on_close=self._session_closed, traffic=traffic
         )
         self._client = SessionClient(
-            on_open=self._link_connected, on_message=self._link_message, on_close=self._link_closed
+            on_open=self._link_connected,
+            on_message=self._link_message,
+            on_close=self._link_closed,
+            traffic=traffic,
         )
 
     async def start(self) -> None:
--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from ._traffic import Traffic
+
 
 class CallError(enum.StrEnum):
     """Reason for which a call has no complete response. Only ``REFUSED`` ensures that nothing was
@@ -43,6 +45,7 @@
 class _Call:
     data: bytes
     on_result: OnResult
+    traffic: Traffic
     progress_s: float | None = None
     timer: asyncio.TimerHandle | None = None
     connection: _Connection | None = None
@@ -75,6 +78,7 @@
         body: bytes = b"",
         headers: str = "",
         progress_s: float | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         """Send a request.
 
@@ -84,12 +88,16 @@
             take seconds on a slow link.
         :param on_result: called with the response, or with the reason why there is none.
         :param headers: additional header lines, each terminated by CRLF.
+        :param traffic: counts the bytes of the call.
         """
         head = f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n{headers}"
         if body or method != "GET":
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         call = _Call(
-            data=head.encode() + b"\r\n" + body, on_result=on_result, progress_s=progress_s
+            data=head.encode() + b"\r\n" + body,
+            on_result=on_result,
+            progress_s=progress_s,
+            traffic=traffic if traffic is not None else Traffic(),
         )
         call.timer = asyncio.get_running_loop().call_later(timeout_s, self._expire, call)
         while self._idle:
@@ -218,10 +226,12 @@
         assert self._transport is not None
         self._call = call
         call.connection = self
+        call.traffic.sent += len(call.data)
         self._transport.write(call.data)
 
     def data_received(self, data: bytes) -> None:
         if self._call is not None:
+            self._call.traffic.received += len(data)
             self._client.response_continues(self._call)
         try:
             self._parser.feed_data(data)
--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from ._traffic import Traffic
+
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 """Interval at which connections are checked for timeouts."""
 
@@ -90,6 +92,7 @@
     :param handler: called with each complete request; it may respond at once or later.
     :param on_error: called with the status and the reason of each request that is rejected
         before it reaches the handler.
+    :param traffic: counts the bytes of all connections.
     """
 
     def __init__(
@@ -98,8 +101,10 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         on_error: Callable[[int, str], None] | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         self.handler = handler
+        self.traffic = traffic if traffic is not None else Traffic()
         self.limits = limits if limits is not None else ServerLimits()
         self.connections: set[_ServerConnection] = set()
         self.closing = False
@@ -197,6 +202,7 @@
         self._pipelined.clear()
 
     def data_received(self, data: bytes) -> None:
+        self._server.traffic.received += len(data)
         if self._rejected:
             return
         if self._in_headers:
@@ -295,6 +301,7 @@
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
+            self._server.traffic.sent += len(data)
             self._transport.write(data)
 
     def respond(self, status: int, body: bytes, *, headers: str, keep_alive: bool) -> None:
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..dispatch._messages import Message, ToClient, ToServer
+from ._traffic import Traffic
 
 FRAME_HEADER_BYTES = 4
 """Length prefix of a frame, in network byte order."""
@@ -31,8 +32,9 @@
     A frame that is too large or invalid aborts the connection.
     """
 
-    def __init__(self, *, decoder: msgspec.msgpack.Decoder[Any]) -> None:
+    def __init__(self, *, decoder: msgspec.msgpack.Decoder[Any], traffic: Traffic) -> None:
         self._decoder = decoder
+        self._traffic = traffic
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
 
@@ -41,6 +43,7 @@
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        self._traffic.received += len(data)
         self._buffer += data
         while len(self._buffer) >= FRAME_HEADER_BYTES:
             size = int.from_bytes(self._buffer[:FRAME_HEADER_BYTES], "big")
@@ -72,6 +75,7 @@
             self.abort()
             return
         frame = _encoder.encode(messages)
+        self._traffic.sent += FRAME_HEADER_BYTES + len(frame)
         transport.write(len(frame).to_bytes(FRAME_HEADER_BYTES, "big") + frame)
 
     def abort(self) -> None:
@@ -85,6 +89,7 @@
 
     :param on_message: called with the id of the session and each message received.
     :param on_close: called with the id of each closed session.
+    :param traffic: counts the bytes of all sessions.
     """
 
     def __init__(
@@ -92,7 +97,9 @@
         *,
         on_message: Callable[[str, Message], None],
         on_close: Callable[[str], None],
+        traffic: Traffic | None = None,
     ) -> None:
+        self.traffic = traffic if traffic is not None else Traffic()
         self.on_message = on_message
         self.on_close = on_close
         self.session_by_id: dict[str, _InboundSession] = {}
@@ -133,7 +140,7 @@
 
 class _InboundSession(_FrameProtocol):
     def __init__(self, *, server: SessionServer) -> None:
-        super().__init__(decoder=_server_decoder)
+        super().__init__(decoder=_server_decoder, traffic=server.traffic)
         self._server = server
         self._id = server.next_id()
         server.session_by_id[self._id] = self
@@ -154,6 +161,7 @@
     :param on_message: called with the name of the host and each message received.
     :param on_close: called with the name of the host when the session has failed to open or was
         lost, and whether the connection was refused. It is not called after :meth:`close`.
+    :param traffic: counts the bytes of all sessions.
     """
 
     def __init__(
@@ -162,7 +170,9 @@
         on_open: Callable[[str], None],
         on_message: Callable[[str, Message], None],
         on_close: Callable[[str, bool], None],
+        traffic: Traffic | None = None,
     ) -> None:
+        self.traffic = traffic if traffic is not None else Traffic()
         self.on_open = on_open
         self.on_message = on_message
         self.on_close = on_close
@@ -223,7 +233,7 @@
 
 class _OutboundSession(_FrameProtocol):
     def __init__(self, *, client: SessionClient, name: str) -> None:
-        super().__init__(decoder=_client_decoder)
+        super().__init__(decoder=_client_decoder, traffic=client.traffic)
         self._client = client
         self.name = name
         self.is_wanted = True
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -14,7 +14,7 @@
 from ..dispatch._host import DispatchHost
 from ..dispatch._messages import HostRecord
 from ..dispatch._workers import WorkerRecord
-from ..net import Exchange, HttpServer, ServerLimits
+from ..net import Exchange, HttpServer, ServerLimits, TrafficByPurpose
 from ..net._driver import Driver
 from ._caller_api import CallerApi
 from ._documents import (
@@ -30,7 +30,7 @@
 )
 from ._metrics import HostMetrics
 from ._settings import HostSettings, read_settings
-from ._store import Item, Mirror, Reread, StoreClient, StoreError, Watch
+from ._store import Item, Mirror, MirrorMode, Reread, StoreClient, StoreError, Watch
 from ._worker_calls import PlatformWorkerCalls
 
 HOST_LEASE_S = 8.0
@@ -43,9 +43,22 @@
 """Time after which a worker whose entry is missing is removed. Entries whose leases expired while
 the store was unavailable are written again within about 2 s of its return."""
 
-LEADER_REGISTRY_MODE = Watch(pause_s=0.8)
-"""A leader must start no task on a worker later than 2 s after the worker announced that it is
-draining."""
+REGISTRY_PAUSE_S = 0.8
+"""Longest pause between two watches of the worker entries by a leader, which must start no task on
+a worker later than 2 s after the worker announced that it is draining."""
+
+REGISTRY_MIN_PAUSE_S = 0.2
+"""Shortest such pause; calls to the store are charged."""
+
+REGISTRY_BURST_S = 0.02
+"""Time for which the changes of one watch may fill the host's link, since answers of workers wait
+behind them."""
+
+WORKER_CHANGE_BYTES = 400
+"""Size of a changed worker entry in the answer to a watch."""
+
+WORKER_CHANGE_INTERVAL_S = 1.5
+"""Interval at which a worker updates its entry."""
 
 FOLLOWER_REGISTRY_MODE = Reread(interval_s=10.0)
 """A follower needs the worker entries only when it takes the lead, and reads them again then.
@@ -81,6 +94,18 @@
 METRICS_HEADERS = "Content-Type: text/plain; version=0.0.4\r\n"
 
 
+def registry_pause_s(*, workers: int, link_bytes_per_s: float) -> float:
+    """Pause of a leader between two watches of the worker entries.
+
+    :param workers: number of entries.
+    :param link_bytes_per_s: capacity of the host's link; infinite if it is not known.
+    :returns: seconds; shorter on a thin link, where the changes then come in smaller parts.
+    """
+    bytes_per_s = max(1, workers) * WORKER_CHANGE_BYTES / WORKER_CHANGE_INTERVAL_S
+    fitting_s = REGISTRY_BURST_S * link_bytes_per_s / bytes_per_s
+    return min(REGISTRY_PAUSE_S, max(REGISTRY_MIN_PAUSE_S, fitting_s))
+
+
 class PlatformHost:
     """Runs one host: its servers, its driver, and its copy of the store's entries.
 
@@ -93,6 +118,7 @@
         self._clock = Clock()
         self._journal = Journal(host=settings.name)
         self._journal.capture_stdlib_logging()
+        self._traffic = TrafficByPurpose()
         now = self._clock.now()
         self._own = HostRecord(
             name=settings.name,
@@ -115,6 +141,7 @@
             is_in_use=lambda worker: (
                 self._core.pool is not None and worker in self._core.pool.worker_by_id
             ),
+            traffic=self._traffic,
         )
         self._driver = Driver(
             core=self._core,
@@ -122,6 +149,7 @@
             clock=self._clock,
             journal=self._journal,
             peer_address=settings.peer_bind_address,
+            traffic=self._traffic.of("hosts"),
         )
         self._caller_api = CallerApi(
             driver=self._driver,
@@ -133,14 +161,18 @@
             on_error=lambda status, reason: self._journal.write(
                 "request_rejected", {"status": status, "reason": reason}
             ),
+            traffic=self._traffic.of("callers"),
+        )
+        self._ready_server = HttpServer(
+            handler=self._serve_status, traffic=self._traffic.of("status")
         )
-        self._ready_server = HttpServer(handler=self._serve_status)
-        self._store = StoreClient(address=settings.store_address)
+        self._store = StoreClient(address=settings.store_address, traffic=self._traffic)
         self._metrics = HostMetrics(
             core=self._core,
             store=self._store,
             caller_server=self._caller_server,
             journal=self._journal,
+            traffic=self._traffic,
         )
         self._caller_api.on_answer = self._metrics.count_answer
         self._worker_mirror = Mirror(
@@ -148,7 +180,7 @@
             prefix=WORKER_PREFIX,
             on_change=self._workers_changed,
             on_availability=self._store_availability_changed,
-            mode=lambda: LEADER_REGISTRY_MODE if self._core.pool else FOLLOWER_REGISTRY_MODE,
+            mode=self._registry_mode,
         )
         self._store_available: bool | None = None
         self._record_by_id: dict[str, WorkerRecord] = {}
@@ -177,7 +209,7 @@
             self._driver.stop()
         self._caller_server.close()
         self._ready_server.close()
-        self._journal.write("stop", {})
+        self._journal.write("stop", {"bytes": self._traffic.dump()})
         self._journal.flush()
 
     def _mirrors(self) -> list[Mirror]:
@@ -349,6 +381,14 @@
         self._core.set_workers(self._clock.now(), records)
         self._driver.schedule_actions()
 
+    def _registry_mode(self) -> MirrorMode:
+        if self._core.pool is None:
+            return FOLLOWER_REGISTRY_MODE
+        pause_s = registry_pause_s(
+            workers=len(self._record_by_id), link_bytes_per_s=self._settings.link_bytes_per_s
+        )
+        return Watch(pause_s=pause_s)
+
     def _hosts_changed(self, items: dict[str, Item], _: int) -> None:
         hosts = []
         for key, item in items.items():
@@ -414,7 +454,8 @@
             case "/metrics":
                 exchange.respond(200, self._metrics.render(), headers=METRICS_HEADERS)
             case "/state":
-                exchange.respond(200, msgspec.json.encode(self._core.dump(), enc_hook=str))
+                state = {**self._core.dump(), "bytes": self._traffic.dump()}
+                exchange.respond(200, msgspec.json.encode(state, enc_hook=str))
             case _:
                 exchange.respond(200 if self._core.is_ready() else 503)
 
--- a/src/eelgrassyard/platform/_metrics.py
+++ b/src/eelgrassyard/platform/_metrics.py
@@ -6,7 +6,7 @@
 
 from .._journal import Journal
 from ..dispatch._host import DispatchHost
-from ..net import HttpServer
+from ..net import HttpServer, TrafficByPurpose
 from ._store import StoreClient
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.3, 1.6)
@@ -17,8 +17,15 @@
     """Counts answered jobs as they are answered; all other values are read at each scrape."""
 
     def __init__(
-        self, *, core: DispatchHost, store: StoreClient, caller_server: HttpServer, journal: Journal
+        self,
+        *,
+        core: DispatchHost,
+        store: StoreClient,
+        caller_server: HttpServer,
+        journal: Journal,
+        traffic: TrafficByPurpose,
     ) -> None:
+        self._traffic = traffic
         self._core = core
         self._store = store
         self._caller_server = caller_server
@@ -59,6 +66,13 @@
             registry=self._registry,
         )
 
+        self._bytes = Gauge(
+            "eelgrassyard_bytes",
+            "Bytes sent and received since the start, without TCP and IP",
+            ["purpose", "direction"],
+            registry=self._registry,
+        )
+
     def count_answer(self, kind: str, status: int, took_s: float) -> None:
         """Count an answered job and its latency."""
         self._answers.labels(str(status)).inc()
@@ -84,4 +98,7 @@
             self._gauges[name].set(value)
         for event, count in (pool.counts if pool is not None else {}).items():
             self._pool_counts.labels(event).set(count)
+        for purpose, by_direction in self._traffic.dump().items():
+            for direction, size in by_direction.items():
+                self._bytes.labels(purpose, direction).set(size)
         return generate_latest(self._registry)
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -15,7 +15,7 @@
 import anyio
 import msgspec
 
-from ..net import CallError, HttpClient, Response
+from ..net import CallError, HttpClient, Response, TrafficByPurpose
 
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call without a long poll until its answer begins, and then from part to part. The
@@ -41,6 +41,9 @@
 MAX_CONNECTIONS = 6
 """Connections to the store. Each mirror may hold one with a long poll."""
 
+HOSTS_PURPOSE = "hosts"
+"""Prefix whose traffic counts the calls for this host's own entry."""
+
 T = TypeVar("T")
 
 
@@ -108,11 +111,14 @@
 class StoreClient:
     """Client of the store.
 
+    :param traffic: counts the bytes of all calls, by the kind of key.
+
     :ivar calls: calls made since the start.
     """
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, traffic: TrafficByPurpose | None = None) -> None:
         self.calls = 0
+        self._traffic = traffic if traffic is not None else TrafficByPurpose()
         self._address = address
         self._client = HttpClient(address=address, max_connections=MAX_CONNECTIONS)
 
@@ -123,6 +129,7 @@
         target: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
+        prefix: str = HOSTS_PURPOSE,
     ) -> Response:
         self.calls += 1
         future: asyncio.Future[Response | CallError] = asyncio.get_running_loop().create_future()
@@ -138,6 +145,7 @@
             on_result=on_result,
             body=body,
             progress_s=CALL_TIMEOUT_S,
+            traffic=self._traffic.of(f"store_{prefix.strip('/')}"),
         )
         result = await future
         if isinstance(result, CallError):
@@ -161,7 +169,7 @@
         after = ""
         while True:
             query = f"prefix={_quote(prefix)}" + (f"&after={_quote(after)}" if after else "")
-            response = await self._call("read", "GET", f"/api/kv-range?{query}")
+            response = await self._call("read", "GET", f"/api/kv-range?{query}", prefix=prefix)
             page = _decode(_range_decoder, response.body, "read", self._address)
             # Pages are not a snapshot. A watch from the revision of the first page also delivers
             # the changes made during the read.
@@ -179,7 +187,9 @@
             to continue.
         """
         target = f"/api/kv-watch?prefix={_quote(prefix)}&after={after}&wait_ms={int(wait_s * 1000)}"
-        response = await self._call("watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2)
+        response = await self._call(
+            "watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2, prefix=prefix
+        )
         page = _decode(_events_decoder, response.body, "watch", self._address)
         return page.events, page.current_rev
 
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -21,7 +21,7 @@
 )
 from ..dispatch._jobs import TaskEnd, TaskId
 from ..dispatch._workers import WorkerRecord
-from ..net import CallError, HttpClient, Response
+from ..net import CallError, HttpClient, Response, TrafficByPurpose
 
 MAX_CONNECTIONS = 4
 """Connections to one worker: one for a long poll and three for orders. They are kept alive, since
@@ -125,11 +125,17 @@
     :param on_invalid_answer: called with the id of a worker and the reason why its answer is
         invalid.
     :param is_in_use: tells whether a worker without an entry may still be sent orders.
+    :param traffic: counts the bytes of starts, stops and polls.
     """
 
     def __init__(
-        self, *, on_invalid_answer: Callable[[str, str], None], is_in_use: Callable[[str], bool]
+        self,
+        *,
+        on_invalid_answer: Callable[[str, str], None],
+        is_in_use: Callable[[str], bool],
+        traffic: TrafficByPurpose | None = None,
     ) -> None:
+        self._traffic = traffic if traffic is not None else TrafficByPurpose()
         self._on_invalid_answer = on_invalid_answer
         self._is_in_use = is_in_use
         self._client_by_key: dict[tuple[str, int], HttpClient] = {}
@@ -158,6 +164,7 @@
         timeout_s: float,
         on_result: Callable[[Response | CallError], None],
         *,
+        purpose: str,
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         key = (worker_id, max_connections)
@@ -176,6 +183,7 @@
             on_result=on_result,
             body=body,
             headers=f"X-Expect-Instance: {worker_id}\r\n",
+            traffic=self._traffic.of(purpose),
         )
 
     def start(self, order: StartRun, on_result: Callable[[OrderResult], None]) -> None:
@@ -214,6 +222,7 @@
             body,
             order.timeout_s,
             on_response,
+            purpose="starts" if isinstance(order, StartRun) else "stops",
             max_connections=CARRIED_CONNECTIONS if carried else MAX_CONNECTIONS,
         )
 
@@ -262,7 +271,9 @@
                 on_result(self._decode_order_answer(worker_id, response))
 
         timeout_s = order.wait_s + order.margin_s
-        self._call(worker_id, "/api/hold", _encoder.encode(body), timeout_s, on_response)
+        self._call(
+            worker_id, "/api/hold", _encoder.encode(body), timeout_s, on_response, purpose="polls"
+        )
 
     def _decode_poll_answer(self, worker_id: str, response: Response) -> PollResult:
         try:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -283,7 +283,8 @@
 
 
 def test_metrics_and_state_are_served() -> None:
-    """Guards against missing metrics and a missing state dump."""
+    """Guards against missing metrics and a missing state dump, and against bytes that are counted
+    for another purpose or twice."""
 
     async def scenario(site: Site) -> None:
         await site.request_as_caller(
@@ -294,6 +295,12 @@
         state = json.loads((await site.call(site.settings.ready_address, "GET", "/state")).body)
         assert state["role"] == "leading"
         assert state["pool"]["workers"]["i-1"]["state"] == "ready"
+        traffic = state["bytes"]
+        assert set(traffic) >= {"callers", "hosts", "polls", "starts", "store_op", "store_servers"}
+        # Three tasks with a payload of four bytes, and the request of one caller.
+        assert 3 * 200 < traffic["starts"]["sent"] < 3 * 400
+        assert len(json.dumps(JOB)) < traffic["callers"]["received"] < 1000
+        assert b'eelgrassyard_bytes{direction="sent",purpose="starts"}' in metrics.body
 
     run_scenario(scenario)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Callable
 
 import anyio
+import pytest
 
-from eelgrassyard.platform._host import PlatformHost
+from eelgrassyard.platform._host import (
+    REGISTRY_PAUSE_S,
+    PlatformHost,
+    registry_pause_s,
+)
 from eelgrassyard.platform._store import STALE_AFTER_S, Item, Mirror, MirrorMode, Reread, Watch
 from eelgrassyard.standins import reserve_ports
 from test_platform_host import Site, run_scenario
@@ -90,6 +96,25 @@
     assert set(calls[1:]) == {"watch"}
 
 
+@pytest.mark.parametrize(
+    ("workers", "link_bytes_per_s", "least_s", "most_s"),
+    [
+        (81, 250_000.0, 0.2, 0.25),
+        (270, 250_000.0, 0.2, 0.2),
+        (176, 7_750_000.0, REGISTRY_PAUSE_S, REGISTRY_PAUSE_S),
+        (0, 250_000.0, REGISTRY_PAUSE_S, REGISTRY_PAUSE_S),
+        (540, math.inf, REGISTRY_PAUSE_S, REGISTRY_PAUSE_S),
+    ],
+)
+def test_a_leader_reads_the_worker_entries_in_parts_that_fit_its_link(
+    workers: int, link_bytes_per_s: float, least_s: float, most_s: float
+) -> None:
+    """Guards against answers of workers that wait 0.09 s in each 0.9 s behind the changed entries
+    on a link of 2 Mbit/s, and against calls to the store that a wide link does not need."""
+    pause_s = registry_pause_s(workers=workers, link_bytes_per_s=link_bytes_per_s)
+    assert least_s <= pause_s <= most_s
+
+
 def test_a_follower_does_not_watch_the_worker_entries() -> None:
     """Guards against the same as the first test, on whole hosts of one domain."""
     watched: dict[str, list[str]] = {"front-1": [], "front-2": []}
