Let the measured time of orders decay when no order is answered

Cause: the usual time from an order to its answer only changes with an answered order. After a few late answers (a start at a new connection, a link that was full for a second) jobs that would be late by that time are refused before anything is sent for them, so that no answer corrects the time: a pool of short jobs refuses everything until a long job is answered. The new test shows it on the old code (1 s after the last answer a job of 60 ms is still refused with an idle worker).

Change: after 0.1 s without an answered order the excess over an idle link's time halves each 0.2 s.

The gain is that the state ends by itself.

--- a/src/eelgrassyard/dispatch/_order_timing.py
+++ b/src/eelgrassyard/dispatch/_order_timing.py
@@ -31,6 +31,12 @@
 SMOOTHING = 0.1
 """Weight of one answer in the moving average; a burst of ten orders moves it by two thirds."""
 
+STALE_AFTER_S = 0.1
+"""Time without an answered order after which the average counts as outdated."""
+
+STALE_HALF_LIFE_S = 0.2
+"""Time in which an outdated average loses half of its excess over the usual time of an idle link."""
+
 USUAL_S = 0.003
 
 CONGESTED_S = 0.03
@@ -43,12 +49,26 @@
     """Moving average of the time from an order to its answer.
 
     :param usual_s: the average.
+    :param answered_at: when the last order was answered.
+    :param advanced_at: when the average was last advanced.
     """
 
     usual_s: float = USUAL_S
-
-    def add(self, took_s: float) -> None:
+    answered_at: float = 0.0
+    advanced_at: float = 0.0
+
+    def advance(self, now: float) -> None:
+        """Let an outdated average decay. While it is high, jobs are refused and nothing is sent for
+        them, so that no answer would ever correct it."""
+        elapsed_s = now - self.advanced_at
+        self.advanced_at = now
+        if now - self.answered_at > STALE_AFTER_S and self.usual_s > USUAL_S:
+            excess_s = self.usual_s - USUAL_S
+            self.usual_s = USUAL_S + excess_s * 0.5 ** (elapsed_s / STALE_HALF_LIFE_S)
+
+    def add(self, now: float, took_s: float) -> None:
         """Add an answered order."""
+        self.answered_at = now
         self.usual_s += SMOOTHING * (max(0.0, took_s) - self.usual_s)
 
     def timeout_s(self) -> float:
--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -39,7 +39,7 @@
             return
         match result:
             case Answered(refusal=None):
-                self.timing.add(now - task.ordered_at)
+                self.timing.add(now, now - task.ordered_at)
                 worker.unanswered = 0
                 task.phase = Phase.RUNNING
                 task.started_at = now
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -303,6 +303,7 @@
         """Handle due timers: refuse or abandon expired jobs, repeat stops, poll workers, and place
         waiting tasks."""
         self._fastest_slowness_by_service.clear()
+        self.timing.advance(now)
         for requester, lost_at in list(self._requester_lost_at.items()):
             if now >= lost_at + REQUESTER_RECONNECT_S:
                 del self._requester_lost_at[requester]
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -531,3 +531,34 @@
     driver.pool.advance(9.01)
     driver.report(9.02, "w0")
     assert len(driver.take(StartRun)) == 1
+
+
+def test_a_link_that_was_congested_does_not_refuse_short_jobs_forever() -> None:
+    """Guards against a host that refuses all short jobs because its last orders were slow: nothing
+    is sent for them, so that no answer would ever correct the measured time."""
+    driver = PoolDriver(record("w0", cpu=8000))
+    for number in range(8):
+        driver.submit(0.0, msgspec.structs.replace(job(), id=f"{number:016x}"))
+    for number, order in enumerate(driver.take(StartRun), start=1):
+        driver.answer(0.3, order)
+        driver.report(0.31, "w0", ended=(ended(order, number),))
+    assert driver.pool.timing.is_congested()
+    driver.submit(0.32, msgspec.structs.replace(job(estimate_s=0.06), id=JOB_ID))
+    assert driver.take(StartRun) == []
+    for tick in range(16, 66):
+        driver.pool.advance(tick * 0.02)
+    assert not driver.pool.timing.is_congested()
+    driver.submit(1.32, msgspec.structs.replace(job(estimate_s=0.06), id=JOB_ID[::-1]))
+    assert len(driver.take(StartRun)) == 1
+
+
+def test_a_link_whose_orders_are_answered_slowly_stays_congested() -> None:
+    """Guards against a measured time that decays while answers still confirm it."""
+    driver = PoolDriver(record("w0", cpu=64000))
+    for tick in range(1, 51):
+        now = tick * 0.02
+        driver.submit(now, msgspec.structs.replace(job(estimate_s=0.8), id=f"{tick:016x}"))
+        for order in driver.take(StartRun):
+            driver.answer(now + 0.15, order)
+        driver.pool.advance(now)
+    assert driver.pool.timing.is_congested()
