--- a/src/eelgrassyard/dispatch/_order_timing.py
+++ b/src/eelgrassyard/dispatch/_order_timing.py
@@ -35,7 +35,7 @@
 """Time without an answered order after which the average counts as outdated."""
 
 STALE_HALF_LIFE_S = 0.2
-"""Time in which an outdated average loses half of its excess over the usual time of an idle link."""
+"""Time in which an outdated average loses half of its excess over the time of an idle link."""
 
 USUAL_S = 0.003
 
