--- a/src/eelgrassyard/daemon/_server.py
+++ b/src/eelgrassyard/daemon/_server.py
@@ -22,6 +22,7 @@
 
 from ._fast_refusals import FastRefusals
 from ._http import HttpInterface
+from ._logs import logger
 from ._metrics import Metrics
 from ._settings import HttpSettings, LimitSettings
 
@@ -74,14 +75,24 @@
                 self.protocol = self._make_protocol(task_group)  # type: ignore[assignment]
                 self._set_idle(True)
                 await self._read_data()
-        except OSError:
-            pass
+        except* OSError as errors:
+            self._connection_failed(errors.exceptions[0])
         finally:
             self._stop_timer()
             self._server.remove(self)
             self._flush()
             await self._close()
 
+    async def _close(self) -> None:
+        try:
+            await super()._close()
+        except OSError as error:
+            self._connection_failed(error)
+
+    def _connection_failed(self, error: BaseException) -> None:
+        self._server.metrics.count("http.connections_failed")
+        logger.debug("connection of a caller failed: %r", error, extra={"step": "http", "peer": ""})
+
     def abort(self) -> None:
         """Close the connection at once, discarding unsent data."""
         self.writer.transport.abort()
@@ -141,8 +152,14 @@
         if self._has_complete_request() or not transport.can_write_eof():
             await self._close()
             return
+        try:
+            self.writer.write_eof()
+        except OSError as error:
+            # The client has reset the connection.
+            self._connection_failed(error)
+            self.abort()
+            return
         self._is_lingering = True
-        self.writer.write_eof()
         self._restart_timer(LINGER_TIMEOUT_S)
 
     def _has_complete_request(self) -> bool:
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -108,12 +109,13 @@
 
     async def main() -> object:
         async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
-            for _ in range(10):
-                await asyncio.sleep(pause_s)
-                writer.write(b"x")
-            writer.close()
+            # The client may give up first.
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+                for _ in range(10):
+                    await asyncio.sleep(pause_s)
+                    writer.write(b"x")
 
         address = free_address()
         host, _, port = address.partition(":")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 from collections.abc import Coroutine
@@ -97,9 +98,11 @@
         received = bytearray()
 
         async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while data := await reader.read(100):
-                received.extend(data)
-                writer.write(b"!")
+            # The proxy resets the connection in the end.
+            with contextlib.suppress(ConnectionResetError), contextlib.closing(writer):
+                while data := await reader.read(100):
+                    received.extend(data)
+                    writer.write(b"!")
 
         proxy_address, server_address = free_addresses(2)
         server = await asyncio.start_server(take, *server_address.split(":"))
