Log how old a new leader's copy of the registry is, and whether it was read in time

Change: `leads` has registry_age_s, and `registry_awaited` says whether the reading came before the wait ended, and how much of the wait was left. No decision changes.

--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -10,6 +10,7 @@
     TakeOver,
     ToClient,
 )
+from ._pool_state import round_s
 from ._worker_pool import WorkerPool
 
 RESIGN_TIMEOUT_S = 1.0
@@ -39,7 +40,12 @@
         self._open_pool(now)
 
     def _open_pool(self, now: float) -> None:
-        self._note("leads", epoch=self.leadership.epoch, domain=self.own.domain)
+        self._note(
+            "leads",
+            epoch=self.leadership.epoch,
+            domain=self.own.domain,
+            registry_age_s=round_s(now - self._registry_read_at),
+        )
         self.pool = WorkerPool(
             domain=self.own.domain,
             epoch=self.leadership.epoch,
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -63,7 +63,7 @@
     def set_workers(self, now: float, records: Mapping[str, WorkerRecord]) -> None:
         """Replace the registered workers of all domains; the pool uses those of its own domain."""
         self._record_by_id = records
-        self.starts_after = 0.0
+        self._end_registry_wait(now, read=True)
         for record in records.values():
             if record.domain != self.domain:
                 continue
@@ -86,6 +86,11 @@
         self.poller.advance(now)
         self._place_all(now)
 
+    def _end_registry_wait(self, now: float, *, read: bool) -> None:
+        if self.starts_after:
+            self.note("registry_awaited", read=read, left_s=round_s(self.starts_after - now))
+            self.starts_after = 0.0
+
     def set_evacuated(self, now: float, evacuated: bool) -> None:
         """Start nothing on the workers of this domain while operators evacuate it; runs in progress
         end, and waiting tasks are lent to other domains."""
@@ -304,6 +309,8 @@
         waiting tasks."""
         self._fastest_slowness_by_service.clear()
         self.timing.advance(now)
+        if now >= self.starts_after:
+            self._end_registry_wait(now, read=False)
         for requester, lost_at in list(self._requester_lost_at.items()):
             if now >= lost_at + REQUESTER_RECONNECT_S:
                 del self._requester_lost_at[requester]
