Add a failing test: a configuration makes an old copy of the registry look new

A host that gets a configuration within a second before it takes the lead, or while it waits for the registry, starts tasks by a copy that is up to 10 s old.

--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import os
 import signal
@@ -14,10 +15,11 @@
 import pytest
 from soak._store import StandinStore
 
-from eelgrassyard.dispatch._messages import ConfigDocument
+from eelgrassyard.dispatch._messages import ConfigDocument, TakeOver
 from eelgrassyard.net import CallError, HttpClient, Response
 from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost, run_host
 from eelgrassyard.platform._settings import HostSettings
+from eelgrassyard.platform._store import Item
 from eelgrassyard.standins import reserve_ports
 from platform_standin import StandinWorker, config
 
@@ -267,6 +269,30 @@
     run_scenario(scenario)
 
 
+def test_a_new_leader_waits_for_the_registry_though_a_configuration_arrives(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts on workers that have announced their end since the host read the
+    registry, because a new configuration made its old copy look new."""
+
+    async def main() -> None:
+        site = Site()
+        host, core = site.host, site.host._core
+        entry = site.worker.entry(site.worker_address, "patan", "svc")
+        item = Item(key="servers/i-1", value=base64.b64encode(entry).decode())
+        host._workers_changed({item.key: item}, 1)
+        later = host._clock.now() + 5.0
+        monkeypatch.setattr(host._clock, "now", lambda: later)
+        host._apply_config(config(version=8), "host")
+        core.link_received(later, "front-2", TakeOver(epoch=1))
+        assert core.pool is not None
+        assert core.pool.starts_after > later
+        host._apply_config(config(version=9), "host")
+        assert core.pool.starts_after > later
+
+    anyio.run(main)
+
+
 def test_a_configuration_written_while_the_history_is_lost_is_found() -> None:
     """Guards against a watch that continues from a revision that the store has compacted."""
 
