Take only a reading of the registry for one, not each use of its records

Cause: DispatchHost.set_workers took the time of the call for the time of the reading. The host calls it as well when a configuration changes and when a missing worker is removed, with the records that it has. A host that then takes the lead within a second, or waits for the registry already, starts tasks by a copy up to 10 s old, on workers that have announced their end. Change: the mirror of the store tells when the call that its copy rests on was sent, by the host's clock, which counts suspensions, and the records are handed over with that time. A host that has never read the registry no longer counts as up to date at its start. Ruled out as further ways: tasks lent by another domain are placed by the leader that reads the registry; carried starts are decided by the leader, at most two time limits of an order before; a leader that stood still drops its pool.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -33,12 +33,17 @@
     :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
     """
 
-    def set_workers(self, now: float, records: Mapping[str, WorkerRecord]) -> None:
-        """Replace the registered workers of all domains, by id."""
+    def set_workers(
+        self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
+    ) -> None:
+        """Replace the registered workers of all domains, by id.
+
+        :param read_at: time in seconds at which the registry was as the records say.
+        """
         self._record_by_id = records
-        self._registry_read_at = now
+        self._registry_read_at = read_at
         if self.pool is not None:
-            self.pool.set_workers(now, records)
+            self.pool.set_workers(now, records, read_at=read_at)
 
     def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
         """Replace the hosts that the store lists."""
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -95,7 +95,7 @@
         self._far_factor = far_factor
         self._link_bytes_per_s = link_bytes_per_s
         self._record_by_id: Mapping[str, WorkerRecord] = {}
-        self._registry_read_at = now
+        self._registry_read_at = -math.inf
         self._host_by_name: dict[str, HostRecord] = {own.name: own}
         self._session_by_id: dict[str, Session] = {}
         self._peer_host_by_domain: dict[str, HostRecord] = {}
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -11,17 +11,13 @@
     ToClient,
 )
 from ._pool_state import round_s
-from ._worker_pool import WorkerPool
+from ._worker_pool import FRESH_REGISTRY_S, WorkerPool
 
 RESIGN_TIMEOUT_S = 1.0
 """Longest time for which a leader delays its resignation after SIGTERM for tasks lent to or
 borrowed from other domains, since no successor can adopt them. Most tasks take less; the grace
 period is 6 s."""
 
-FRESH_REGISTRY_S = 1.0
-"""Age up to which a new leader relies on what it has read of the registry. A draining worker may
-get nothing later than 2 s after it announced its end."""
-
 REGISTRY_WAIT_S = 0.15
 """Longest time for which a new leader waits for a newer reading of the registry before it starts
 anything; the store answers in 10 ms if it can be reached."""
@@ -55,7 +51,7 @@
             link_bytes_per_s=self._link_bytes_per_s,
         )
         self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
-        self.pool.set_workers(now, self._record_by_id)
+        self.pool.set_workers(now, self._record_by_id, read_at=self._registry_read_at)
         if now - self._registry_read_at > FRESH_REGISTRY_S:
             self.pool.starts_after = now + REGISTRY_WAIT_S
         self.links.announce_leadership(
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -15,6 +15,10 @@
 from ._worker_answers import WorkerAnswers
 from ._workers import Worker, WorkerRecord, WorkerState
 
+FRESH_REGISTRY_S = 1.0
+"""Age up to which a new leader relies on what it has read of the registry. A draining worker may
+get nothing later than 2 s after it announced its end."""
+
 RUNS_PER_ROUND = 100
 """Run numbers of a job start at this multiple of its round, so that those of a later leader are
 higher."""
@@ -60,10 +64,16 @@
         )
         self.poller = WorkerPoller(pool=self)
 
-    def set_workers(self, now: float, records: Mapping[str, WorkerRecord]) -> None:
-        """Replace the registered workers of all domains; the pool uses those of its own domain."""
+    def set_workers(
+        self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
+    ) -> None:
+        """Replace the registered workers of all domains; the pool uses those of its own domain.
+
+        :param read_at: time in seconds at which the registry was as the records say.
+        """
         self._record_by_id = records
-        self._end_registry_wait(now, read=True)
+        if now - read_at <= FRESH_REGISTRY_S:
+            self._end_registry_wait(now, read=True)
         for record in records.values():
             if record.domain != self.domain:
                 continue
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -178,6 +178,7 @@
         self._worker_mirror = Mirror(
             store=self._store,
             prefix=WORKER_PREFIX,
+            now=self._clock.now,
             on_change=self._workers_changed,
             on_availability=self._store_availability_changed,
             mode=self._registry_mode,
@@ -218,6 +219,7 @@
             Mirror(
                 store=store,
                 prefix=OPERATOR_PREFIX,
+                now=self._clock.now,
                 on_change=self._operator_keys_changed,
                 on_availability=on_availability,
             ),
@@ -225,6 +227,7 @@
             Mirror(
                 store=store,
                 prefix=HOST_PREFIX,
+                now=self._clock.now,
                 on_change=self._hosts_changed,
                 on_availability=on_availability,
                 mode=lambda: HOSTS_MODE,
@@ -378,7 +381,7 @@
             for worker_id, record in self._record_by_id.items()
         }
         self._worker_calls.set_workers(records)
-        self._core.set_workers(self._clock.now(), records)
+        self._core.set_workers(self._clock.now(), records, read_at=self._worker_mirror.read_at)
         self._driver.schedule_actions()
 
     def _registry_mode(self) -> MirrorMode:
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -250,10 +250,13 @@
 class Mirror:
     """Keeps a copy of the items under one prefix up to date.
 
+    :param now: the host's clock, in seconds, which also counts the time of a suspension.
     :param on_change: called after each change with all items by key and the store's revision.
     :param on_availability: called after each call with whether the store answered, and the error.
     :param mode: returns how the copy is kept up to date; it is called again every
         :data:`MODE_CHECK_INTERVAL_S`.
+
+    :ivar read_at: when the last call that succeeded was sent; the copy has all changes until then.
     """
 
     def __init__(
@@ -261,17 +264,19 @@
         *,
         store: StoreClient,
         prefix: str,
+        now: Callable[[], float],
         on_change: Callable[[dict[str, Item], int], None],
         on_availability: Callable[[bool, str], None],
         mode: Callable[[], MirrorMode] = Watch,
     ) -> None:
         self._store = store
         self._prefix = prefix
+        self._now = now
         self._on_change = on_change
         self._on_availability = on_availability
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
-        self._read_at = -math.inf
+        self.read_at = -math.inf
         self._mode = mode
         self._woken = anyio.Event()
 
@@ -300,21 +305,21 @@
                 pause_s = min(RETRY_MAX_S, pause_s * 2.0)
 
     async def _read_or_watch(self) -> None:
+        begun_at = self._now()
         mode = self._mode()
         match mode:
             case Watch(pause_s=pause_s):
-                age_s = anyio.current_time() - self._read_at
-                read_all = pause_s > 0.0 and age_s > STALE_AFTER_S
+                read_all = pause_s > 0.0 and self._now() - self.read_at > STALE_AFTER_S
             case Reread():
                 read_all = True
         if self._revision is None or read_all:
             self._items, self._revision = await self._store.read_prefix(self._prefix)
-            self._read_at = anyio.current_time()
+            self.read_at = begun_at
             self._on_change(self._items, self._revision)
             return
         assert isinstance(mode, Watch)
         events, revision = await self._store.watch(self._prefix, self._revision, mode.wait_s)
-        self._read_at = anyio.current_time()
+        self.read_at = begun_at
         for item in events:
             if item.deleted:
                 self._items.pop(item.key, None)
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -154,7 +154,9 @@
             link_bytes_per_s=self.link_bytes_per_s,
         )
         host.core.set_hosts(self.now, [other.record for other in self.host_by_name.values()])
-        host.core.set_workers(self.now, {w.record.id: w.record for w in self.worker_by_id.values()})
+        host.core.set_workers(
+            self.now, {w.record.id: w.record for w in self.worker_by_id.values()}, read_at=self.now
+        )
         host.core.set_config(1, b"{}")
         life = host.life
         self.at(self.random.uniform(0.0, TICK_S), lambda: self._tick(name, life))
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -205,7 +205,7 @@
     if store_answers:
         world.run(0.05)
         drained = {k: dataclasses.replace(r, draining=True) for k, r in records.items()}
-        core.set_workers(world.now, drained)
+        core.set_workers(world.now, drained, read_at=world.now)
     world.run(1.4)
     starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
     assert len(starts) == (0 if store_answers else 1)
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -62,7 +62,7 @@
     def __init__(self, *workers: WorkerRecord) -> None:
         self.pool = WorkerPool(domain="d0", epoch=5, now=0.0, stop_s=0.05, far_factor=1.5)
         self.records = {worker.id: worker for worker in workers}
-        self.pool.set_workers(0.0, self.records)
+        self.pool.set_workers(0.0, self.records, read_at=0.0)
         for worker in self.take(PollWorker):
             self.report(0.0, worker.worker_id)
         self.pool.actions.clear()
@@ -185,7 +185,7 @@
     (order,) = driver.take(StartRun)
     driver.answer(1.01, order)
     left = {name: r for name, r in driver.records.items() if name != order.worker_id}
-    driver.pool.set_workers(1.02, left)
+    driver.pool.set_workers(1.02, left, read_at=1.02)
     driver.pool.advance(1.1)
     assert driver.take(StartRun) == []
     driver.report(1.2, order.worker_id, ended=(ended(order, 1),))
@@ -195,7 +195,7 @@
 def test_a_worker_that_left_the_registry_gets_no_more_work() -> None:
     """Guards against starts on a worker that has left the registry."""
     driver = PoolDriver(record("w0"))
-    driver.pool.set_workers(1.0, {"far": record("far", domain="d1")})
+    driver.pool.set_workers(1.0, {"far": record("far", domain="d1")}, read_at=1.0)
     driver.submit(1.1, job())
     assert driver.take(StartRun) == []
 
@@ -203,7 +203,9 @@
 def test_a_draining_worker_gets_no_more_work() -> None:
     """Guards against starts on a draining worker."""
     driver = PoolDriver(record("w0"), record("w1"))
-    driver.pool.set_workers(1.0, {"w0": record("w0", draining=True), "w1": record("w1")})
+    driver.pool.set_workers(
+        1.0, {"w0": record("w0", draining=True), "w1": record("w1")}, read_at=1.0
+    )
     driver.submit(1.1, job(tasks=2))
     assert {order.worker_id for order in driver.take(StartRun)} == {"w1"}
 
@@ -434,7 +436,7 @@
     claimed by submitting their job."""
     driver = PoolDriver()
     driver.records = {"w0": record("w0", cpu=8000)}
-    driver.pool.set_workers(1.0, driver.records)
+    driver.pool.set_workers(1.0, driver.records, read_at=1.0)
     mine, other = TaskId(JOB_ID, 0, 0), TaskId("bbbbbbbbbbbbbbbb", 0, 0)
     listed = tuple(RunningEntry(task=task, run=3, percent=20) for task in (mine, other))
     driver.report(1.0, "w0", running=listed)
@@ -452,7 +454,7 @@
     poll, read after the later one was sent, lacked a start answered in between, and the task was
     started again beside its run (TWICE on bagmati-ruling-grown, scale-2)."""
     driver = PoolDriver(record("w0"))
-    driver.pool.set_workers(0.1, {**driver.records, "w1": record("w1")})
+    driver.pool.set_workers(0.1, {**driver.records, "w1": record("w1")}, read_at=0.1)
     assert [poll.worker_id for poll in driver.take(PollWorker)] == ["w1"]
     driver.submit(0.1, job(tasks=1), round=1)
     run = RunningEntry(task=TaskId(JOB_ID, 0, 0), run=1, percent=10)
@@ -464,7 +466,7 @@
     """Guards against starts that a worker must refuse because it still has runs of an earlier
     leader (dozens of them after a failover, bagmati-ruling-grown scale-2)."""
     driver = PoolDriver()
-    driver.pool.set_workers(0.1, {"w0": record("w0")})
+    driver.pool.set_workers(0.1, {"w0": record("w0")}, read_at=0.1)
     driver.take(PollWorker)
     other = TaskId("0000000000000001", 0, 0)
     driver.report(0.11, "w0", running=(RunningEntry(task=other, run=1, percent=10),))
--- a/tests/test_order_carriers.py
+++ b/tests/test_order_carriers.py
@@ -46,7 +46,7 @@
         far_factor=1.5,
         link_bytes_per_s=THIN_BYTES_PER_S,
     )
-    driver.pool.set_workers(0.0, driver.records)
+    driver.pool.set_workers(0.0, driver.records, read_at=0.0)
     for name in workers:
         driver.report(0.0, name)
     driver.pool.actions.clear()
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -280,6 +280,7 @@
         host, core = site.host, site.host._core
         entry = site.worker.entry(site.worker_address, "patan", "svc")
         item = Item(key="servers/i-1", value=base64.b64encode(entry).decode())
+        host._worker_mirror.read_at = host._clock.now()
         host._workers_changed({item.key: item}, 1)
         later = host._clock.now() + 5.0
         monkeypatch.setattr(host._clock, "now", lambda: later)
@@ -289,6 +290,9 @@
         assert core.pool.starts_after > later
         host._apply_config(config(version=9), "host")
         assert core.pool.starts_after > later
+        host._worker_mirror.read_at = later
+        host._workers_changed({item.key: item}, 2)
+        assert not core.pool.starts_after
 
     anyio.run(main)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -50,6 +50,7 @@
         mirror = Mirror(
             store=store,  # type: ignore[arg-type]
             prefix="servers/",
+            now=anyio.current_time,
             on_change=lambda items, revision: None,
             on_availability=lambda up, reason: None,
             mode=mode,
