Give up a task under which two workers have crashed

What callers saw: nothing yet. Cause: the limit on attempts counts only ends that workers report as failed. A run that is lost with its worker was started again without limit, as if the task could not be the cause; only the time for which a caller waits bounded the starts. Class of fault: a retry without a budget for one kind of failure. Change: a leader counts the crashes of workers under each task (CrashHistory). A crash is another process of the worker, or a worker that breaks or refuses connections until its leases are over. After one crash the task runs alone on a worker if one is idle, so that it takes no other task down, and is not lent. After two its job ends: as failed if other processes of both workers have answered, else as unknown. The count is kept for a minute, also when the job is sent again, and goes to the next leader and from a borrowing domain to the lender. A crash is withdrawn if the same process answers again, and a start whose connection was refused counts for nothing, so that cut paths accuse no task.

--- a/src/eelgrassyard/dispatch/_jobs.py
+++ b/src/eelgrassyard/dispatch/_jobs.py
@@ -85,7 +85,8 @@
     COMPLETE = "complete"
     """All tasks have completed."""
     FAILED = "failed"
-    """A task has failed as often as its kind allows, fits no worker, or was rejected as invalid."""
+    """A task has failed as often as its kind allows, fits no worker, was rejected as invalid, or
+    has crashed its workers."""
     NOT_RUN = "not_run"
     """No task has been started on any worker, and none will be."""
     ABANDONED = "abandoned"
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -107,10 +107,12 @@
 
     :param done: tasks that have completed.
     :param unsettled: tasks that may be running; all others are not running anywhere.
+    :param crashes: step, index and number of crashes of workers under each task that has any.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     unsettled: tuple[tuple[int, int], ...] = ()
+    crashes: tuple[tuple[int, int, int], ...] = ()
 
 
 class Submit(_Message, frozen=True):
@@ -176,13 +178,17 @@
 
 
 class LentEnded(_Message, frozen=True):
-    """End of the run of a lent task, reported to the lender."""
+    """End of the run of a lent task, reported to the lender.
+
+    :param crashed: whether the worker crashed, possibly because of the task.
+    """
 
     job_id: str
     step: int
     index: int
     run: int
     end: TaskEnd
+    crashed: bool = False
 
 
 class CarryStart(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -101,6 +101,7 @@
                 message.index,
                 message.run,
                 message.end,
+                crashed=message.crashed,
             )
 
     def _carry_start(self, name: str, message: CarryStart) -> None:
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -117,6 +117,11 @@
                     racks.add(self.worker_by_id[other.location].record.rack)
             if not step.max_per_worker:
                 count_by_worker = None
+        if self.crashes.count(task.id):
+            # Alone, it cannot take other tasks down, and shows whether it is the cause.
+            workers = list(workers)
+            idle = [w for w in workers if not w.run_by_task and not w.orphan_run_by_task]
+            workers = idle or workers
         worker = choose_worker(
             workers,
             step,
@@ -180,6 +185,8 @@
         task.percent = 0
         pool_job.started_runs += 1
         worker.reserve(task.step, task.id, task.run)
+        if self.crashes.count(task.id):
+            worker.suspects.add(task.id)
         self._task_by_run[(worker.record.id, task.id, task.run)] = task
         typical_cpu = self._typical_cpu_by_service.get(pool_job.job.service, float(task.step.cpu))
         self._typical_cpu_by_service[pool_job.job.service] = max(
@@ -251,6 +258,8 @@
                 break
             if task.phase is not Phase.WAITING or task.pool_job.is_lent:
                 continue
+            if self.crashes.count(task.id):
+                continue
             begun = begun_by_job.setdefault(task.id.job, task.pool_job.started_runs > 0)
             useful_s = self._useful_s(now, task.pool_job, begun=begun) - LEND_TRANSIT_S
             domain = self.peers.take_room(
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -4,7 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from ._actions import Answered, PollReport, PollResult, PollWorker, Refusal, RunningEntry
+from ._actions import (
+    Answered,
+    CallFailure,
+    PollReport,
+    PollResult,
+    PollWorker,
+    Refusal,
+    RunningEntry,
+)
 from ._jobs import TaskEnd
 from ._tasks import Phase, Task
 from ._workers import SILENT_POLL_INTERVAL_S, Worker, WorkerState
@@ -80,6 +88,8 @@
         for worker in pool.worker_by_id.values():
             if worker.state is WorkerState.SILENT and now >= worker.clock.leases_expire_at:
                 for task in pool.active_tasks(worker):
+                    if worker.disconnected:
+                        pool.worker_crashed(now, worker, task.id, confirmed=False)
                     pool.run_ended(now, task, TaskEnd.LOST, "worker silent and lease expired")
             if worker.orphan_run_by_task and now >= self._claim_deadline_by_worker.get(
                 worker.record.id, 0.0
@@ -158,6 +168,7 @@
         self._schedule_next_poll(now, worker)
 
     def _poll_unanswered(self, now: float, worker: Worker, result: object) -> None:
+        worker.disconnected = result in (CallFailure.BROKEN, CallFailure.REFUSED)
         if worker.state is WorkerState.READY:
             self._pool.note("worker_silent", worker=worker.record.id, result=str(result))
             worker.state = WorkerState.SILENT
@@ -179,15 +190,22 @@
 
     def _apply_report(self, now: float, worker: Worker, report: PollReport) -> None:
         pool = self._pool
-        if worker.life is not None and report.life is not None and report.life != worker.life:
+        restarted = (
+            worker.life is not None and report.life is not None and report.life != worker.life
+        )
+        if restarted:
             # The new process numbers its run ends from the start. Runs of the old process are no
             # longer listed; a start that has just been answered may belong to the new one.
             pool.note("worker_restarted", worker=worker.record.id, runs=len(worker.run_by_task))
             worker.ends_seen = 0
+            pool.crashes.confirm(worker.record.id)
+        elif worker.state is WorkerState.SILENT:
+            pool.crashes.withdraw(worker.record.id)
         is_first_report = worker.state in (WorkerState.UNFENCED, WorkerState.DOWN)
         if worker.state is not WorkerState.READY:
             pool.note("worker_ready", worker=worker.record.id, after=worker.state.value)
         worker.state = WorkerState.READY
+        worker.disconnected = False
         worker.unanswered = 0
         worker.life = report.life
         worker.clock.update(reading_s=report.clock_s, now=now)
@@ -213,6 +231,8 @@
         for task in pool.active_tasks(worker):
             answered = task.phase is Phase.RUNNING and task.started_at < worker.poll_sent_at
             if answered and (task.id, task.run) not in listed:
+                if restarted:
+                    pool.worker_crashed(now, worker, task.id, confirmed=True)
                 pool.run_ended(now, task, TaskEnd.LOST, "no longer listed by the worker")
 
     def _apply_running_entry(
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -9,6 +9,7 @@
     Action,
     Note,
 )
+from ._crashes import CrashHistory
 from ._jobs import TaskEnd, TaskId
 from ._order_carriers import OrderCarriers
 from ._order_timing import OrderTiming
@@ -66,6 +67,7 @@
         self.peers = PeerPools()
         self.counts: dict[str, int] = {}
         self.timing = OrderTiming()
+        self.crashes = CrashHistory()
         self.carriers = OrderCarriers(link_bytes_per_s=link_bytes_per_s)
         self._far_factor = far_factor
         self._record_by_id: Mapping[str, WorkerRecord] = {}
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -30,8 +30,11 @@
 class RunLifecycle(TaskPlacement):
     """Ends runs: requeues or finishes their tasks, unblocks later steps, and answers jobs."""
 
-    def stop_run(self, now: float, task: Task, reason: str) -> None:
-        """Stop a run in progress; its capacity is freed once the run is known to have ended."""
+    def stop_run(self, now: float, task: Task, reason: str, *, may_have_run: bool = True) -> None:
+        """Stop a run in progress; its capacity is freed once the run is known to have ended.
+
+        :param may_have_run: False if the connection for its start was refused.
+        """
         worker = self.worker_by_id.get(task.location)
         if worker is None or task.phase not in (Phase.ORDERED, Phase.RUNNING):
             return
@@ -39,7 +42,9 @@
         self.note(
             "run_stopped", task=str(task.id), run=task.run, worker=task.location, reason=reason
         )
-        self.stops.request_stop(now, worker, task.id, task.run, task.step)
+        self.stops.request_stop(
+            now, worker, task.id, task.run, task.step, may_have_run=may_have_run
+        )
 
     def _release_run(self, task: Task) -> None:
         self._task_by_run.pop((task.location, task.id, task.run), None)
@@ -102,11 +107,45 @@
             else:
                 self._lent_run_ended(task, TaskEnd.LOST)
             return
+        if self.crashes.is_exhausted(task.id):
+            task.phase = Phase.WAITING
+            self.give_up_if_exhausted(now, task.id)
+            return
         workers = self.workers_by_service.get(task.pool_job.job.service, ())
         if len(task.avoid) >= len(workers):
             task.avoid.clear()
         self._enqueue(now, task)
 
+    def worker_crashed(
+        self, now: float, worker: Worker, task_id: TaskId, *, confirmed: bool
+    ) -> None:
+        """Record that a worker has crashed while a task may have been running on it.
+
+        :param confirmed: whether another process of the worker has answered since.
+        """
+        if worker.record.draining:
+            return
+        self.crashes.record(now, task_id, worker.record.id, confirmed=confirmed)
+        self._count("crashes_under_tasks")
+        self.note(
+            "worker_crashed",
+            task=str(task_id),
+            worker=worker.record.id,
+            confirmed=confirmed,
+            crashes=self.crashes.count(task_id),
+        )
+
+    def give_up_if_exhausted(self, now: float, task_id: TaskId) -> None:
+        """End the job of a task that has crashed too many workers: as failed if these crashes are
+        confirmed, since another attempt would crash more of them."""
+        pool_job = self.job_by_id.get(task_id.job)
+        if pool_job is None or not self.crashes.is_exhausted(task_id):
+            return
+        outcome = Outcome.FAILED if self.crashes.is_proved(task_id) else Outcome.ABANDONED
+        self._finish(
+            now, pool_job, outcome, f"{self.crashes.count(task_id)} workers crashed under {task_id}"
+        )
+
     def _record_run_end(self, now: float, worker: Worker, task: Task, end: TaskEnd) -> None:
         pool_job = task.pool_job
         if end is TaskEnd.DONE:
@@ -158,6 +197,7 @@
                     index=task.id.index,
                     run=task.lender_run,
                     end=end,
+                    crashed=end is TaskEnd.LOST and self.crashes.count(task.id) > 0,
                 ),
             )
         )
--- a/src/eelgrassyard/dispatch/_stops.py
+++ b/src/eelgrassyard/dispatch/_stops.py
@@ -25,7 +25,13 @@
     worker: Worker
     step: Step
     ends_at: float
+    may_have_run: bool = True
     retry_at: float | None = None
+    is_confirmed: bool = False
+
+    def may_have_crashed(self) -> bool:
+        """Tell whether the run may have been in progress when its worker was lost."""
+        return self.may_have_run and not self.is_confirmed
 
 
 class PendingStops:
@@ -61,11 +67,20 @@
         return any(key[0] == worker_id for key in self._stop_by_key)
 
     def request_stop(
-        self, now: float, worker: Worker, task_id: TaskId, run: int, step: Step
+        self,
+        now: float,
+        worker: Worker,
+        task_id: TaskId,
+        run: int,
+        step: Step,
+        *,
+        may_have_run: bool = True,
     ) -> None:
         """Stop a run.
 
         :param step: size of the capacity that is freed once the run has ended.
+        :param may_have_run: False if the connection for its start was refused; a start on a broken
+            path may still be carried out.
         """
         key = (worker.record.id, task_id, run)
         # Without any answer the run ends when its lease expires; renewals for other runs of the
@@ -73,7 +88,10 @@
         if key not in self._stop_by_key:
             self._count_by_task[task_id] += 1
         self._stop_by_key[key] = _Stop(
-            worker=worker, step=step, ends_at=worker.clock.leases_expire_at
+            worker=worker,
+            step=step,
+            ends_at=worker.clock.leases_expire_at,
+            may_have_run=may_have_run,
         )
         self._send(key)
 
@@ -95,6 +113,7 @@
         if stop is not None:
             stop.ends_at = now + self._stop_s
             stop.retry_at = None
+            stop.is_confirmed = True
 
     def schedule_retry(self, now: float, worker_id: str, task_id: TaskId, run: int) -> None:
         """Schedule a retry of a stop that was not confirmed."""
@@ -112,10 +131,16 @@
             stop.worker.release(stop.step, task_id)
         return True
 
-    def discard_worker(self, worker_id: str) -> None:
-        """Discard the pending stops on a worker whose process is gone."""
-        for key in [key for key in self._stop_by_key if key[0] == worker_id]:
+    def discard_worker(self, worker_id: str) -> list[TaskId]:
+        """Discard the pending stops on a worker whose process is gone.
+
+        :returns: tasks whose runs may have been in progress.
+        """
+        keys = [key for key in self._stop_by_key if key[0] == worker_id]
+        in_progress = [key[1] for key in keys if self._stop_by_key[key].may_have_crashed()]
+        for key in keys:
             self._remove(key)
+        return in_progress
 
     def _remove(self, key: _Key) -> _Stop | None:
         stop = self._stop_by_key.pop(key, None)
@@ -125,11 +150,19 @@
                 del self._count_by_task[key[1]]
         return stop
 
-    def advance(self, now: float) -> None:
-        """End the stopped runs whose time has passed, and retry unconfirmed stops that are due."""
+    def advance(self, now: float) -> list[tuple[Worker, TaskId]]:
+        """End the stopped runs whose time has passed, and retry unconfirmed stops that are due.
+
+        :returns: worker and task of the runs that may have been in progress until their leases
+            expired.
+        """
+        in_progress = []
         for key, stop in list(self._stop_by_key.items()):
             if now >= stop.ends_at:
                 self.run_ended(*key)
+                if stop.may_have_crashed():
+                    in_progress.append((stop.worker, key[1]))
             elif stop.retry_at is not None and now >= stop.retry_at:
                 stop.retry_at = None
                 self._send(key)
+        return in_progress
--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -4,6 +4,7 @@
 
 from ._actions import (
     Answered,
+    CallFailure,
     OrderResult,
     PollResult,
     Refusal,
@@ -53,7 +54,12 @@
             case failure:
                 # The worker may still carry out the start until its lease expires, unless a stop
                 # reaches it first.
-                self.stop_run(now, task, f"start unanswered: {failure}")
+                self.stop_run(
+                    now,
+                    task,
+                    f"start unanswered: {failure}",
+                    may_have_run=failure is not CallFailure.REFUSED,
+                )
                 task.avoid.add(worker_id)
                 if carrier is None:
                     self.poller.start_unanswered(now, worker)
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -122,9 +122,18 @@
         if runs or worker.state is WorkerState.READY:
             self.note("worker_lost", worker=worker.record.id, reason=reason, runs=len(runs))
         worker.clear_runs()
-        self.stops.discard_worker(worker.record.id)
+        self.crashes.confirm(worker.record.id)
+        for task_id in self.stops.discard_worker(worker.record.id):
+            self.worker_crashed(now, worker, task_id, confirmed=True)
+            self.give_up_if_exhausted(now, task_id)
         for key in runs:
-            self.run_ended(now, self._task_by_run[key], TaskEnd.LOST, f"worker lost: {reason}")
+            task = self._task_by_run.get(key)
+            if task is None:
+                # Its job has ended with a run that was handled before.
+                continue
+            if task.phase is Phase.RUNNING:
+                self.worker_crashed(now, worker, task.id, confirmed=True)
+            self.run_ended(now, task, TaskEnd.LOST, f"worker lost: {reason}")
 
     def submit(
         self,
@@ -162,7 +171,12 @@
                 JobEnded(job_id=job.id, outcome=Outcome.FAILED, reason="a task fits no worker"),
             )
             return
+        self._apply_crashes(now, job.id, progress)
+        exhausted = next((t for t in pool_job.task_by_id if self.crashes.is_exhausted(t)), None)
         self.job_by_id[job.id] = pool_job
+        if exhausted is not None:
+            self.give_up_if_exhausted(now, exhausted)
+            return
         pool_job.started_runs = min(1, round)
         if round > 0:
             self._apply_progress(now, pool_job, progress)
@@ -294,9 +308,21 @@
                     self.run_ended(now, task, TaskEnd.LOST, f"session to {domain} broke")
 
     def lent_ended(
-        self, now: float, domain: str, job_id: str, step: int, index: int, run: int, end: TaskEnd
+        self,
+        now: float,
+        domain: str,
+        job_id: str,
+        step: int,
+        index: int,
+        run: int,
+        end: TaskEnd,
+        *,
+        crashed: bool = False,
     ) -> None:
-        """Handle another pool's report on the end of a task lent to it."""
+        """Handle another pool's report on the end of a task lent to it.
+
+        :param crashed: whether the worker crashed, possibly because of the task.
+        """
         pool_job = self.job_by_id.get(job_id)
         task = pool_job.task_by_id.get(TaskId(job_id, step, index)) if pool_job else None
         if (
@@ -312,6 +338,8 @@
             task.refused_until_by_domain[domain] = now + LEND_RETRY_S
         elif end is TaskEnd.FAILED:
             task.avoid.add(domain)
+        if crashed:
+            self.crashes.record(now, task.id, domain, confirmed=False)
         self.run_ended(now, task, end, f"reported by {domain}")
 
     def advance(self, now: float) -> None:
@@ -342,7 +370,11 @@
                 self._remove_job(now, pool_job)
         for worker_id, task_id, run in self.carriers.overdue(now):
             self.start_answered(now, worker_id, task_id, run, CallFailure.SILENT)
-        self.stops.advance(now)
+        for worker, task_id in self.stops.advance(now):
+            if worker.disconnected and worker.state is not WorkerState.READY:
+                self.worker_crashed(now, worker, task_id, confirmed=False)
+                self.give_up_if_exhausted(now, task_id)
+        self.crashes.advance(now)
         stopping, self._stopping_lent_tasks = self._stopping_lent_tasks, []
         for task in stopping:
             self.requeue(now, task)
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -96,6 +96,10 @@
         task at a time.
     :param backoff_until: time until which it gets no task after a refused or unanswered start.
     :param unanswered: consecutive starts that it has not answered.
+    :param disconnected: whether the last connection to it broke or was refused, as after a crash,
+        and it has not answered since.
+    :param suspects: running tasks under which a worker has crashed before. No other task is placed
+        beside them.
     :param slowness: learned run time as a multiple of the declared one.
     :param speed_class: class of the learned speed; a lower number is faster.
     """
@@ -118,6 +122,8 @@
     on_trial: bool = False
     backoff_until: float = 0.0
     unanswered: int = 0
+    disconnected: bool = False
+    suspects: set[TaskId] = field(default_factory=set)
     poll_in_flight: bool = False
     poll_sent_at: float = 0.0
     next_poll_at: float = 0.0
@@ -166,6 +172,7 @@
 
     def release(self, step: Step, task: TaskId) -> None:
         """Release the capacity of a run."""
+        self.suspects.discard(task)
         if self.run_by_task.pop(task, None) is not None:
             self.reserved_cpu -= step.cpu
             self.reserved_memory_mb -= step.memory_mb
@@ -177,7 +184,7 @@
             return False
         if now < self.backoff_until or now < self.ejected_until or not self.clock.is_fresh(now):
             return False
-        if self.orphan_run_by_task and not self.record.checks_capacity:
+        if self.suspects or (self.orphan_run_by_task and not self.record.checks_capacity):
             return False
         return not (self.on_trial and self.run_by_task)
 
@@ -204,6 +211,7 @@
         self.reserved_cpu = self.reserved_memory_mb = self.reserved_gpu = 0
         self.run_by_task.clear()
         self.orphan_run_by_task.clear()
+        self.suspects.clear()
 
 
 def choose_worker(
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import dataclass, field
 
 import pytest
@@ -16,7 +17,7 @@
     StopRun,
 )
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
-from eelgrassyard.dispatch._messages import JobEnded
+from eelgrassyard.dispatch._messages import JobEnded, LentEnded, Progress
 from eelgrassyard.dispatch._worker_pool import WorkerPool
 from eelgrassyard.dispatch._workers import WorkerRecord
 
@@ -30,14 +31,19 @@
     """A pool and its workers; a worker crashes soon after it starts a task of a deadly job.
 
     :param loses_answer: whether the worker crashes before it answers the start.
+    :param crash_is_silent: whether a crashed worker looks as if it was cut off.
+    :param keeps_process: whether the worker was only cut off, and its process answers again.
     """
 
     deadly_jobs: set[str]
     workers: int = 12
     loses_answer: bool = False
+    crash_is_silent: bool = False
+    keeps_process: bool = False
     now: float = 0.0
     starts: list[tuple[float, TaskId]] = field(default_factory=list)
     outcome_by_job: dict[str, Outcome] = field(default_factory=dict)
+    lent_ends: list[LentEnded] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.cpu_by_job: dict[str, int] = {}
@@ -72,8 +78,11 @@
         work_s: float = 0.1,
         caller_waits_s: float = 30.0,
         cpu: int = 1000,
+        round: int = 0,
+        progress: Progress | None = None,
+        lent: bool = False,
     ) -> None:
-        """Submit a job as an entry host."""
+        """Submit a job as an entry host, or lend its tasks as another pool."""
         self.cpu_by_job[job_id], self.work_by_job[job_id] = cpu, work_s
         job = Job(
             id=job_id,
@@ -85,7 +94,17 @@
             stretch=100.0,
             target_s=0.1,
         )
-        self.pool.submit(self.now, "r", job, waited_s=0.0, caller_waits_s=caller_waits_s, round=0)
+        waits: dict[str, float] = {"waited_s": 0.0, "caller_waits_s": caller_waits_s}
+        if lent:
+            runs = tuple((index, 1) for index in range(tasks))
+            self.pool.lend(self.now, "p", job, 0, runs, **waits)
+        else:
+            self.pool.submit(self.now, "r", job, round=round, progress=progress, **waits)
+
+    def outcome_of(self, job_id: str) -> Outcome | None:
+        """Outcome of a job, once pending actions are performed."""
+        self._perform_actions()
+        return self.outcome_by_job.pop(job_id, None)
 
     def run(self, seconds: float) -> None:
         """Advance the virtual time."""
@@ -109,14 +128,17 @@
         for name, at in list(self._up_at.items()):
             if self.now >= at:
                 del self._up_at[name]
-                self.worker_by_id[name].restart()
+                if self.keeps_process:
+                    self.worker_by_id[name].up = True
+                else:
+                    self.worker_by_id[name].restart()
 
     def _crash(self, name: str) -> None:
         self.worker_by_id[name].crash()
         self._up_at[name] = self.now + DOWN_S
         if name in self._polls:
             del self._polls[name]
-            self.pool.poll_answered(self.now, name, CallFailure.BROKEN)
+            self.pool.poll_answered(self.now, name, self._failure(CallFailure.BROKEN))
 
     def _answer_polls(self) -> None:
         for name, (until, _) in list(self._polls.items()):
@@ -144,6 +166,8 @@
                     self._poll(name, action)
                 case Reply(message=JobEnded(job_id=job_id, outcome=outcome)):
                     self.outcome_by_job[job_id] = outcome
+                case Reply(message=LentEnded() as message):
+                    self.lent_ends.append(message)
 
     def _start(self, order: StartRun) -> OrderResult:
         worker = self.worker_by_id[order.worker_id]
@@ -161,10 +185,13 @@
         self._crash_at[order.worker_id] = self.now + CRASH_AFTER_S
         return answer
 
+    def _failure(self, failure: CallFailure) -> CallFailure:
+        return CallFailure.SILENT if self.crash_is_silent else failure
+
     def _poll(self, name: str, order: PollWorker) -> None:
         worker = self.worker_by_id[name]
         if not worker.up:
-            self.pool.poll_answered(self.now, name, CallFailure.REFUSED)
+            self.pool.poll_answered(self.now, name, self._failure(CallFailure.REFUSED))
             return
         refusal = worker.begin_poll(self.now, order)
         if refusal is not None:
@@ -183,3 +210,116 @@
     site.run(30.0)
     assert 2 <= site.starts_of("deadly") < 6
     assert site.outcome_by_job["deadly"] in (Outcome.FAILED, Outcome.ABANDONED)
+
+
+def test_a_job_that_crashed_workers_has_failed_when_it_is_submitted_again() -> None:
+    """Guards against a leader that forgets the crashes under a job that it has given up, so that
+    more workers crash when the caller sends the job again."""
+    site = Site(deadly_jobs={"deadly"})
+    site.run(0.2)
+    site.submit("deadly", tasks=2)
+    site.run(3.0)
+    starts = site.starts_of("deadly")
+    assert site.outcome_by_job.pop("deadly") is Outcome.ABANDONED
+    site.submit("deadly", tasks=2)
+    assert site.outcome_of("deadly") is Outcome.ABANDONED
+    site.run(8.0)
+    site.submit("deadly", tasks=2)
+    assert site.outcome_of("deadly") is Outcome.FAILED
+    assert site.starts_of("deadly") == starts
+
+
+def test_other_tasks_of_a_crashed_worker_complete() -> None:
+    """Guards against giving up tasks that only ran beside the one that crashes its workers."""
+    site = Site(deadly_jobs={"deadly"}, workers=6)
+    site.run(0.2)
+    for number in range(5):
+        site.submit(f"other{number}", work_s=0.4)
+    site.submit("deadly")
+    for number in range(5, 11):
+        site.submit(f"other{number}", work_s=0.4)
+    site.run(20.0)
+    assert site.outcome_by_job.pop("deadly") in (Outcome.FAILED, Outcome.ABANDONED)
+    assert site.outcome_by_job == {f"other{n}": Outcome.COMPLETE for n in range(11)}
+
+
+def test_workers_that_are_cut_off_do_not_count_as_crashed() -> None:
+    """Guards against a job that has failed only because its workers were cut off."""
+    site = Site(deadly_jobs={"deadly"}, crash_is_silent=True)
+    site.run(0.2)
+    site.submit("deadly")
+    site.run(2.9)
+    assert site.starts_of("deadly") > 1
+    assert not site.pool.crashes.count(TaskId("deadly", 0, 0))
+    assert "deadly" not in site.outcome_by_job
+
+
+def test_a_crash_is_forgotten_if_the_same_process_answers_again() -> None:
+    """Guards against a job that is given up because the connections of two workers were reset."""
+    site = Site(deadly_jobs={"job"}, keeps_process=True)
+    site.run(0.2)
+    site.submit("job")
+    site.run(0.5)
+    site.deadly_jobs.clear()
+    site.run(0.5)
+    assert site.pool.crashes.count(TaskId("job", 0, 0)) == 1
+    site.run(4.0)
+    assert site.pool.crashes.count(TaskId("job", 0, 0)) == 0
+
+
+def test_a_task_that_reached_no_worker_has_crashed_none() -> None:
+    """Guards against a job that is given up because it was sent to workers that had crashed
+    already."""
+    site = Site(deadly_jobs=set(), workers=3)
+    site.run(0.2)
+    for worker in site.worker_by_id.values():
+        worker.crash()
+    for number in range(6):
+        site.submit(f"job{number}")
+    site.run(2.0)
+    assert not site.starts
+    assert not site.pool.counts.get("crashes_under_tasks")
+    for worker in site.worker_by_id.values():
+        worker.restart()
+    site.run(8.0)
+    assert site.outcome_by_job == {f"job{n}": Outcome.COMPLETE for n in range(6)}
+
+
+def test_workers_that_leave_do_not_count_as_crashed() -> None:
+    """Guards against a job that has failed only because its workers were replaced as planned."""
+    site = Site(deadly_jobs={"deadly"})
+    site.run(0.2)
+    site.submit("deadly")
+    site.run(0.015)
+    draining = {n: dataclasses.replace(r, draining=True) for n, r in site.records.items()}
+    site.pool.set_workers(site.now, draining, read_at=site.now)
+    site.run(2.0)
+    assert site.starts_of("deadly") == 1
+    assert not site.pool.crashes.count(TaskId("deadly", 0, 0))
+
+
+def test_the_next_leader_knows_the_crashes_under_a_task() -> None:
+    """Guards against two more crashes at each new leader."""
+    site = Site(deadly_jobs={"deadly"})
+    site.run(0.2)
+    site.submit("deadly")
+    site.run(1.0)
+    ((_, returned),) = site.pool.progress_by_requester()
+    assert returned.progress is not None
+    assert returned.progress.crashes == ((0, 0, 1),)
+    site.lead(epoch=6)
+    site.run(0.2)
+    site.submit("deadly", round=1, progress=returned.progress)
+    site.run(4.0)
+    assert site.outcome_by_job["deadly"] in (Outcome.FAILED, Outcome.ABANDONED)
+    assert site.starts_of("deadly") <= 3
+
+
+def test_a_crash_under_a_lent_task_is_known_to_the_lender() -> None:
+    """Guards against a task that crashes the workers of one domain after the other."""
+    site = Site(deadly_jobs={"deadly"})
+    site.run(0.2)
+    site.submit("deadly", lent=True)
+    site.run(2.0)
+    assert [message.crashed for message in site.lent_ends] == [True]
+    assert site.starts_of("deadly") == 1
