Count the runs of an earlier leader while they are being stopped

Cause: a new leader stops the runs that no host claims, and counted them no more from then on. The stop itself was taken as ended at the next tick if its answer was not there yet: its end was that of the leases which this leader had granted, and it had granted none. Change: these stops are pending until they are confirmed, listed as ended, or HANDOVER_S has passed, and are repeated meanwhile; a worker without a capacity check gets nothing before that. Ruled out: stops of own runs keep their reserved capacity; a capacity that shrinks is in the registry record that each placement reads. Test: test_orphaned_runs_that_are_being_stopped_still_take_capacity failed before.

--- a/src/eelgrassyard/dispatch/_handover.py
+++ b/src/eelgrassyard/dispatch/_handover.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from ._jobs import TaskEnd, TaskId
+from ._leases import HANDOVER_S
 from ._messages import JobReturned, Progress
 from ._run_lifecycle import RunLifecycle
 from ._tasks import Phase, PoolJob, Task
 
-HANDOVER_S = 0.95
-"""Time after a failover for which runs that no worker has listed may still be alive: the lease, the
-clock error, and the time in which another domain detects that its requester is gone."""
-
 
 class Handover(RunLifecycle):
     """Adopts orphaned runs of an earlier leader, and reports the progress of jobs on resigning.
--- a/src/eelgrassyard/dispatch/_leases.py
+++ b/src/eelgrassyard/dispatch/_leases.py
@@ -15,6 +15,10 @@
 MAX_READING_AGE_S = 4.0
 """Greatest age of a clock reading that a start may rely on; drift adds up to 80 ms by then."""
 
+HANDOVER_S = 0.95
+"""Time after a failover for which runs that no worker has listed may still be alive: the lease, the
+clock error, and the time in which another domain detects that its requester is gone."""
+
 
 @dataclass(slots=True, kw_only=True)
 class WorkerClock:
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -7,6 +7,7 @@
     SendPeerLeader,
 )
 from ._jobs import Outcome, Step, TaskEnd, TaskId
+from ._leases import HANDOVER_S
 from ._messages import Cancel, JobEnded, LentEnded
 from ._placement import TaskPlacement
 from ._pool_state import round_s
@@ -55,7 +56,10 @@
     def stop_orphan(self, now: float, worker: Worker, task_id: TaskId, run: int) -> None:
         """Stop a run of an earlier leader that no host has claimed."""
         self.note("run_unclaimed", task=str(task_id), run=run, worker=worker.record.id)
-        self.stops.request_stop(now, worker, task_id, run, UNKNOWN_SIZE)
+        worker.orphan_stops.add((task_id, run))
+        self.stops.request_stop(
+            now, worker, task_id, run, UNKNOWN_SIZE, leased_until=now + HANDOVER_S
+        )
 
     def run_ended(self, now: float, task: Task, end: TaskEnd, reason: str) -> None:
         """Record the end of a task's current run, and continue or finish its job."""
--- a/src/eelgrassyard/dispatch/_stops.py
+++ b/src/eelgrassyard/dispatch/_stops.py
@@ -25,6 +25,7 @@
     worker: Worker
     step: Step
     ends_at: float
+    leased_until: float = 0.0
     may_have_run: bool = True
     retry_at: float | None = None
     is_confirmed: bool = False
@@ -75,10 +76,12 @@
         step: Step,
         *,
         may_have_run: bool = True,
+        leased_until: float = 0.0,
     ) -> None:
         """Stop a run.
 
         :param step: size of the capacity that is freed once the run has ended.
+        :param leased_until: time until which a lease of an earlier leader may keep the run alive.
         :param may_have_run: False if the connection for its start was refused; a start on a broken
             path may still be carried out.
         """
@@ -90,7 +93,8 @@
         self._stop_by_key[key] = _Stop(
             worker=worker,
             step=step,
-            ends_at=worker.clock.leases_expire_at,
+            ends_at=max(leased_until, worker.clock.leases_expire_at),
+            leased_until=leased_until,
             may_have_run=may_have_run,
         )
         self._send(key)
@@ -119,7 +123,7 @@
         """Schedule a retry of a stop that was not confirmed."""
         stop = self._stop_by_key.get((worker_id, task_id, run))
         if stop is not None:
-            stop.ends_at = stop.worker.clock.leases_expire_at
+            stop.ends_at = max(stop.leased_until, stop.worker.clock.leases_expire_at)
             stop.retry_at = now + STOP_RETRY_S
 
     def run_ended(self, worker_id: str, task_id: TaskId, run: int) -> bool:
@@ -145,6 +149,7 @@
     def _remove(self, key: _Key) -> _Stop | None:
         stop = self._stop_by_key.pop(key, None)
         if stop is not None:
+            stop.worker.orphan_stops.discard((key[1], key[2]))
             self._count_by_task[key[1]] -= 1
             if not self._count_by_task[key[1]]:
                 del self._count_by_task[key[1]]
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -91,6 +91,7 @@
     :param ends_acknowledged: value of ``ends_seen`` in the latest poll.
     :param reserved_cpu: capacity in use by runs that this leader tracks.
     :param orphan_run_by_task: runs of an earlier leader that no host has claimed yet.
+    :param orphan_stops: orphaned runs that are being stopped, which may still be in progress.
     :param failed_jobs: jobs that failed here and on no other worker since the last success.
     :param on_trial: whether the worker was ejected and has not completed a task since; it gets one
         task at a time.
@@ -115,6 +116,7 @@
     reserved_gpu: int = 0
     run_by_task: dict[TaskId, int] = field(default_factory=dict)
     orphan_run_by_task: dict[TaskId, int] = field(default_factory=dict)
+    orphan_stops: set[tuple[TaskId, int]] = field(default_factory=set)
     speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
     failed_jobs: set[str] = field(default_factory=set)
     ejections: int = 0
@@ -184,7 +186,10 @@
             return False
         if now < self.backoff_until or now < self.ejected_until or not self.clock.is_fresh(now):
             return False
-        if self.suspects or (self.orphan_run_by_task and not self.record.checks_capacity):
+        if self.suspects:
+            return False
+        # The size of orphaned runs is unknown, and such a worker would refuse nothing.
+        if not self.record.checks_capacity and (self.orphan_run_by_task or self.orphan_stops):
             return False
         return not (self.on_trial and self.run_by_task)
 
@@ -211,6 +216,7 @@
         self.reserved_cpu = self.reserved_memory_mb = self.reserved_gpu = 0
         self.run_by_task.clear()
         self.orphan_run_by_task.clear()
+        self.orphan_stops.clear()
         self.suspects.clear()
 
 
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -18,8 +20,8 @@
     StartRun,
     StopRun,
 )
-from eelgrassyard.dispatch._handover import HANDOVER_S
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskEnd, TaskId
+from eelgrassyard.dispatch._leases import HANDOVER_S
 from eelgrassyard.dispatch._messages import JobEnded, Lend, LentEnded, Progress
 from eelgrassyard.dispatch._worker_pool import WorkerPool
 from eelgrassyard.dispatch._workers import WorkerRecord
@@ -477,6 +479,24 @@
     assert len(driver.take(StartRun)) == 1
 
 
+def test_orphaned_runs_that_are_being_stopped_still_take_capacity() -> None:
+    """Guards against a start beyond the capacity of a worker that refuses nothing, while it still
+    stops the runs of an earlier leader."""
+    driver = PoolDriver()
+    unguarded = dataclasses.replace(record("w0"), checks_capacity=False)
+    driver.pool.set_workers(0.1, {"w0": unguarded}, read_at=0.1)
+    driver.take(PollWorker)
+    other = TaskId("0000000000000001", 0, 0)
+    driver.report(0.11, "w0", running=(RunningEntry(task=other, run=1, percent=10),))
+    driver.submit(0.4, job(tasks=2, estimate_s=0.8))
+    driver.pool.advance(0.5)
+    assert [stop.task for stop in driver.take(StopRun)] == [other]
+    driver.pool.advance(0.51)
+    assert driver.take(StartRun) == []
+    driver.report(0.55, "w0", ended=(EndedEntry(number=1, task=other, run=1, end=TaskEnd.LOST),))
+    assert len(driver.take(StartRun)) == 2
+
+
 def test_a_higher_epoch_fences_out_the_leader() -> None:
     """Guards against two leaders that drive the same workers."""
     driver = PoolDriver(record("w0"))
