Refuse a job as not run while the capacity of the workers that it fits has shrunk

Cause: a job with a task that fits no registered worker was answered as failed. Change: hosts keep the largest capacity that each worker has registered. A job is failed if its tasks have never fitted, as before, and refused as not run with Retry-After while the capacity is smaller. A job that an earlier leader may have started is neither; its runs go on. Ruled out: starts on a worker that has shrunk, as each placement reads the registered capacity. Remains: a host that starts while all workers are small cannot know better and answers failed. Test: test_a_job_is_refused_as_not_run_while_the_capacity_of_workers_has_shrunk; on the commit before such a job has failed.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -11,7 +11,7 @@
 )
 from ._outbound import OutboundSessions
 from ._worker_pool import WorkerPool
-from ._workers import WorkerRecord
+from ._workers import WorkerRecord, keep_peaks
 
 SESSION_TIMEOUT_S = 0.45
 """Time without a message, usually a ping, after which the host of an inbound session counts as
@@ -40,10 +40,10 @@
 
         :param read_at: time in seconds at which the registry was as the records say.
         """
-        self._record_by_id = records
+        self._record_by_id = keep_peaks(records, known=self._record_by_id)
         self._registry_read_at = read_at
         if self.pool is not None:
-            self.pool.set_workers(now, records, read_at=read_at)
+            self.pool.set_workers(now, self._record_by_id, read_at=read_at)
 
     def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
         """Replace the hosts that the store lists."""
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -36,10 +36,10 @@
     """Starts waiting tasks on workers with free capacity, and lends the others to pools that
     have some."""
 
-    def _fits_any_worker(self, job: Job) -> bool:
+    def _fits_any_worker(self, job: Job, *, at_peak: bool = False) -> bool:
         records = [r for r in self._record_by_id.values() if r.service == job.service]
         return not records or all(
-            any(record.can_fit(step) for record in records) for step in job.steps
+            any(record.can_fit(step, at_peak=at_peak) for record in records) for step in job.steps
         )
 
     def _enqueue(self, now: float, task: Task) -> None:
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -206,6 +206,29 @@
             )
         )
 
+    def _refuse_if_too_large(self, pool_job: PoolJob, *, may_have_run: bool) -> bool:
+        """Refuse a new job with a task that fits no worker: for good if none has ever had the
+        capacity, otherwise until some of it is back."""
+        job = pool_job.job
+        if self._fits_any_worker(job):
+            return False
+        if not self._fits_any_worker(job, at_peak=True):
+            message = JobEnded(
+                job_id=job.id, outcome=Outcome.FAILED, reason="a task fits no worker"
+            )
+        elif not may_have_run:
+            message = JobEnded(
+                job_id=job.id,
+                outcome=Outcome.NOT_RUN,
+                reason="a task fits no worker at present",
+                retry_after_s=MIN_RETRY_AFTER_S,
+            )
+        else:
+            return False
+        self.note("job_too_large", job=job.id, service=job.service, outcome=message.outcome.value)
+        self._reply(pool_job, message)
+        return True
+
     def _reply(self, pool_job: PoolJob, message: JobEnded) -> None:
         self.actions.append(Reply(requester=pool_job.requester, message=message))
 
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -7,7 +7,7 @@
 
 from ._actions import CallFailure
 from ._jobs import Job, Outcome, TaskEnd, TaskId
-from ._messages import JobEnded, Progress
+from ._messages import Progress
 from ._peer_pools import RoomByClass
 from ._polling import WorkerPoller
 from ._pool_state import round_s
@@ -164,12 +164,7 @@
             caller_waits_s=caller_waits_s,
             run_base=RUNS_PER_ROUND * round,
         )
-        if not self._fits_any_worker(job):
-            self.note("job_too_large", job=job.id, service=job.service)
-            self._reply(
-                pool_job,
-                JobEnded(job_id=job.id, outcome=Outcome.FAILED, reason="a task fits no worker"),
-            )
+        if self._refuse_if_too_large(pool_job, may_have_run=round > 0):
             return
         self._apply_crashes(now, job.id, progress)
         exhausted = next((t for t in pool_job.task_by_id if self.crashes.is_exhausted(t)), None)
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from .._speeds import UpstreamSpeed, speed_class
@@ -58,6 +59,8 @@
     :param labels: labels that steps may require; the rack is one of them.
     :param cpu: thousandths of a core.
     :param checks_capacity: whether the worker itself refuses a task that does not fit.
+    :param peak: largest ``cpu``, ``memory_mb`` and ``gpu`` that it has registered so far, if these
+        were larger than now.
     """
 
     id: str
@@ -71,16 +74,43 @@
     gpu: int = 0
     draining: bool = False
     checks_capacity: bool = True
+    peak: tuple[int, int, int] = (0, 0, 0)
 
-    def can_fit(self, step: Step) -> bool:
-        """Tell whether one task of a step fits on the worker while it is empty."""
+    def can_fit(self, step: Step, *, at_peak: bool = False) -> bool:
+        """Tell whether one task of a step fits on the worker while it is empty.
+
+        :param at_peak: whether to count the largest capacity that it has had instead.
+        """
+        cpu, memory_mb, gpu = self.largest() if at_peak else (self.cpu, self.memory_mb, self.gpu)
         return (
-            self.cpu >= step.cpu
-            and self.memory_mb >= step.memory_mb
-            and self.gpu >= step.gpu
+            cpu >= step.cpu
+            and memory_mb >= step.memory_mb
+            and gpu >= step.gpu
             and (not step.label or step.label in self.labels)
         )
 
+    def largest(self) -> tuple[int, int, int]:
+        """Largest ``cpu``, ``memory_mb`` and ``gpu`` that it has registered."""
+        cpu, memory_mb, gpu = self.peak
+        return max(self.cpu, cpu), max(self.memory_mb, memory_mb), max(self.gpu, gpu)
+
+
+def keep_peaks(
+    records: Mapping[str, WorkerRecord], *, known: Mapping[str, WorkerRecord]
+) -> dict[str, WorkerRecord]:
+    """Carry the largest capacity of each worker over to its new record.
+
+    :param known: earlier records by id.
+    """
+    kept = {}
+    for worker_id, record in records.items():
+        earlier = known.get(worker_id)
+        largest = earlier.largest() if earlier is not None else record.largest()
+        if largest != (record.cpu, record.memory_mb, record.gpu):
+            record = dataclasses.replace(record, peak=largest)
+        kept[worker_id] = record
+    return kept
+
 
 @dataclass(slots=True, kw_only=True)
 class Worker:
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -24,7 +24,7 @@
 from eelgrassyard.dispatch._leases import HANDOVER_S
 from eelgrassyard.dispatch._messages import JobEnded, Lend, LentEnded, Progress
 from eelgrassyard.dispatch._worker_pool import WorkerPool
-from eelgrassyard.dispatch._workers import WorkerRecord
+from eelgrassyard.dispatch._workers import WorkerRecord, keep_peaks
 
 JOB_ID = "5c0e7a21d94b36f8"
 
@@ -497,6 +497,21 @@
     assert len(driver.take(StartRun)) == 2
 
 
+def test_a_job_is_refused_as_not_run_while_the_capacity_of_workers_has_shrunk() -> None:
+    """Guards against a job that has failed for good because the workers that it fits have less
+    room for a while, and against calling one not run that an earlier leader may have started."""
+    full = {"w0": record("w0"), "w1": record("w1", cpu=1000)}
+    shrunk = {"w0": record("w0", cpu=500), "w1": record("w1", cpu=400)}
+    driver = PoolDriver()
+    driver.pool.set_workers(2.0, keep_peaks(shrunk, known=full), read_at=2.0)
+    driver.submit(2.1, job(cpu=1500))
+    assert driver.outcomes() == [Outcome.NOT_RUN]
+    driver.submit(2.1, job(cpu=2500))
+    assert driver.outcomes() == [Outcome.FAILED]
+    driver.submit(2.1, job(cpu=1500), round=1)
+    assert driver.outcomes() == []
+
+
 def test_a_higher_epoch_fences_out_the_leader() -> None:
     """Guards against two leaders that drive the same workers."""
     driver = PoolDriver(record("w0"))
