Tell the leaders of other domains of the crashes of workers under a task

A caller that gets 502 may send the job to a host of another domain, whose leader started the task twice more: six starts on three domains, one more than the operators allow after three crashes (BUDGET). Change: leaders report the crashes in their domain to each other in the answers to pings, for 2 s after each change, with the worker and what is known: suspected, confirmed, withdrawn. JobReturned and LentEnded carry the same reports instead of a count, so that no crash counts twice. Hosts of the release before ignore the new field, and send none. Ruled out: a message of its own, which older hosts would not understand; an entry in the store, which may be out just then. Test: test_the_leaders_of_other_domains_know_the_crashes_under_a_task; on the commit before the second leader starts the task.

--- a/src/eelgrassyard/dispatch/_handover.py
+++ b/src/eelgrassyard/dispatch/_handover.py
@@ -32,12 +32,6 @@
             elif unsettled is None or place in unsettled:
                 task.not_before = now + HANDOVER_S
 
-    def _apply_crashes(self, now: float, job_id: str, progress: Progress | None) -> None:
-        """Record the crashes of workers that an earlier leader reported under a job's tasks."""
-        for step, index, count in progress.crashes if progress is not None else ():
-            for _ in range(count):
-                self.crashes.record(now, TaskId(job_id, step, index), "", confirmed=False)
-
     def progress_by_requester(self) -> list[tuple[str, JobReturned]]:
         """Progress of all jobs, for the hosts that must submit them to the next leader."""
         returned = []
@@ -59,7 +53,7 @@
                 progress = Progress(
                     done=tuple(done),
                     unsettled=tuple(unsettled),
-                    crashes=self.crashes.counts_of(pool_job.job.id),
+                    crashes=self.crashes.reports_of(pool_job.job.id),
                 )
             message = JobReturned(job_id=pool_job.job.id, progress=progress)
             returned.append((pool_job.requester, message))
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -140,6 +140,7 @@
             epoch=self.leadership.epoch if leader is not None else 0,
             draining=self.draining,
             room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
+            crashes=pool.crashes.recent_reports(now) if pool and ping.leads_epoch else (),
         )
         self._send_session(session_id, pong)
         if ping.evacuation_revision < self.evacuations.revision:
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from ._jobs import Job, Outcome, TaskEnd
@@ -21,6 +23,27 @@
     weight: float = 1.0
 
 
+class CrashState(enum.StrEnum):
+    """What is known of a crash."""
+
+    SUSPECTED = "suspected"
+    """The worker cannot be connected to and its leases are over; it may also be cut off."""
+    CONFIRMED = "confirmed"
+    """Another process of the worker has answered."""
+    WITHDRAWN = "withdrawn"
+    """The same process has answered again."""
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A crash of a worker while a task may have been running on it."""
+
+    job_id: str
+    step: int
+    index: int
+    worker_id: str
+    state: CrashState
+
+
 class _Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True, tag=True):
     pass
 
@@ -64,6 +87,7 @@
     :param room_by_service: free thousandths of a core of single workers of the answering pool, by
         service and speed class of the worker.
     :param evacuation_revision: revision of the evacuations that the answering host knows.
+    :param crashes: recent crashes of workers of the answering pool, for other leaders.
     """
 
     number: int
@@ -73,6 +97,7 @@
     draining: bool = False
     room_by_service: dict[str, dict[int, tuple[int, ...]]] = {}
     evacuation_revision: int = 0
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class KnownHosts(_Message, frozen=True):
@@ -107,12 +132,12 @@
 
     :param done: tasks that have completed.
     :param unsettled: tasks that may be running; all others are not running anywhere.
-    :param crashes: step, index and number of crashes of workers under each task that has any.
+    :param crashes: crashes of workers under the tasks.
     """
 
     done: tuple[tuple[int, int], ...] = ()
     unsettled: tuple[tuple[int, int], ...] = ()
-    crashes: tuple[tuple[int, int, int], ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class Submit(_Message, frozen=True):
@@ -180,7 +205,7 @@
 class LentEnded(_Message, frozen=True):
     """End of the run of a lent task, reported to the lender.
 
-    :param crashed: whether the worker crashed, possibly because of the task.
+    :param crashes: crashes of workers under the task.
     """
 
     job_id: str
@@ -188,7 +213,7 @@
     index: int
     run: int
     end: TaskEnd
-    crashed: bool = False
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class CarryStart(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -86,6 +86,7 @@
         if host is None or host.domain == self.own.domain:
             return
         if pong.leader is not None and pong.leader.name == name:
+            self.pool.crashes.merge(now, pong.crashes)
             self.pool.peer_pool_updated(now, host.domain, pong.room_by_service)
         elif pong.leader is not None and pong.leader.domain == host.domain:
             self._peer_host_by_domain[host.domain] = pong.leader
@@ -101,7 +102,7 @@
                 message.index,
                 message.run,
                 message.end,
-                crashed=message.crashed,
+                crashes=message.crashes,
             )
 
     def _carry_start(self, name: str, message: CarryStart) -> None:
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -198,9 +198,9 @@
             # longer listed; a start that has just been answered may belong to the new one.
             pool.note("worker_restarted", worker=worker.record.id, runs=len(worker.run_by_task))
             worker.ends_seen = 0
-            pool.crashes.confirm(worker.record.id)
+            pool.crashes.confirm(now, worker.record.id)
         elif worker.state is WorkerState.SILENT:
-            pool.crashes.withdraw(worker.record.id)
+            pool.crashes.withdraw(now, worker.record.id)
         is_first_report = worker.state in (WorkerState.UNFENCED, WorkerState.DOWN)
         if worker.state is not WorkerState.READY:
             pool.note("worker_ready", worker=worker.record.id, after=worker.state.value)
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -201,7 +201,7 @@
                     index=task.id.index,
                     run=task.lender_run,
                     end=end,
-                    crashed=end is TaskEnd.LOST and self.crashes.count(task.id) > 0,
+                    crashes=self.crashes.reports_of_task(task.id),
                 ),
             )
         )
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -7,7 +7,7 @@
 
 from ._actions import CallFailure
 from ._jobs import Job, Outcome, TaskEnd, TaskId
-from ._messages import Progress
+from ._messages import CrashReport, Progress
 from ._peer_pools import RoomByClass
 from ._polling import WorkerPoller
 from ._pool_state import round_s
@@ -122,7 +122,7 @@
         if runs or worker.state is WorkerState.READY:
             self.note("worker_lost", worker=worker.record.id, reason=reason, runs=len(runs))
         worker.clear_runs()
-        self.crashes.confirm(worker.record.id)
+        self.crashes.confirm(now, worker.record.id)
         for task_id in self.stops.discard_worker(worker.record.id):
             self.worker_crashed(now, worker, task_id, confirmed=True)
             self.give_up_if_exhausted(now, task_id)
@@ -166,7 +166,8 @@
         )
         if self._refuse_if_too_large(pool_job, may_have_run=round > 0):
             return
-        self._apply_crashes(now, job.id, progress)
+        if progress is not None:
+            self.crashes.merge(now, progress.crashes)
         exhausted = next((t for t in pool_job.task_by_id if self.crashes.is_exhausted(t)), None)
         self.job_by_id[job.id] = pool_job
         if exhausted is not None:
@@ -312,11 +313,11 @@
         run: int,
         end: TaskEnd,
         *,
-        crashed: bool = False,
+        crashes: tuple[CrashReport, ...] = (),
     ) -> None:
         """Handle another pool's report on the end of a task lent to it.
 
-        :param crashed: whether the worker crashed, possibly because of the task.
+        :param crashes: crashes of workers under the task.
         """
         pool_job = self.job_by_id.get(job_id)
         task = pool_job.task_by_id.get(TaskId(job_id, step, index)) if pool_job else None
@@ -333,8 +334,7 @@
             task.refused_until_by_domain[domain] = now + LEND_RETRY_S
         elif end is TaskEnd.FAILED:
             task.avoid.add(domain)
-        if crashed:
-            self.crashes.record(now, task.id, domain, confirmed=False)
+        self.crashes.merge(now, crashes)
         self.run_ended(now, task, end, f"reported by {domain}")
 
     def advance(self, now: float) -> None:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -5,6 +5,7 @@
 import dataclasses
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from dispatch_workers import FakeWorker
@@ -17,7 +18,7 @@
     StopRun,
 )
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
-from eelgrassyard.dispatch._messages import JobEnded, LentEnded, Progress
+from eelgrassyard.dispatch._messages import JobEnded, LentEnded, Pong, Progress
 from eelgrassyard.dispatch._worker_pool import WorkerPool
 from eelgrassyard.dispatch._workers import WorkerRecord
 
@@ -36,6 +37,7 @@
     """
 
     deadly_jobs: set[str]
+    domain: str = "d0"
     workers: int = 12
     loses_answer: bool = False
     crash_is_silent: bool = False
@@ -49,9 +51,14 @@
         self.cpu_by_job: dict[str, int] = {}
         self.work_by_job: dict[str, float] = {}
         self.worker_by_id = {
-            f"w{n}": FakeWorker(
+            f"{self.domain}-w{n}": FakeWorker(
                 record=WorkerRecord(
-                    id=f"w{n}", service="s", address=f"w{n}", domain="d0", cpu=2000, memory_mb=1000
+                    id=f"{self.domain}-w{n}",
+                    service="s",
+                    address=f"{self.domain}-w{n}",
+                    domain=self.domain,
+                    cpu=2000,
+                    memory_mb=1000,
                 ),
                 work_by_job=self.work_by_job,
                 cpu_by_job=self.cpu_by_job,
@@ -66,7 +73,9 @@
 
     def lead(self, *, epoch: int) -> None:
         """Have a new leader take over, which knows nothing but the registry."""
-        self.pool = WorkerPool(domain="d0", epoch=epoch, now=self.now, stop_s=0.05, far_factor=1.5)
+        self.pool = WorkerPool(
+            domain=self.domain, epoch=epoch, now=self.now, stop_s=0.05, far_factor=1.5
+        )
         self.pool.set_workers(self.now, self.records, read_at=self.now)
         self._polls.clear()
 
@@ -306,7 +315,7 @@
     site.run(1.0)
     ((_, returned),) = site.pool.progress_by_requester()
     assert returned.progress is not None
-    assert returned.progress.crashes == ((0, 0, 1),)
+    assert [(r.index, r.state) for r in returned.progress.crashes] == [(0, "suspected")]
     site.lead(epoch=6)
     site.run(0.2)
     site.submit("deadly", round=1, progress=returned.progress)
@@ -321,5 +330,34 @@
     site.run(0.2)
     site.submit("deadly", lent=True)
     site.run(2.0)
-    assert [message.crashed for message in site.lent_ends] == [True]
+    ((report,),) = [message.crashes for message in site.lent_ends]
+    assert report.state == "suspected"
     assert site.starts_of("deadly") == 1
+
+
+def test_the_leaders_of_other_domains_know_the_crashes_under_a_task() -> None:
+    """Guards against two crashes in each domain to which the caller sends the job again."""
+    sites = [Site(deadly_jobs={"deadly"}, domain=domain) for domain in ("d0", "d1")]
+
+    def run(seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            for site in sites:
+                site.run(0.1)
+            for site, other in (sites, sites[::-1]):
+                # As an answer to a ping, some of which are lost.
+                pong = Pong(number=1, crashes=other.pool.crashes.recent_reports(other.now))
+                decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(pong), type=Pong)
+                if round(site.now * 10) % 3 == 0:
+                    site.pool.crashes.merge(site.now, decoded.crashes)
+
+    first, second = sites
+    run(0.2)
+    first.submit("deadly")
+    run(3.0)
+    assert first.outcome_by_job["deadly"] is Outcome.ABANDONED
+    second.submit("deadly")
+    assert second.outcome_of("deadly") is Outcome.ABANDONED
+    run(8.0)
+    second.submit("deadly")
+    assert second.outcome_of("deadly") is Outcome.FAILED
+    assert second.starts_of("deadly") == 0
