Keep the crashes of workers under a task known when a leader is killed

Cause: the crashes were known to leaders only. Reports for 2 s left out a leader that came later. Change: each host has a CrashHistory that outlasts its leadership. A leader's answers to pings tell the hosts of its domain and the other leaders each change since the answer before on that session, all of them on a new one. The changes are numbered, so that none is left out and none is sent twice. Ruled out: crashes in the requests of entry hosts to the leader, since a caller may return to another host.

--- a/src/eelgrassyard/dispatch/_crashes.py
+++ b/src/eelgrassyard/dispatch/_crashes.py
@@ -16,54 +16,64 @@
 """Time for which crashes are remembered. Callers submit a job again within seconds, and a worker
 that has crashed answers again, or is replaced, within seconds too."""
 
-REPORT_S = 2.0
-"""Time for which each change is reported to the leaders of other domains, so that it arrives though
-some reports are lost."""
-
 
 @dataclass(slots=True, kw_only=True)
 class Crash:
     """A crash of a worker while a task may have been running on it.
 
-    :param is_own: whether the worker is of the own domain, and the crash known at first hand.
+    :param change: number of the latest change of the history that concerned it.
     """
 
     worker_id: str
     state: CrashState
     changed_at: float
-    is_own: bool
+    change: int
 
 
 class CrashHistory:
-    """Remembers the crashes under each task, also when its job is submitted again."""
+    """Remembers the crashes under each task, also when its job is submitted again.
+
+    Each host has one, which outlasts its leadership; leaders report changes to the others.
+
+    :ivar last_change: number of the latest change.
+    """
 
     def __init__(self) -> None:
         self._crashes_by_task: dict[TaskId, list[Crash]] = {}
+        self.last_change = 0
 
     def record(self, now: float, task_id: TaskId, worker_id: str, *, confirmed: bool) -> None:
-        """Record a crash of a worker of the own domain under a task."""
-        crash = Crash(
-            worker_id=worker_id,
-            state=CrashState.CONFIRMED if confirmed else CrashState.SUSPECTED,
-            changed_at=now,
-            is_own=True,
+        """Record a crash under a task."""
+        self._add(
+            now,
+            task_id,
+            worker_id,
+            CrashState.CONFIRMED if confirmed else CrashState.SUSPECTED,
         )
+
+    def _add(self, now: float, task_id: TaskId, worker_id: str, state: CrashState) -> None:
+        self.last_change += 1
+        crash = Crash(worker_id=worker_id, state=state, changed_at=now, change=self.last_change)
         self._crashes_by_task.setdefault(task_id, []).append(crash)
 
+    def _set_state(self, now: float, crash: Crash, state: CrashState) -> None:
+        if crash.state is CrashState.SUSPECTED and state is not crash.state:
+            self.last_change += 1
+            crash.state, crash.changed_at, crash.change = state, now, self.last_change
+
     def confirm(self, now: float, worker_id: str) -> None:
         """Record that another process of a worker has answered."""
-        self._set_suspected(now, worker_id, CrashState.CONFIRMED)
+        self._set_state_of(now, worker_id, CrashState.CONFIRMED)
 
     def withdraw(self, now: float, worker_id: str) -> None:
         """Record that the same process of a worker has answered again."""
-        self._set_suspected(now, worker_id, CrashState.WITHDRAWN)
+        self._set_state_of(now, worker_id, CrashState.WITHDRAWN)
 
-    def _set_suspected(self, now: float, worker_id: str, state: CrashState) -> None:
+    def _set_state_of(self, now: float, worker_id: str, state: CrashState) -> None:
         for crashes in self._crashes_by_task.values():
             for crash in crashes:
-                if crash.worker_id == worker_id and crash.state is CrashState.SUSPECTED:
-                    crash.state = state
-                    crash.changed_at = now
+                if crash.worker_id == worker_id:
+                    self._set_state(now, crash, state)
 
     def count(self, task_id: TaskId) -> int:
         """Number of crashes under a task."""
@@ -93,33 +103,27 @@
             for crash in crashes
         )
 
-    def recent_reports(self, now: float) -> tuple[CrashReport, ...]:
-        """Recent changes about workers of the own domain, for the leaders of the others."""
+    def reports_after(self, change: int) -> tuple[CrashReport, ...]:
+        """Crashes that are new or have changed since a change of this history."""
+        if change >= self.last_change:
+            return ()
         return tuple(
             _report(task_id, crash)
             for task_id, crashes in self._crashes_by_task.items()
             for crash in crashes
-            if crash.is_own and now - crash.changed_at <= REPORT_S
+            if crash.change > change
         )
 
     def merge(self, now: float, reports: Iterable[CrashReport]) -> None:
-        """Take over the reports of another leader, some of which may be known."""
+        """Take over the reports of another host, some of which may be known."""
         for report in reports:
             task_id = TaskId(report.job_id, report.step, report.index)
-            crashes = self._crashes_by_task.setdefault(task_id, [])
+            crashes = self._crashes_by_task.get(task_id, ())
             known = [crash for crash in crashes if crash.worker_id == report.worker_id]
-            if not known:
-                crashes.append(
-                    Crash(
-                        worker_id=report.worker_id,
-                        state=report.state,
-                        changed_at=now,
-                        is_own=False,
-                    )
-                )
             for crash in known:
-                if not crash.is_own and crash.state is CrashState.SUSPECTED:
-                    crash.state = report.state
+                self._set_state(now, crash, report.state)
+            if not known:
+                self._add(now, task_id, report.worker_id, report.state)
 
     def advance(self, now: float) -> None:
         """Forget old crashes."""
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -117,6 +117,7 @@
             limit_s = REMOTE_SESSION_TIMEOUT_S if is_remote else SESSION_TIMEOUT_S
             if now - session.last_heard > limit_s:
                 self._close_session(now, session_id)
+        self.crashes.advance(now)
         if self.pool is not None:
             self.pool.advance(now)
             if self.pool.fenced_out:
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ._actions import Action, Note
+from ._crashes import CrashHistory
 from ._entry import AnswerCaller, Entry
 from ._leadership import Leadership, Role
 from ._links import CloseLink, Links, OpenLink, SendLink
@@ -47,12 +48,14 @@
     :param leads_epoch: epoch in which the other host leads its domain's pool, or 0.
     :param ready: whether the other host can serve new callers.
     :param last_heard: when the last message arrived.
+    :param crashes_reported: latest change of the crash history that was reported to it.
     """
 
     host: HostRecord | None = None
     leads_epoch: int = 0
     ready: bool = False
     last_heard: float = 0.0
+    crashes_reported: int = 0
 
 
 HostAction = Action | AnswerCaller | OpenLink | CloseLink | SendLink | SendSession | CloseSession
@@ -67,6 +70,7 @@
     :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
 
     :ivar pool: worker pool of the domain while this host leads it, otherwise None.
+    :ivar crashes: crashes of workers under tasks, in all domains.
     :ivar new_config: newer configuration received from another host; the driver takes it.
     """
 
@@ -84,6 +88,7 @@
         self.links = Links()
         self.leadership = Leadership(own=own, now=now)
         self.pool: WorkerPool | None = None
+        self.crashes = CrashHistory()
         self.config_version = 0
         self.config_document = b""
         self._compressed_config: bytes | None = None
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -10,6 +10,7 @@
 from ._messages import (
     Cancel,
     ConfigDocument,
+    CrashReport,
     Evacuations,
     Hello,
     JobReturned,
@@ -132,6 +133,10 @@
         if self.leadership.role is Role.FOLLOWING and not self._confirmed_epoch():
             leader = None
         pool = self.pool
+        crashes: tuple[CrashReport, ...] = ()
+        if pool is not None:
+            crashes = self.crashes.reports_after(session.crashes_reported)
+            session.crashes_reported = self.crashes.last_change
         pong = Pong(
             number=ping.number,
             config_version=self.config_version,
@@ -140,7 +145,7 @@
             epoch=self.leadership.epoch if leader is not None else 0,
             draining=self.draining,
             room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
-            crashes=pool.crashes.recent_reports(now) if pool and ping.leads_epoch else (),
+            crashes=crashes,
         )
         self._send_session(session_id, pong)
         if ping.evacuation_revision < self.evacuations.revision:
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -87,7 +87,8 @@
     :param room_by_service: free thousandths of a core of single workers of the answering pool, by
         service and speed class of the worker.
     :param evacuation_revision: revision of the evacuations that the answering host knows.
-    :param crashes: recent crashes of workers of the answering pool, for other leaders.
+    :param crashes: what a leader knows of crashes of workers, as far as it has changed since the
+        pong before.
     """
 
     number: int
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -76,6 +76,7 @@
     def _pong(self, now: float, name: str, pong: Pong) -> None:
         self.links.pong_received(now, name, pong)
         self.leadership.pong_received(now, name, pong)
+        self.crashes.merge(now, pong.crashes)
         if pong.evacuation_revision < self.evacuations.revision:
             self._actions.append(SendLink(name=name, message=self.evacuations))
         if pong.config_version < self.config_version:
@@ -86,7 +87,6 @@
         if host is None or host.domain == self.own.domain:
             return
         if pong.leader is not None and pong.leader.name == name:
-            self.pool.crashes.merge(now, pong.crashes)
             self.pool.peer_pool_updated(now, host.domain, pong.room_by_service)
         elif pong.leader is not None and pong.leader.domain == host.domain:
             self._peer_host_by_domain[host.domain] = pong.leader
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -34,6 +34,7 @@
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
     :param link_bytes_per_s: capacity of this host's link.
+    :param crashes: what the host knows of crashes of workers; empty by default.
 
     :ivar lending_enabled: whether tasks are lent to other pools, and accepted from them.
     :ivar evacuated: whether operators evacuate the domain, so that nothing may start there.
@@ -52,6 +53,7 @@
         stop_s: float,
         far_factor: float,
         link_bytes_per_s: float = math.inf,
+        crashes: CrashHistory | None = None,
     ) -> None:
         self.domain = domain
         self.epoch = epoch
@@ -67,7 +69,7 @@
         self.peers = PeerPools()
         self.counts: dict[str, int] = {}
         self.timing = OrderTiming()
-        self.crashes = CrashHistory()
+        self.crashes = CrashHistory() if crashes is None else crashes
         self.carriers = OrderCarriers(link_bytes_per_s=link_bytes_per_s)
         self._far_factor = far_factor
         self._record_by_id: Mapping[str, WorkerRecord] = {}
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -49,6 +49,7 @@
             stop_s=self._stop_s,
             far_factor=self._far_factor,
             link_bytes_per_s=self._link_bytes_per_s,
+            crashes=self.crashes,
         )
         self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
         self.pool.set_workers(now, self._record_by_id, read_at=self._registry_read_at)
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 
 from ._actions import CallFailure
+from ._crashes import CrashHistory
 from ._jobs import Job, Outcome, TaskEnd, TaskId
 from ._messages import CrashReport, Progress
 from ._peer_pools import RoomByClass
@@ -53,6 +54,7 @@
         stop_s: float,
         far_factor: float,
         link_bytes_per_s: float = math.inf,
+        crashes: CrashHistory | None = None,
     ) -> None:
         super().__init__(
             domain=domain,
@@ -61,6 +63,7 @@
             stop_s=stop_s,
             far_factor=far_factor,
             link_bytes_per_s=link_bytes_per_s,
+            crashes=crashes,
         )
         self.poller = WorkerPoller(pool=self)
 
@@ -369,7 +372,6 @@
             if worker.disconnected and worker.state is not WorkerState.READY:
                 self.worker_crashed(now, worker, task_id, confirmed=False)
                 self.give_up_if_exhausted(now, task_id)
-        self.crashes.advance(now)
         stopping, self._stopping_lent_tasks = self._stopping_lent_tasks, []
         for task in stopping:
             self.requeue(now, task)
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -26,6 +26,9 @@
 LOCAL_DELAY_S = 0.001
 REMOTE_DELAY_S = 0.002
 
+MAX_DEADLY_STARTS = 6
+"""A task may not be started three times after three workers have crashed under it."""
+
 
 @dataclass(kw_only=True)
 class Pipe:
@@ -96,6 +99,8 @@
         self._all_pipes: list[Pipe] = []
         self._work: dict[str, float] = {}
         self._cpu: dict[str, int] = {}
+        self.deadly_jobs: set[str] = set()
+        self.crashes_by_task: Counter[TaskId] = Counter()
         self.starts_by_host: Counter[str] = Counter()
         self._polls_in_flight: set[tuple[str, int, int, str]] = set()
         for d in range(domains):
@@ -377,6 +382,8 @@
                 if answer.refusal is None:
                     self._check_single_run(worker, order.task, order.run)
                     self._watch_worker(worker)
+                    if order.task.job in self.deadly_jobs:
+                        self._start_deadly(worker, order.task)
             else:
                 answer = worker.stop(self.now, order)
                 self.at(0.051, lambda: self._end_due_runs(worker))
@@ -393,6 +400,30 @@
         else:
             self.at(LOCAL_DELAY_S, carry_out)
 
+    def _start_deadly(self, worker: FakeWorker, task: TaskId) -> None:
+        """Crash a worker soon after the start of a task, and check that the task was not started
+        before as often as the operators allow."""
+        if len(self.starts_of(task.job, task.index)) >= MAX_DEADLY_STARTS:
+            self.violations.append(f"{self.now:.3f} {task} was started again after its crashes")
+        life = worker.life
+
+        def crash() -> None:
+            if worker.up and worker.life == life:
+                self.crashes_by_task[task] += 1
+                worker.crash()
+                self.at(self.random.uniform(2.5, 3.5), worker.restart)
+
+        self.at(self.random.uniform(0.0, 0.04), crash)
+
+    def starts_of(self, job_id: str, index: int = 0) -> list[tuple[float, str]]:
+        """Time and worker of each start of a task."""
+        return [
+            (at, worker.record.id)
+            for worker in self.worker_by_id.values()
+            for at, task, _ in worker.starts
+            if task.job == job_id and task.index == index
+        ]
+
     def _watch_worker(self, worker: FakeWorker) -> None:
         """Schedule the end of a worker's runs at the next run end or lease expiry."""
         ends = [min(run.ends_at, run.stops_at) for run in worker.run_by_task.values()]
@@ -529,6 +560,10 @@
 
         self.at(CALLER_WAITS_S, expire)
 
+    def send_again(self, caller: SimCaller, name: str) -> None:
+        """Send a job to a host again, as a caller that got no answer."""
+        self._submit_attempt(caller, name)
+
     def disconnect(self, caller: SimCaller) -> None:
         """Disconnect a caller, which does not retry."""
         for name, host in self.host_by_name.items():
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -5,10 +5,10 @@
 import dataclasses
 from dataclasses import dataclass, field
 
-import msgspec
 import pytest
 
 from dispatch_workers import FakeWorker
+from dispatch_world import World
 from eelgrassyard.dispatch._actions import (
     CallFailure,
     OrderResult,
@@ -18,7 +18,7 @@
     StopRun,
 )
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
-from eelgrassyard.dispatch._messages import JobEnded, LentEnded, Pong, Progress
+from eelgrassyard.dispatch._messages import JobEnded, LentEnded, Progress
 from eelgrassyard.dispatch._worker_pool import WorkerPool
 from eelgrassyard.dispatch._workers import WorkerRecord
 
@@ -337,27 +337,34 @@
 
 def test_the_leaders_of_other_domains_know_the_crashes_under_a_task() -> None:
     """Guards against two crashes in each domain to which the caller sends the job again."""
-    sites = [Site(deadly_jobs={"deadly"}, domain=domain) for domain in ("d0", "d1")]
-
-    def run(seconds: float) -> None:
-        for _ in range(round(seconds / 0.1)):
-            for site in sites:
-                site.run(0.1)
-            for site, other in (sites, sites[::-1]):
-                # As an answer to a ping, some of which are lost.
-                pong = Pong(number=1, crashes=other.pool.crashes.recent_reports(other.now))
-                decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(pong), type=Pong)
-                if round(site.now * 10) % 3 == 0:
-                    site.pool.crashes.merge(site.now, decoded.crashes)
-
-    first, second = sites
-    run(0.2)
-    first.submit("deadly")
-    run(3.0)
-    assert first.outcome_by_job["deadly"] is Outcome.ABANDONED
-    second.submit("deadly")
-    assert second.outcome_of("deadly") is Outcome.ABANDONED
-    run(8.0)
-    second.submit("deadly")
-    assert second.outcome_of("deadly") is Outcome.FAILED
-    assert second.starts_of("deadly") == 0
+    world = World(seed=3, domains=2, hosts=2, workers=6)
+    world.run(2.0)
+    caller = world.submit("d0-h0", tasks=1, work_s=0.2)
+    world.deadly_jobs.add(caller.job.id)
+    caller.until = world.now + 30.0
+    world.run(2.0)
+    assert len(world.starts_of(caller.job.id)) == 2
+    for _ in range(8):
+        for name in world.host_by_name:
+            world.send_again(caller, name)
+        world.run(1.0)
+    assert caller.answers[-1] is Outcome.FAILED
+    assert len(world.starts_of(caller.job.id)) == 2
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_the_next_leader_knows_the_crashes_though_the_last_one_was_killed(silent: bool) -> None:
+    """Guards against two more crashes each time that a leader is killed."""
+    world = World(seed=3, domains=1, hosts=3, workers=8)
+    world.run(2.0)
+    caller = world.submit("d0-h0", tasks=1, work_s=0.2)
+    world.deadly_jobs.add(caller.job.id)
+    caller.until = world.now + 30.0
+    for _ in range(3):
+        world.run(2.2)
+        (leader,) = world.leaders("d0")
+        world.kill(leader, silent=silent)
+        world.run(0.5)
+        world.boot(leader)
+    world.run(2.0)
+    assert len(world.starts_of(caller.job.id)) < 6
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -32,8 +32,13 @@
     faults: int = 6,
     jobs_per_s: float = 25.0,
     link_bytes_per_s: float = math.inf,
+    deadly_share: float = 0.0,
 ) -> World:
-    """Simulate jobs of all sizes with faults at random times, then 6 s without new jobs."""
+    """Simulate jobs of all sizes with faults at random times, then 6 s without new jobs.
+
+    :param deadly_share: share of jobs that crash each worker that starts one of their tasks; their
+        callers send them again for 12 s.
+    """
     world = World(seed=seed, domains=2, hosts=3, workers=4, link_bytes_per_s=link_bytes_per_s)
     rng = world.random
     world.run(2.0)
@@ -53,6 +58,9 @@
                 work_s=work_s,
                 estimate_s=work_s * rng.uniform(0.7, 1.4),
             )
+            if deadly_share and rng.random() < deadly_share:
+                world.deadly_jobs.add(caller.job.id)
+                caller.until = world.now + 12.0
             if leaves:
                 world.at(0.05, lambda: world.disconnect(caller))
 
@@ -139,6 +147,15 @@
     assert any(f.get("carried") for _, _, event, f in world.notes if event == "run_ordered")
 
 
+@pytest.mark.parametrize("seed", range(300, 308))
+def test_no_task_crashes_worker_after_worker_under_faults(seed: int) -> None:
+    """Guards against a task that is started three times more after three workers have crashed
+    under it, while hosts are killed, frozen, cut off or drained and callers send it again."""
+    world = run_scenario(seed, deadly_share=0.02)
+    assert world.violations == []
+    assert world.crashes_by_task
+
+
 @pytest.mark.parametrize(
     ("seed", "link_bytes_per_s"),
     [(seed, link) for seed in range(100, 104) for link in (math.inf, 1.0)],
