Let a task that may have crashed a worker run beside others if no idle worker suits it

Cause: after a crash a task was placed among idle workers only, if there were any, though it may avoid them or they may be too slow for it; then its job was refused while other workers had room. Change: idle workers are tried first, then all. Old crashes are looked for once a second, not each tick. Test: test_a_task_that_may_have_crashed_a_worker_does_not_wait_for_an_idle_one failed before.

--- a/src/eelgrassyard/dispatch/_crashes.py
+++ b/src/eelgrassyard/dispatch/_crashes.py
@@ -16,6 +16,9 @@
 """Time for which crashes are remembered. Callers submit a job again within seconds, and a worker
 that has crashed answers again, or is replaced, within seconds too."""
 
+FORGET_INTERVAL_S = 1.0
+"""Interval at which old crashes are looked for."""
+
 
 @dataclass(slots=True, kw_only=True)
 class Crash:
@@ -41,6 +44,7 @@
     def __init__(self) -> None:
         self._crashes_by_task: dict[TaskId, list[Crash]] = {}
         self.last_change = 0
+        self._forget_at = 0.0
 
     def record(self, now: float, task_id: TaskId, worker_id: str, *, confirmed: bool) -> None:
         """Record a crash under a task."""
@@ -127,6 +131,9 @@
 
     def advance(self, now: float) -> None:
         """Forget old crashes."""
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_INTERVAL_S
         for task_id, crashes in list(self._crashes_by_task.items()):
             if crashes[-1].changed_at < now - MEMORY_S:
                 del self._crashes_by_task[task_id]
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -117,26 +117,28 @@
                     racks.add(self.worker_by_id[other.location].record.rack)
             if not step.max_per_worker:
                 count_by_worker = None
+        choices = [workers]
         if self.crashes.count(task.id):
             # Alone, it cannot take other tasks down, and shows whether it is the cause.
             workers = list(workers)
             idle = [w for w in workers if not w.run_by_task and not w.orphan_run_by_task]
-            workers = idle or workers
-        worker = choose_worker(
-            workers,
-            step,
-            now=now,
-            budget_s=pool_job.due_at - now - self.timing.delay_s(),
-            limit_s=self._useful_s(now, pool_job, begun=pool_job.started_runs > 0),
-            avoid=task.avoid,
-            racks=racks,
-            count_by_worker=count_by_worker,
-            far_factor=self._far_factor,
-        )
-        if worker is None or task.id in worker.run_by_task:
-            return False
-        self._start(now, task, worker)
-        return True
+            choices = [idle, workers]
+        for choice in choices:
+            worker = choose_worker(
+                choice,
+                step,
+                now=now,
+                budget_s=pool_job.due_at - now - self.timing.delay_s(),
+                limit_s=self._useful_s(now, pool_job, begun=pool_job.started_runs > 0),
+                avoid=task.avoid,
+                racks=racks,
+                count_by_worker=count_by_worker,
+                far_factor=self._far_factor,
+            )
+            if worker is not None and task.id not in worker.run_by_task:
+                self._start(now, task, worker)
+                return True
+        return False
 
     def _useful_s(self, now: float, pool_job: PoolJob, *, begun: bool) -> float:
         """Seconds in which a run that starts now must end. A job that has not begun starts only
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -252,6 +252,22 @@
     assert site.outcome_by_job == {f"other{n}": Outcome.COMPLETE for n in range(11)}
 
 
+def test_a_task_that_may_have_crashed_a_worker_does_not_wait_for_an_idle_one() -> None:
+    """Guards against a job that is refused with room free, because the only idle worker is one that
+    its task avoids."""
+    site = Site(deadly_jobs={"suspect"}, workers=3)
+    site.run(0.2)
+    site.submit("suspect")
+    site.run(0.1)
+    site.deadly_jobs.clear()
+    site.submit("busy", work_s=6.0)
+    site.run(0.1)
+    (idle,) = [w for w in site.worker_by_id.values() if not w.starts]
+    site.pool.job_by_id["suspect"].task_by_id[TaskId("suspect", 0, 0)].avoid.add(idle.record.id)
+    site.run(1.2)
+    assert site.outcome_by_job == {"suspect": Outcome.COMPLETE}
+
+
 def test_workers_that_are_cut_off_do_not_count_as_crashed() -> None:
     """Guards against a job that has failed only because its workers were cut off."""
     site = Site(deadly_jobs={"deadly"}, crash_is_silent=True)
