Test on real sockets that a replaced worker process counts as crashed under its task

The tests on virtual time hand the failure of a call in; this one breaks and refuses the connections of a stand-in worker, and lets another process answer at its address. No product code changes.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -47,6 +47,12 @@
             }
         ).encode()
 
+    def crash(self) -> None:
+        """Break all connections and accept no more, as a process that is killed."""
+        self.server.close()
+        for connection in list(self.server.connections):
+            connection.abort()
+
     def clock_ms(self) -> float:
         """Return the worker's monotonic clock."""
         return asyncio.get_running_loop().time() * 1000.0
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -171,6 +171,38 @@
     run_scenario(scenario)
 
 
+def test_a_worker_process_that_ends_and_is_replaced_counts_as_crashed_under_its_task() -> None:
+    """Guards against a crash that looks like silence, because the connections that break or are
+    refused are not told from calls without an answer."""
+
+    async def scenario(site: Site) -> None:
+        site.worker.work_s = 10.0
+        job = "5c0e7a21d94b36f8"
+        one = {**JOB, "phases": [{**JOB["phases"][0], "count": 1}], "best_effort": True}
+        async with anyio.create_task_group() as group:
+            group.start_soon(site.request_as_caller, "POST", f"/lohu930/{job}", one)
+            while not site.worker.starts:
+                await anyio.sleep(0.01)
+            await anyio.sleep(0.05)
+            site.worker.crash()
+            crashes = site.host._core.crashes
+            states: list[str] = []
+            with anyio.fail_after(5.0):
+                while not states:
+                    await anyio.sleep(0.05)
+                    states = [report.state.value for report in crashes.reports_of(job)]
+            assert states == ["suspected"]
+            other = StandinWorker(worker_id="i-2")
+            await other.server.listen(site.worker_address)
+            with anyio.fail_after(5.0):
+                while crashes.reports_of(job)[0].state.value == "suspected":
+                    await anyio.sleep(0.05)
+            assert [report.state.value for report in crashes.reports_of(job)] == ["confirmed"]
+            group.cancel_scope.cancel()
+
+    run_scenario(scenario)
+
+
 def test_an_evacuated_domain_gets_no_work_until_it_is_taken_back() -> None:
     """Guards against starts on the workers of a domain that operators evacuate."""
 
