Say in which state a host was that had not ended in time in the soak

Change: the report has the kernel's state of the process and the end of its log, so that a host that hangs can be told from one that is not scheduled.

--- a/soak/_hosts.py
+++ b/soak/_hosts.py
@@ -172,15 +172,32 @@
             # host's log decides.
             if process.returncode == 0 and 0.0 <= self.stopped_at() - sent_at <= GRACE_S:
                 return ""
+            state = _process_state(process.pid)
             if process.returncode is None:
                 process.kill()
             await process.wait()
-            return f"{self.name} was still running {GRACE_S + EXIT_MARGIN_S} s after SIGTERM"
+            stopped_at = self.stopped_at()
+            log = (
+                f"log ended {stopped_at - sent_at:.1f} s after it"
+                if stopped_at
+                else "no end of log"
+            )
+            waited_s = GRACE_S + EXIT_MARGIN_S
+            return f"{self.name} was still running {waited_s} s after SIGTERM ({state}; {log})"
         # The signal also ends a process that does not serve yet; its output is empty then.
         is_new = code == -signal.SIGTERM and not self.log_path.stat().st_size
         return "" if code == 0 or is_new else f"{self.name} ended with {code} after SIGTERM"
 
 
+def _process_state(pid: int) -> str:
+    """State of a process in the kernel's words, such as "S (sleeping)", or why it is unknown."""
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines()
+    except OSError as error:
+        return f"state unknown: {error.strerror}"
+    return next((line for line in lines if line.startswith("State:")), "state unknown")
+
+
 class Balancer:
     """Polls the readiness of hosts, and selects those for new connections of callers."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,7 @@
     process and the timeout at the same time (soak seed 42, seen once)."""
 
     class EndedProcess:
+        pid = 0
         returncode: int | None = None
 
         def send_signal(self, number: int) -> None:
