Read only the changes of the registry after a watch that waited for one

A watch that had waited for a change, up to 1.5 s, was followed by a reading of all items each time: more bytes on the leader's link where few workers are registered. Where many are, a watch is answered at once, and nothing changes. Change: the mirror keeps the time of the last answer for this decision, as before.

--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -257,6 +257,7 @@
         :data:`MODE_CHECK_INTERVAL_S`.
 
     :ivar read_at: when the last call that succeeded was sent; the copy has all changes until then.
+        A watch may have waited since, so the copy is not stale because of it.
     """
 
     def __init__(
@@ -277,6 +278,7 @@
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
         self.read_at = -math.inf
+        self._answered_at = -math.inf
         self._mode = mode
         self._woken = anyio.Event()
 
@@ -309,17 +311,17 @@
         mode = self._mode()
         match mode:
             case Watch(pause_s=pause_s):
-                read_all = pause_s > 0.0 and self._now() - self.read_at > STALE_AFTER_S
+                read_all = pause_s > 0.0 and begun_at - self._answered_at > STALE_AFTER_S
             case Reread():
                 read_all = True
         if self._revision is None or read_all:
             self._items, self._revision = await self._store.read_prefix(self._prefix)
-            self.read_at = begun_at
+            self.read_at, self._answered_at = begun_at, self._now()
             self._on_change(self._items, self._revision)
             return
         assert isinstance(mode, Watch)
         events, revision = await self._store.watch(self._prefix, self._revision, mode.wait_s)
-        self.read_at = begun_at
+        self.read_at, self._answered_at = begun_at, self._now()
         for item in events:
             if item.deleted:
                 self._items.pop(item.key, None)
