--- a/src/eelgrassyard/dispatch/_stops.py
+++ b/src/eelgrassyard/dispatch/_stops.py
@@ -30,8 +30,9 @@
     retry_at: float | None = None
     is_confirmed: bool = False
 
-    def may_have_crashed(self) -> bool:
-        """Tell whether the run may have been in progress when its worker was lost."""
+    def may_be_running(self) -> bool:
+        """Tell whether the run may be in progress: its start may have been carried out, and no stop
+        was confirmed."""
         return self.may_have_run and not self.is_confirmed
 
 
@@ -141,7 +142,7 @@
         :returns: tasks whose runs may have been in progress.
         """
         keys = [key for key in self._stop_by_key if key[0] == worker_id]
-        in_progress = [key[1] for key in keys if self._stop_by_key[key].may_have_crashed()]
+        in_progress = [key[1] for key in keys if self._stop_by_key[key].may_be_running()]
         for key in keys:
             self._remove(key)
         return in_progress
@@ -165,7 +166,7 @@
         for key, stop in list(self._stop_by_key.items()):
             if now >= stop.ends_at:
                 self.run_ended(*key)
-                if stop.may_have_crashed():
+                if stop.may_be_running():
                     in_progress.append((stop.worker, key[1]))
             elif stop.retry_at is not None and now >= stop.retry_at:
                 stop.retry_at = None
