Wait for the registry as long as data of the store arrives

Callers and operators would see: tasks started on workers that have announced their end (DRAIN), by a new leader on a host with a thin link and little processor time.

Cause: a new leader with an old copy of the registry waited 0.15 s for a newer reading, then placed by its copy, whether the store was out or only slow to arrive. The limit stands for an outage, but was applied to every reading. Class: a time limit taken for a failure although the other side is answering.

Fix: each sign that the store is answering extends the wait by 0.15 s, to 0.6 s at most. Bytes of any answer of the store count, unless the last call failed, so an outage still ends the wait after 0.15 s.

Ruled out: a longer wait for all.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -45,6 +45,11 @@
         if self.pool is not None:
             self.pool.set_workers(now, self._record_by_id, read_at=read_at)
 
+    def store_answering(self, now: float) -> None:
+        """Record that data of the store has just arrived."""
+        if self.pool is not None:
+            self.pool.store_answering(now)
+
     def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
         """Replace the hosts that the store lists."""
         listed = {host.name: host for host in hosts}
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -18,10 +18,6 @@
 borrowed from other domains, since no successor can adopt them. Most tasks take less; the grace
 period is 6 s."""
 
-REGISTRY_WAIT_S = 0.15
-"""Longest time for which a new leader waits for a newer reading of the registry before it starts
-anything; the store answers in 10 ms if it can be reached."""
-
 SUSPENSION_GAP_S = 0.6
 """Gap between two calls that shows that the process was suspended. Other hosts may have taken over
 by then, so all earlier state of sessions and leadership is discarded."""
@@ -54,7 +50,7 @@
         self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
         self.pool.set_workers(now, self._record_by_id, read_at=self._registry_read_at)
         if now - self._registry_read_at > FRESH_REGISTRY_S:
-            self.pool.starts_after = now + REGISTRY_WAIT_S
+            self.pool.wait_for_registry(now)
         self.links.announce_leadership(
             now,
             config_version=self.config_version,
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -20,6 +20,13 @@
 """Age up to which a new leader relies on what it has read of the registry. A draining worker may
 get nothing later than 2 s after it announced its end."""
 
+REGISTRY_WAIT_S = 0.15
+"""Time for which a new leader waits for a newer reading of the registry before it starts anything,
+and for which it waits on after each sign that the store is answering."""
+
+MAX_REGISTRY_WAIT_S = 0.6
+"""Longest such wait. A host with a thin link needs a part of it to read hundreds of entries."""
+
 RUNS_PER_ROUND = 100
 """Run numbers of a job start at this multiple of its round, so that those of a later leader are
 higher."""
@@ -66,6 +73,7 @@
             crashes=crashes,
         )
         self.poller = WorkerPoller(pool=self)
+        self._registry_wait_ends = 0.0
 
     def set_workers(
         self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
@@ -99,6 +107,16 @@
         self.poller.advance(now)
         self._place_all(now)
 
+    def wait_for_registry(self, now: float) -> None:
+        """Start nothing until a newer reading of the registry, or until the store seems out."""
+        self.starts_after = now + REGISTRY_WAIT_S
+        self._registry_wait_ends = now + MAX_REGISTRY_WAIT_S
+
+    def store_answering(self, now: float) -> None:
+        """Handle a sign that the store is answering: a reading that is awaited may be arriving."""
+        if self.starts_after:
+            self.starts_after = min(self._registry_wait_ends, now + REGISTRY_WAIT_S)
+
     def _end_registry_wait(self, now: float, *, read: bool) -> None:
         if self.starts_after:
             self.note("registry_awaited", read=read, left_s=round_s(self.starts_after - now))
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -184,6 +184,7 @@
             mode=self._registry_mode,
         )
         self._store_available: bool | None = None
+        self._store_bytes = 0
         self._record_by_id: dict[str, WorkerRecord] = {}
         self._removal_at_by_id: dict[str, float] = {}
         self._value_by_id: dict[str, str] = {}
@@ -303,6 +304,12 @@
             event = "store_answers" if up else "store_lost"
             self._journal.write(event, {"reason": reason, "calls": self._store.calls})
 
+    def _report_store_traffic(self) -> None:
+        received = self._store.bytes_received()
+        if received > self._store_bytes and self._store_available:
+            self._core.store_answering(self._clock.now())
+        self._store_bytes = received
+
     def _operator_keys_changed(self, items: dict[str, Item], revision: int) -> None:
         domains = {
             key.removeprefix(EVACUATION_PREFIX)
@@ -414,6 +421,7 @@
         while True:
             await anyio.sleep(STATE_POLL_INTERVAL_S)
             now = self._clock.now()
+            self._report_store_traffic()
             leads = self._core.pool is not None
             if leads and not led:
                 self._worker_mirror.wake()
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -17,6 +17,9 @@
 
 from ..net import CallError, HttpClient, Response, TrafficByPurpose
 
+TRAFFIC_PURPOSE = "store_"
+"""Start of the names of the purposes for which bytes are counted."""
+
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call without a long poll until its answer begins, and then from part to part. The
 store answers in 4 ms, or in a quarter of a second on days on which it is slow; a configuration of
@@ -122,6 +125,14 @@
         self._address = address
         self._client = HttpClient(address=address, max_connections=MAX_CONNECTIONS)
 
+    def bytes_received(self) -> int:
+        """Bytes of all answers so far, also of those that are still arriving."""
+        return sum(
+            traffic.received
+            for purpose, traffic in self._traffic.by_purpose.items()
+            if purpose.startswith(TRAFFIC_PURPOSE)
+        )
+
     async def _call(
         self,
         step: str,
@@ -145,7 +156,7 @@
             on_result=on_result,
             body=body,
             progress_s=CALL_TIMEOUT_S,
-            traffic=self._traffic.of(f"store_{prefix.strip('/')}"),
+            traffic=self._traffic.of(TRAFFIC_PURPOSE + prefix.strip("/")),
         )
         result = await future
         if isinstance(result, CallError):
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -229,6 +229,37 @@
     assert caller.answers == [Outcome.NOT_RUN if store_answers else Outcome.COMPLETE]
 
 
+@pytest.mark.parametrize("read_after_s", [0.4, math.inf])
+def test_a_new_leader_waits_for_the_registry_while_the_store_is_answering(
+    read_after_s: float,
+) -> None:
+    """Guards against starts on workers that have announced their end by a new leader that needs
+    longer than usual to read a large registry, and against a wait without an end."""
+    world = World(seed=10, domains=1, hosts=2)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    other = next(name for name in world.host_by_name if name != leader)
+    core = world.host_by_name[other].core
+    assert core is not None
+    records = {w.record.id: w.record for w in world.worker_by_id.values()}
+    world.run(3.0)
+    world.kill(leader, silent=False)
+    while core.pool is None:
+        world.run(0.01)
+    led_at = world.now
+    world.submit(other, tasks=1, work_s=0.5)
+    while world.now < led_at + min(read_after_s, 1.0):
+        world.run(0.05)
+        core.store_answering(world.now)
+    drained = {k: dataclasses.replace(r, draining=True) for k, r in records.items()}
+    if read_after_s < math.inf:
+        core.set_workers(world.now, drained, read_at=led_at)
+    world.submit(other, tasks=1, work_s=0.2)
+    world.run(1.0)
+    starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
+    assert len(starts) == (0 if read_after_s < math.inf else 1)
+
+
 @pytest.mark.parametrize("fault", ["none", "killed", "powered off", "frozen", "drained", "cut"])
 def test_nothing_starts_in_an_evacuated_domain_whoever_leads_it(fault: str) -> None:
     """Guards against starts by the next leader of an evacuated domain, which knows of the
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -329,6 +329,37 @@
     anyio.run(main)
 
 
+def test_a_new_leader_waits_for_the_registry_while_data_of_the_store_arrives(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against starts on workers that have announced their end, because a large registry on a
+    thin link takes longer than the wait for a store that may be out."""
+
+    async def main() -> None:
+        site = Site()
+        host, core = site.host, site.host._core
+        now = host._clock.now()
+        monkeypatch.setattr(host._clock, "now", lambda: now)
+        host._store_availability_changed(True, "")
+        host._apply_config(config(version=8), "host")
+        core.link_received(now, "front-2", TakeOver(epoch=1))
+        assert core.pool is not None
+        until = core.pool.starts_after
+        now += 0.1
+        host._report_store_traffic()
+        assert core.pool.starts_after == until
+        host._traffic.of("store_servers").received += 1000
+        host._report_store_traffic()
+        assert core.pool.starts_after == pytest.approx(until + 0.1)
+        now += 0.1
+        host._store_availability_changed(False, "busy")
+        host._traffic.of("store_servers").received += 1000
+        host._report_store_traffic()
+        assert core.pool.starts_after == pytest.approx(until + 0.1)
+
+    anyio.run(main)
+
+
 def test_a_configuration_written_while_the_history_is_lost_is_found() -> None:
     """Guards against a watch that continues from a revision that the store has compacted."""
 
