Log how long a new leader has waited for the registry

registry_awaited said how much of the wait was left. It now has waited_s, and the test of the wait checks it. Decisions are as before.

--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -73,7 +73,7 @@
             crashes=crashes,
         )
         self.poller = WorkerPoller(pool=self)
-        self._registry_wait_ends = 0.0
+        self._registry_wait_began = 0.0
 
     def set_workers(
         self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
@@ -110,16 +110,18 @@
     def wait_for_registry(self, now: float) -> None:
         """Start nothing until a newer reading of the registry, or until the store seems out."""
         self.starts_after = now + REGISTRY_WAIT_S
-        self._registry_wait_ends = now + MAX_REGISTRY_WAIT_S
+        self._registry_wait_began = now
 
     def store_answering(self, now: float) -> None:
         """Handle a sign that the store is answering: a reading that is awaited may be arriving."""
         if self.starts_after:
-            self.starts_after = min(self._registry_wait_ends, now + REGISTRY_WAIT_S)
+            longest = self._registry_wait_began + MAX_REGISTRY_WAIT_S
+            self.starts_after = min(longest, now + REGISTRY_WAIT_S)
 
     def _end_registry_wait(self, now: float, *, read: bool) -> None:
         if self.starts_after:
-            self.note("registry_awaited", read=read, left_s=round_s(self.starts_after - now))
+            waited_s = round_s(now - self._registry_wait_began)
+            self.note("registry_awaited", read=read, waited_s=waited_s)
             self.starts_after = 0.0
 
     def set_evacuated(self, now: float, evacuated: bool) -> None:
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -251,6 +251,7 @@
     while world.now < led_at + min(read_after_s, 1.0):
         world.run(0.05)
         core.store_answering(world.now)
+    answered_s = world.now - led_at
     drained = {k: dataclasses.replace(r, draining=True) for k, r in records.items()}
     if read_after_s < math.inf:
         core.set_workers(world.now, drained, read_at=led_at)
@@ -258,6 +259,10 @@
     world.run(1.0)
     starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
     assert len(starts) == (0 if read_after_s < math.inf else 1)
+    (waited_s,) = [
+        fields["waited_s"] for _, _, event, fields in world.notes if event == "registry_awaited"
+    ]
+    assert waited_s == pytest.approx(min(answered_s, 0.6), abs=0.03)
 
 
 @pytest.mark.parametrize("fault", ["none", "killed", "powered off", "frozen", "drained", "cut"])
