Share the set-up of the tests of a new leader that must read the registry

The two tests repeated eleven lines. What they check is unchanged: with the extension of the wait taken out both cases of the second still fail, and the first passes as before.

--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -9,9 +9,10 @@
 
 from dispatch_world import World
 from eelgrassyard.dispatch._actions import PollReport, PollWorker, StartRun
+from eelgrassyard.dispatch._host import DispatchHost
 from eelgrassyard.dispatch._jobs import Outcome
 from eelgrassyard.dispatch._tasks import Phase
-from eelgrassyard.dispatch._workers import WorkerState
+from eelgrassyard.dispatch._workers import WorkerRecord, WorkerState
 
 FAULTS = (
     "drain",
@@ -202,27 +203,35 @@
     assert "fenced_out" not in events
 
 
-@pytest.mark.parametrize("store_answers", [True, False])
-def test_a_new_leader_reads_the_registry_before_it_starts_anything(store_answers: bool) -> None:
-    """Guards against a new leader that starts tasks on workers that have announced their end since
-    it last read the registry: followers read it every 4 s, and a draining worker may get nothing
-    after 2 s. Without an answer of the store it goes on with what it knows."""
+def _world_whose_new_leader_read_the_registry_long_ago() -> tuple[World, str, DispatchHost]:
     world = World(seed=10, domains=1, hosts=2)
     world.run(2.0)
     (leader,) = world.leaders("d0")
     other = next(name for name in world.host_by_name if name != leader)
     core = world.host_by_name[other].core
     assert core is not None
-    records = {w.record.id: w.record for w in world.worker_by_id.values()}
     world.run(3.0)
     world.kill(leader, silent=False)
     while core.pool is None:
         world.run(0.01)
+    return world, other, core
+
+
+def _draining_workers(world: World) -> dict[str, WorkerRecord]:
+    records = [worker.record for worker in world.worker_by_id.values()]
+    return {record.id: dataclasses.replace(record, draining=True) for record in records}
+
+
+@pytest.mark.parametrize("store_answers", [True, False])
+def test_a_new_leader_reads_the_registry_before_it_starts_anything(store_answers: bool) -> None:
+    """Guards against a new leader that starts tasks on workers that have announced their end since
+    it last read the registry: followers read it every 4 s, and a draining worker may get nothing
+    after 2 s. Without an answer of the store it goes on with what it knows."""
+    world, other, core = _world_whose_new_leader_read_the_registry_long_ago()
     caller = world.submit(other, tasks=1, work_s=0.5)
     if store_answers:
         world.run(0.05)
-        drained = {k: dataclasses.replace(r, draining=True) for k, r in records.items()}
-        core.set_workers(world.now, drained, read_at=world.now)
+        core.set_workers(world.now, _draining_workers(world), read_at=world.now)
     world.run(1.4)
     starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
     assert len(starts) == (0 if store_answers else 1)
@@ -235,26 +244,15 @@
 ) -> None:
     """Guards against starts on workers that have announced their end by a new leader that needs
     longer than usual to read a large registry, and against a wait without an end."""
-    world = World(seed=10, domains=1, hosts=2)
-    world.run(2.0)
-    (leader,) = world.leaders("d0")
-    other = next(name for name in world.host_by_name if name != leader)
-    core = world.host_by_name[other].core
-    assert core is not None
-    records = {w.record.id: w.record for w in world.worker_by_id.values()}
-    world.run(3.0)
-    world.kill(leader, silent=False)
-    while core.pool is None:
-        world.run(0.01)
+    world, other, core = _world_whose_new_leader_read_the_registry_long_ago()
     led_at = world.now
     world.submit(other, tasks=1, work_s=0.5)
     while world.now < led_at + min(read_after_s, 1.0):
         world.run(0.05)
         core.store_answering(world.now)
     answered_s = world.now - led_at
-    drained = {k: dataclasses.replace(r, draining=True) for k, r in records.items()}
     if read_after_s < math.inf:
-        core.set_workers(world.now, drained, read_at=led_at)
+        core.set_workers(world.now, _draining_workers(world), read_at=led_at)
     world.submit(other, tasks=1, work_s=0.2)
     world.run(1.0)
     starts = [start for worker in world.worker_by_id.values() for start in worker.starts]
