--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -305,6 +305,8 @@
             self._journal.write(event, {"reason": reason, "calls": self._store.calls})
 
     def _report_store_traffic(self) -> None:
+        """Tell the core that the store is answering, if bytes have arrived since the last report.
+        The bytes of a failed call, such as a refusal, are no sign of that."""
         received = self._store.bytes_received()
         if received > self._store_bytes and self._store_available:
             self._core.store_answering(self._clock.now())
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -268,7 +268,6 @@
         :data:`MODE_CHECK_INTERVAL_S`.
 
     :ivar read_at: when the last call that succeeded was sent; the copy has all changes until then.
-        A watch may have waited since, so the copy is not stale because of it.
     """
 
     def __init__(
@@ -289,6 +288,7 @@
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
         self.read_at = -math.inf
+        # A watch may wait before it is answered; the copy has not missed a change meanwhile.
         self._answered_at = -math.inf
         self._mode = mode
         self._woken = anyio.Event()
