--- a/src/eelgrassyard/dispatch/_crashes.py
+++ b/src/eelgrassyard/dispatch/_crashes.py
@@ -9,8 +9,8 @@
 from ._messages import CrashReport, CrashState
 
 MAX_CRASHES = 2
-"""Crashes of workers under a task after which it is given up. The users' page on tasks allows that
-after two; one may have been caused by another task on the same worker."""
+"""Crashes of workers under a task after which it is given up. A single one may have been caused by
+another task on the same worker."""
 
 MEMORY_S = 60.0
 """Time for which crashes are remembered. Callers submit a job again within seconds, and a worker
@@ -60,24 +60,25 @@
         crash = Crash(worker_id=worker_id, state=state, changed_at=now, change=self.last_change)
         self._crashes_by_task.setdefault(task_id, []).append(crash)
 
-    def _set_state(self, now: float, crash: Crash, state: CrashState) -> None:
+    def _settle(self, now: float, crash: Crash, state: CrashState) -> None:
+        """Confirm or withdraw a suspected crash; one that is settled stays as it is."""
         if crash.state is CrashState.SUSPECTED and state is not crash.state:
             self.last_change += 1
             crash.state, crash.changed_at, crash.change = state, now, self.last_change
 
     def confirm(self, now: float, worker_id: str) -> None:
         """Record that another process of a worker has answered."""
-        self._set_state_of(now, worker_id, CrashState.CONFIRMED)
+        self._settle_all(now, worker_id, CrashState.CONFIRMED)
 
     def withdraw(self, now: float, worker_id: str) -> None:
         """Record that the same process of a worker has answered again."""
-        self._set_state_of(now, worker_id, CrashState.WITHDRAWN)
+        self._settle_all(now, worker_id, CrashState.WITHDRAWN)
 
-    def _set_state_of(self, now: float, worker_id: str, state: CrashState) -> None:
+    def _settle_all(self, now: float, worker_id: str, state: CrashState) -> None:
         for crashes in self._crashes_by_task.values():
             for crash in crashes:
                 if crash.worker_id == worker_id:
-                    self._set_state(now, crash, state)
+                    self._settle(now, crash, state)
 
     def count(self, task_id: TaskId) -> int:
         """Number of crashes under a task."""
@@ -98,7 +99,7 @@
         crashes = self._crashes_by_task.get(task_id, ())
         return tuple(_report(task_id, crash) for crash in crashes)
 
-    def reports_of(self, job_id: str) -> tuple[CrashReport, ...]:
+    def reports_of_job(self, job_id: str) -> tuple[CrashReport, ...]:
         """Crashes under the tasks of a job."""
         return tuple(
             _report(task_id, crash)
@@ -125,7 +126,7 @@
             crashes = self._crashes_by_task.get(task_id, ())
             known = [crash for crash in crashes if crash.worker_id == report.worker_id]
             for crash in known:
-                self._set_state(now, crash, report.state)
+                self._settle(now, crash, report.state)
             if not known:
                 self._add(now, task_id, report.worker_id, report.state)
 
--- a/src/eelgrassyard/dispatch/_handover.py
+++ b/src/eelgrassyard/dispatch/_handover.py
@@ -53,7 +53,7 @@
                 progress = Progress(
                     done=tuple(done),
                     unsettled=tuple(unsettled),
-                    crashes=self.crashes.reports_of(pool_job.job.id),
+                    crashes=self.crashes.reports_of_job(pool_job.job.id),
                 )
             message = JobReturned(job_id=pool_job.job.id, progress=progress)
             returned.append((pool_job.requester, message))
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -117,15 +117,15 @@
                     racks.add(self.worker_by_id[other.location].record.rack)
             if not step.max_per_worker:
                 count_by_worker = None
-        choices = [workers]
+        candidate_lists = [workers]
         if self.crashes.count(task.id):
             # Alone, it cannot take other tasks down, and shows whether it is the cause.
             workers = list(workers)
             idle = [w for w in workers if not w.run_by_task and not w.orphan_run_by_task]
-            choices = [idle, workers]
-        for choice in choices:
+            candidate_lists = [idle, workers]
+        for candidates in candidate_lists:
             worker = choose_worker(
-                choice,
+                candidates,
                 step,
                 now=now,
                 budget_s=pool_job.due_at - now - self.timing.delay_s(),
