--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -190,14 +190,14 @@
             with anyio.fail_after(5.0):
                 while not states:
                     await anyio.sleep(0.05)
-                    states = [report.state.value for report in crashes.reports_of(job)]
+                    states = [report.state.value for report in crashes.reports_of_job(job)]
             assert states == ["suspected"]
             other = StandinWorker(worker_id="i-2")
             await other.server.listen(site.worker_address)
             with anyio.fail_after(5.0):
-                while crashes.reports_of(job)[0].state.value == "suspected":
+                while crashes.reports_of_job(job)[0].state.value == "suspected":
                     await anyio.sleep(0.05)
-            assert [report.state.value for report in crashes.reports_of(job)] == ["confirmed"]
+            assert [report.state.value for report in crashes.reports_of_job(job)] == ["confirmed"]
             group.cancel_scope.cancel()
 
     run_scenario(scenario)
