--- a/review/standins/record.py
+++ b/review/standins/record.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -17,8 +17,6 @@
     cpu: int = 1000
     after: tuple[int, ...] = ()
     max_per_server: int = 0
-    requirements: str = ""
-    work_s_by_index: dict[int, float] = field(default_factory=dict)
 
     def body(self) -> dict[str, object]:
         """The step as a client sends it; fields that are 0 or empty are omitted."""
@@ -29,7 +27,6 @@
             "estimate_ms": self.estimate_ms,
             "after": list(self.after),
             "max_per_server": self.max_per_server,
-            "requirements": self.requirements,
         }
         return {name: value for name, value in fields.items() if value}
 
@@ -110,9 +107,9 @@
 
     def work_of(self, task: str) -> tuple[float, int, bool]:
         """Run time of a task at speed 1, its cpu, and whether it fails."""
-        job_id, _, step, index = task.split(".")
+        job_id, _, step, _ = task.split(".")
         phase = self.job_by_id[job_id].phases[int(step)]
-        return phase.work_s_by_index.get(int(index), phase.work_s), phase.cpu, False
+        return phase.work_s, phase.cpu, False
 
     def run_began(self, worker: str, task: str, run: int, spec: str, *, draining: bool) -> None:
         """Record the start of a run."""
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -285,12 +285,11 @@
                 return self.host_by_name[name]
             await asyncio.sleep(0.1)
 
-    def log_of(self, host: Host) -> str:
-        """What a host has logged so far."""
-        return (self._folder / f"{host.name}.log").read_text(encoding="utf-8")
-
     async def stop(self) -> None:
-        """End all processes and stand-ins that were started."""
+        """End all processes and stand-ins that were started.
+
+        The variable ``KEEP_LOGS`` names a folder that keeps the settings and logs of the hosts.
+        """
         for task in self._tasks:
             task.cancel()
         for host in self.hosts:
