--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -74,13 +74,10 @@
 
 
 def free_address() -> str:
-    """An unused address on loopback; each run of a script has an IP address of its own, so that
-    runs at the same time don't take each other's ports."""
-    pid = os.getpid()
-    ip = f"127.{100 + (pid >> 16) % 100}.{(pid >> 8) % 256}.{pid % 256}"
+    """An unused address on loopback."""
     with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return f"{ip}:{probe.getsockname()[1]}"
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -104,44 +101,33 @@
             self.process.send_signal(number)
 
 
-def _new_host(*, name: str, zone: str) -> Host:
-    return Host(
-        name=name,
-        zone=zone,
-        front=free_address(),
-        ready=free_address(),
-        control=free_address(),
-        control_bind=free_address(),
-    )
-
-
 class Site:
     """Store, runners, proxies between hosts, and host processes.
 
     :param hosts_by_zone: number of hosts in each zone.
     :param timeout_ms: timeout of the route in the first configuration.
-    :param first_number: number of the first host of each zone.
     """
 
     def __init__(
-        self,
-        *,
-        record: Record,
-        hosts_by_zone: dict[str, int],
-        timeout_ms: int = 1500,
-        first_number: int = 1,
+        self, *, record: Record, hosts_by_zone: dict[str, int], timeout_ms: int = 1500
     ) -> None:
         self.record = record
         self.network = Network()
         self.store = StandinStore()
         self.workers: list[StandinWorker] = []
         self.hosts = [
-            _new_host(name=f"front-{zone}-{number + first_number}", zone=zone)
+            Host(
+                name=f"front-{zone}-{number + 1}",
+                zone=zone,
+                front=free_address(),
+                ready=free_address(),
+                control=free_address(),
+                control_bind=free_address(),
+            )
             for zone, count in hosts_by_zone.items()
             for number in range(count)
         ]
         self.host_by_name = {host.name: host for host in self.hosts}
-        self._removed: list[Host] = []
         self._timeout_ms = timeout_ms
         self._version = 0
         self._address_by_worker: dict[str, str] = {}
@@ -178,7 +164,14 @@
             await self._serve(worker.server(), self._address_by_worker[worker.name])
             self._register(worker)
         for host in self.hosts:
-            await self._listen_for_hosts(host)
+            proxy = Proxy(
+                network=self.network,
+                source="",
+                target=host.name,
+                address=host.control_bind,
+                identify=self._identify,
+            )
+            await proxy.listen(host.control)
         self._tasks = [
             asyncio.ensure_future(self.store.expire_leases()),
             asyncio.ensure_future(self._heartbeat()),
@@ -187,37 +180,6 @@
         await asyncio.wait_for(self._until_ready(), READY_WITHIN_S)
         self.record.write("all hosts are ready")
 
-    async def _listen_for_hosts(self, host: Host) -> None:
-        proxy = Proxy(
-            network=self.network,
-            source="",
-            target=host.name,
-            address=host.control_bind,
-            identify=self._identify,
-        )
-        await proxy.listen(host.control)
-
-    async def add_host(self, *, name: str, zone: str) -> Host:
-        """Add a machine at new addresses, and start its process."""
-        host = _new_host(name=name, zone=zone)
-        self.host_by_name[name] = host
-        await self._listen_for_hosts(host)
-        for removed in self._removed:
-            self.network.path(name, removed.name).passable.clear()
-        self.hosts.append(host)
-        await self.start_host(host)
-        return host
-
-    async def remove_host(self, host: Host) -> None:
-        """Take a machine away for good; connections to it hang from then on."""
-        self.hosts.remove(host)
-        self._removed.append(host)
-        for name in ["", *self.host_by_name]:
-            self.network.path(name, host.name).passable.clear()
-        host.signal(signal.SIGKILL)
-        assert host.process is not None
-        await host.process.wait()
-
     async def _serve(self, server: HttpServer, address: str) -> None:
         await server.listen(address)
         self._servers.append(server)
@@ -323,10 +285,6 @@
                 return self.host_by_name[name]
             await asyncio.sleep(0.1)
 
-    def log_of(self, host: Host) -> str:
-        """What a host has logged so far."""
-        return (self._folder / f"{host.name}.log").read_text(encoding="utf-8")
-
     async def stop(self) -> None:
         """End all processes and stand-ins that were started.
 
