--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import pathlib
@@ -32,6 +33,7 @@
 CONTACT_S = 3.0
 """``contact_ms`` of a small deployment."""
 GRACE_S = 6.0
+_ports = itertools.count(20_000)
 
 SETTINGS = """\
 node = "{name}"
@@ -74,10 +76,22 @@
 
 
 def free_address() -> str:
-    """An unused address on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """An unused address on loopback.
+
+    Each run of a script has an IP address of its own, and ports below those that the system gives
+    to outgoing connections, so that nothing else takes a port before its process listens there.
+    """
+    pid = os.getpid()
+    ip = f"127.{100 + (pid >> 16) % 100}.{(pid >> 8) % 256}.{pid % 256}"
+    while True:
+        port = next(_ports)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+            return f"{ip}:{port}"
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
