--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,9 +13,9 @@
 import signal
 import sys
 
-from review.standins.case import CouldNotRunError, run_case
-from review.standins.record import Job, Phase, Record
-from review.standins.site import CONTACT_S, Client, Host, Site
+from review.frame import CouldNotRunError, run_case
+from review.record import Job, Phase, Record
+from review.site import CONTACT_S, Client, Host, Site
 
 DISRUPTED_AFTER_S = 0.12
 
--- a/review/standins/site.py
+++ b/review/site.py
@@ -24,7 +24,7 @@
 
 from .record import Job, Record
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 SERVICE = "ruling-desk"
 ROUTE_HOST = "nony24.example"
 PREFIX = "/lohu930/"
@@ -191,7 +191,7 @@
             asyncio.ensure_future(self._heartbeat()),
         ]
         await asyncio.gather(*(self.start_host(host) for host in self.hosts))
-        await asyncio.wait_for(self._until_ready(), READY_WITHIN_S)
+        await self.until_ready()
         self.record.write("all hosts are ready")
 
     async def _serve(self, server: HttpServer, address: str) -> None:
@@ -275,7 +275,11 @@
                 stderr=asyncio.subprocess.STDOUT,
             )
 
-    async def _until_ready(self) -> None:
+    async def until_ready(self) -> None:
+        """Wait until all hosts are ready."""
+        await asyncio.wait_for(self._poll_readiness(), READY_WITHIN_S)
+
+    async def _poll_readiness(self) -> None:
         for host in self.hosts:
             while (await self.status(host, "/api/ready"))[0] != 200:
                 await asyncio.sleep(0.1)
