Leave odd entries among those of the workers in the soak

Users report that one entry of another writer made the machines that read it end again and again, or stop following the list.

Each run now has another writer beside its faults, with random numbers of its own so that the faults of known seeds stay as they are. It writes entries that are nested deeply, hold a number or an address out of range, or can't be read, and deletes them again. They excuse nothing: an entry is no disruption.

--- a/soak/_run.py
+++ b/soak/_run.py
@@ -109,6 +109,7 @@
         await _until_ready(site)
         load = asyncio.ensure_future(site.callers.run())
         watchers += [load, asyncio.ensure_future(site.prober.run())]
+        watchers.append(asyncio.ensure_future(site.other_writer.run()))
         lag = LoopLag()
         watchers.append(asyncio.ensure_future(lag.run()))
         await asyncio.sleep(WARM_S)
@@ -137,7 +138,7 @@
     return RunResult(
         seed=seed,
         faults=faults.log,
-        counts=ledger.counts,
+        counts={**ledger.counts, "odd_entries": site.other_writer.written},
         served=served,
         lag_s=lag.summary(),
         violations=ledger.violations,
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -13,6 +13,7 @@
 from ._clients import HOST_HEADER, MAX_ATTEMPTS, SHAPES, TIMEOUT_S, Callers, ExtraRoute, Prober
 from ._hosts import Balancer, HostProcess, free_addresses
 from ._ledger import Ledger
+from ._other_writer import OtherWriter
 from ._proxy import Network, Proxy
 from ._store import StandinStore
 from ._worker import StandinWorker
@@ -30,6 +31,7 @@
 MEMORY_MB = 131_072
 
 _REQUEST = re.compile(rb"POST \S*/([0-9a-f]{16}) ")
+_ADDRESS = re.compile(rb'"address": "([^"]*)"')
 
 
 class Site:
@@ -72,6 +74,9 @@
             rate=rate,
         )
         self.prober = Prober(hosts=self.hosts, ledger=self.ledger)
+        self.other_writer = OtherWriter(
+            store=self.store, prefix=WORKERS_KEY, entry=self._any_entry, seed=seed + 2
+        )
         self.registry_lapses = False
         self._address_by_worker: dict[tuple[str, str], str] = {}
         self._servers: list[HttpServer] = []
@@ -177,9 +182,13 @@
         """Replace the address in a worker entry by that of the proxy for the host that reads it."""
         if not key.startswith(WORKERS_KEY) or not client:
             return value
-        entry = json.loads(value)
-        entry["address"] = self._address_by_worker[client, entry["address"]]
-        return json.dumps(entry).encode()
+        # Entries of another writer may have any form, so the value is not parsed.
+        found = _ADDRESS.search(value)
+        name = found[1].decode(errors="replace") if found is not None else ""
+        address = self._address_by_worker.get((client, name))
+        if found is None or address is None:
+            return value
+        return value[: found.start(1)] + address.encode() + value[found.end(1) :]
 
     # --- workers' and operators' writes ---
 
@@ -187,6 +196,10 @@
         """Write the entry of a worker; its address field holds its name until a host reads it."""
         self.store.put(WORKERS_KEY + worker.id, worker.entry(worker.name))
 
+    def _any_entry(self) -> bytes:
+        worker = self.workers[0]
+        return worker.entry(worker.name)
+
     def remove(self, worker: StandinWorker) -> None:
         """Delete the entry of a worker."""
         self.store.delete(WORKERS_KEY + worker.id)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,9 +12,11 @@
 import pytest
 from soak._hosts import HostProcess, free_addresses
 from soak._ledger import JobEntry, Ledger
+from soak._other_writer import OtherWriter
 from soak._proxy import Network, Proxy
 from soak._run import run_soak
 from soak._seeds import parse_seeds
+from soak._store import StandinStore
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -180,6 +182,20 @@
         parse_seeds("x")
 
 
+def test_odd_entries_repeat_with_their_seed() -> None:
+    """Guards against a soak that writes other odd entries when a seed is replayed."""
+
+    def entries(seed: int) -> list[bytes]:
+        worker = b'{"address": "w", "seq": 1, "capacity": {"cpu": 1}}'
+        writer = OtherWriter(
+            store=StandinStore(), prefix="servers/", entry=lambda: worker, seed=seed
+        )
+        return [writer.next_value() for _ in range(40)]
+
+    assert entries(1) == entries(1)
+    assert entries(1) != entries(2)
+
+
 @pytest.mark.parametrize("seed", [101, 102])
 def test_promises_hold_on_real_processes_under_faults(tmp_path: Path, seed: int) -> None:
     """Guards against concurrent, incomplete, unrequested or falsely refused work when real hosts
