--- /dev/null
+++ b/src/eelgrassyard/_unhandled.py
@@ -0,0 +1,152 @@
+"""Structured reports of errors that no code handled."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+from ._journal import Journal
+
+MAX_MESSAGE_CHARACTERS = 400
+"""Longest message of an error in a line; messages may quote the input that caused the error."""
+
+OUTER_FRAMES = 4
+INNER_FRAMES = 12
+"""Outermost and innermost frames of a traceback in a line. A stack overflow has about a
+thousand."""
+
+MAX_GROUP_ERRORS = 4
+"""Errors of an exception group that are reported."""
+
+MAX_PARTS = 64
+"""Parts that are counted under their own names."""
+
+OTHER_PART = "other"
+"""Part under which all further ones are counted."""
+
+TRACE_INTERVAL_S = 5.0
+"""Shortest interval between two traces of the same type of error in the same part. An error that
+occurs at each event would otherwise take more processor time than the work itself."""
+
+
+def describe_error(error: BaseException) -> dict[str, object]:
+    """Type, message and frames of an error as fields of a line; it never raises."""
+    return {**_name(error), "trace": _frames(error)}
+
+
+def leaf_errors(error: BaseException) -> Iterator[BaseException]:
+    """The errors in an exception group at any depth, or the error itself."""
+    if isinstance(error, BaseExceptionGroup):
+        for member in error.exceptions:
+            yield from leaf_errors(member)
+    else:
+        yield error
+
+
+class UnhandledErrors:
+    """Writes a line for each unhandled error and counts them by the part they occurred in.
+
+    :ivar count_by_part: errors since the start; at most :data:`MAX_PARTS` parts.
+    """
+
+    def __init__(self, *, journal: Journal) -> None:
+        self._journal = journal
+        self.count_by_part: Counter[str] = Counter()
+        self._traced_at: dict[tuple[str, str], float] = {}
+
+    def report(
+        self, part: str, error: BaseException, *, event: str = "unhandled_error", **fields: object
+    ) -> None:
+        """Write a line and count the error; it never raises.
+
+        :param part: name of the task, callback or protocol.
+        :param fields: what the part was doing, such as the key of an entry.
+        """
+        if part not in self.count_by_part and len(self.count_by_part) >= MAX_PARTS:
+            self.count_by_part[OTHER_PART] += 1
+        else:
+            self.count_by_part[part] += 1
+        line: dict[str, object] = {"part": part, **_name(error), **fields}
+        now = time.monotonic()
+        key = (part, type(error).__name__)
+        if now - self._traced_at.get(key, -TRACE_INTERVAL_S) >= TRACE_INTERVAL_S:
+            if len(self._traced_at) >= MAX_PARTS:
+                self._traced_at.clear()
+            self._traced_at[key] = now
+            line["trace"] = _frames(error)
+        self._journal.write(event, line)
+
+    def handle_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Exception handler of an event loop: report errors of callbacks, protocols and tasks
+        whose result nobody retrieved."""
+        message = str(context.get("message", ""))
+        error = context.get("exception")
+        if not isinstance(error, BaseException):
+            error = RuntimeError(message)
+        try:
+            part = _part(context)
+        except Exception as unnamed:
+            part = f"unknown ({type(unnamed).__name__})"
+        self.report(part, error, text=message[:MAX_MESSAGE_CHARACTERS])
+
+
+def report_process_failure(journal: Journal, error: BaseException) -> None:
+    """Write a line ``process_failed`` for each error that ends the process, and a last one for
+    those beyond :data:`MAX_GROUP_ERRORS`."""
+    errors = list(leaf_errors(error))
+    for leaf in errors[:MAX_GROUP_ERRORS]:
+        journal.write("process_failed", describe_error(leaf), final=True)
+    if len(errors) > MAX_GROUP_ERRORS:
+        journal.write("process_failed", {"more_errors": len(errors) - MAX_GROUP_ERRORS}, final=True)
+
+
+def _name(error: BaseException) -> dict[str, object]:
+    try:
+        message = str(error)
+    except Exception as unprintable:
+        message = f"message not available: {type(unprintable).__name__}"
+    fields: dict[str, object] = {
+        "error": type(error).__name__,
+        "message": message[:MAX_MESSAGE_CHARACTERS],
+    }
+    if error.__cause__ is not None:
+        fields["cause"] = type(error.__cause__).__name__
+    return fields
+
+
+def _frames(error: BaseException) -> list[str]:
+    """The frames of a traceback, outermost first, without the middle of a long one. Source lines
+    are left out: reading them parses files, which fails in turn when the stack is exhausted."""
+    frames: list[str] = []
+    trace = error.__traceback__
+    while trace is not None:
+        code = trace.tb_frame.f_code
+        file = "/".join(code.co_filename.rsplit("/", 2)[-2:])
+        frames.append(f"{file}:{trace.tb_lineno} {code.co_name}")
+        trace = trace.tb_next
+    left_out = len(frames) - OUTER_FRAMES - INNER_FRAMES
+    if left_out <= 0:
+        return frames
+    return [*frames[:OUTER_FRAMES], f"{left_out} frames left out", *frames[-INNER_FRAMES:]]
+
+
+def _part(context: dict[str, Any]) -> str:
+    """Name of what failed: the coroutine of a task, or the function of a callback."""
+    task = context.get("task") or context.get("future")
+    if isinstance(task, asyncio.Task):
+        coroutine = task.get_coro()
+        return f"task {getattr(coroutine, '__qualname__', type(coroutine).__name__)}"
+    if (protocol := context.get("protocol")) is not None:
+        return f"protocol {type(protocol).__name__}"
+    if (handle := context.get("handle")) is not None:
+        callback = getattr(handle, "_callback", None)
+        owner = getattr(callback, "__self__", None)
+        if isinstance(owner, asyncio.Task):
+            return _part({"task": owner})
+        return f"callback {getattr(callback, '__qualname__', type(callback).__name__)}"
+    if (generator := context.get("asyncgen")) is not None:
+        return f"generator {getattr(generator, '__qualname__', '')}"
+    return type(task).__name__ if task is not None else "event loop"
--- a/src/eelgrassyard/platform/__main__.py
+++ b/src/eelgrassyard/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import faulthandler
 import os
 import sys
 
@@ -12,6 +13,9 @@
 
 def main() -> int:
     """Run a host with the settings file named by the environment variable."""
+    # The stack of a fatal signal, such as a stack overflow in an extension module.
+    if sys.stderr is not None:
+        faulthandler.enable()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         print(
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import signal
 import zlib
@@ -11,6 +12,7 @@
 
 from .._clock import Clock
 from .._journal import Journal
+from .._unhandled import UnhandledErrors, report_process_failure
 from ..dispatch._host import DispatchHost
 from ..dispatch._messages import HostRecord
 from ..dispatch._workers import WorkerRecord
@@ -29,6 +31,7 @@
     encode_host,
 )
 from ._metrics import HostMetrics
+from ._process_metrics import ProcessMetrics
 from ._settings import HostSettings, read_settings
 from ._store import Item, Mirror, MirrorMode, Reread, StoreClient, StoreError, Watch
 from ._worker_calls import PlatformWorkerCalls
@@ -88,6 +91,12 @@
 EXIT_LISTEN_FAILED = 3
 """Exit code if an address in the settings is in use or does not belong to this machine."""
 
+EXIT_FAILED = 4
+"""Exit code after an unforeseen error; a line ``process_failed`` names it."""
+
+LAST_LINES_S = 1.0
+"""Longest wait at the end of the process for a slow reader of its last lines."""
+
 MAX_CONFIG_BYTES = 4_000_000
 """Largest configuration that is accepted from another host; the store holds at most a megabyte."""
 
@@ -110,14 +119,18 @@
     """Runs one host: its servers, its driver, and its copy of the store's entries.
 
     :param path: settings file, which is read again when it changes.
+    :param journal: where lines are written; standard output if left out.
     """
 
-    def __init__(self, *, settings: HostSettings, path: str) -> None:
+    def __init__(
+        self, *, settings: HostSettings, path: str, journal: Journal | None = None
+    ) -> None:
         self._settings = settings
         self._path = path
         self._clock = Clock()
-        self._journal = Journal(host=settings.name)
+        self._journal = Journal(host=settings.name) if journal is None else journal
         self._journal.capture_stdlib_logging()
+        self._errors = UnhandledErrors(journal=self._journal)
         self._traffic = TrafficByPurpose()
         now = self._clock.now()
         self._own = HostRecord(
@@ -173,6 +186,18 @@
             caller_server=self._caller_server,
             journal=self._journal,
             traffic=self._traffic,
+            process=ProcessMetrics(
+                journal=self._journal,
+                errors=self._errors,
+                now=self._clock.now,
+                read_at_by_prefix=lambda: {
+                    mirror.prefix: mirror.read_at for mirror in self._mirrors
+                },
+                limits={
+                    "memory_limit_bytes": settings.memory_limit_bytes,
+                    "descriptor_limit": settings.descriptor_limit,
+                },
+            ),
         )
         self._caller_api.on_answer = self._metrics.count_answer
         self._worker_mirror = Mirror(
@@ -183,6 +208,7 @@
             on_availability=self._store_availability_changed,
             mode=self._registry_mode,
         )
+        self._mirrors = self._make_mirrors()
         self._store_available: bool | None = None
         self._store_bytes = 0
         self._record_by_id: dict[str, WorkerRecord] = {}
@@ -193,6 +219,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
+        asyncio.get_running_loop().set_exception_handler(self._errors.handle_loop_error)
         self._journal.write("start", {"domain": self._own.domain, "weight": self._own.weight})
         self._core.set_seeds(self._settings.seeds)
         await self._driver.start()
@@ -200,7 +227,7 @@
         await self._caller_server.listen(self._settings.front_address)
         try:
             async with anyio.create_task_group() as group:
-                for mirror in self._mirrors():
+                for mirror in self._mirrors:
                     group.start_soon(mirror.run)
                 group.start_soon(self._maintain_registration)
                 group.start_soon(self._poll_settings)
@@ -214,7 +241,7 @@
         self._journal.write("stop", {"bytes": self._traffic.dump()})
         self._journal.flush()
 
-    def _mirrors(self) -> list[Mirror]:
+    def _make_mirrors(self) -> list[Mirror]:
         store, on_availability = self._store, self._store_availability_changed
         return [
             Mirror(
@@ -240,6 +267,7 @@
     async def _serve_until_stopped(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
+                self._metrics.count_signal(number.name)
                 if number == signal.SIGHUP:
                     self._reload_settings()
                     continue
@@ -421,7 +449,9 @@
         received from other hosts, and read the registry when this host has taken the lead."""
         led = False
         while True:
+            due_at = anyio.current_time() + STATE_POLL_INTERVAL_S
             await anyio.sleep(STATE_POLL_INTERVAL_S)
+            self._metrics.observe_lateness(anyio.current_time() - due_at)
             now = self._clock.now()
             self._report_store_traffic()
             leads = self._core.pool is not None
@@ -475,14 +505,28 @@
 
 def run_host(path: str) -> int:
     """Run a host until it is stopped; return the exit code of the process."""
+    journal = Journal(host="")
+    try:
+        return _run_host(path, journal)
+    except Exception as error:
+        report_process_failure(journal, error)
+        return EXIT_FAILED
+    finally:
+        journal.close(LAST_LINES_S)
+
+
+def _run_host(path: str, journal: Journal) -> int:
     result = read_settings(path)
     if result.is_err():
         print(f"eelgrassyard: {result.unwrap_err()}", flush=True)
         return 2
-    host = PlatformHost(settings=result.unwrap(), path=path)
+    settings = result.unwrap()
+    journal.host = settings.name
+    host = PlatformHost(settings=settings, path=path, journal=journal)
     try:
         anyio.run(host.run)
     except OSError as error:
+        journal.close(LAST_LINES_S)
         print(f"eelgrassyard: {path}: listen: {error}", flush=True)
         return EXIT_LISTEN_FAILED
     return 0
--- a/src/eelgrassyard/platform/_metrics.py
+++ b/src/eelgrassyard/platform/_metrics.py
@@ -7,11 +7,16 @@
 from .._journal import Journal
 from ..dispatch._host import DispatchHost
 from ..net import HttpServer, TrafficByPurpose
+from ._process_metrics import ProcessMetrics
 from ._store import StoreClient
 
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1.0, 1.3, 1.6)
 """Upper bounds of the histogram buckets; latency objectives lie between 0.1 and 1.5 s."""
 
+LATENESS_BUCKETS_S = (0.01, 0.05, 0.2, 0.5, 1.0, 3.0)
+"""Upper bounds of the buckets of late timers. Other hosts take one for silent after about a
+second."""
+
 
 class HostMetrics:
     """Counts answered jobs as they are answered; all other values are read at each scrape."""
@@ -24,6 +29,7 @@
         caller_server: HttpServer,
         journal: Journal,
         traffic: TrafficByPurpose,
+        process: ProcessMetrics,
     ) -> None:
         self._traffic = traffic
         self._core = core
@@ -31,6 +37,7 @@
         self._caller_server = caller_server
         self._journal = journal
         self._registry = CollectorRegistry()
+        self._registry.register(process)
         self._answers = Counter(
             "eelgrassyard_answers",
             "Answers to jobs by status",
@@ -73,6 +80,24 @@
             registry=self._registry,
         )
 
+        self._late = Histogram(
+            "eelgrassyard_timer_late_seconds",
+            "How late a timer of the event loop fires, 20 times a second",
+            buckets=LATENESS_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._signals = Counter(
+            "eelgrassyard_signals", "Signals received", ["signal"], registry=self._registry
+        )
+
+    def count_signal(self, name: str) -> None:
+        """Count a signal."""
+        self._signals.labels(name).inc()
+
+    def observe_lateness(self, late_s: float) -> None:
+        """Count a timer that fired ``late_s`` after its time."""
+        self._late.observe(max(0.0, late_s))
+
     def count_answer(self, kind: str, status: int, took_s: float) -> None:
         """Count an answered job and its latency."""
         self._answers.labels(str(status)).inc()
--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 BYTES_PER_MBIT = 125_000
+BYTES_PER_MB = 1_048_576
 
 
 class _Listen(msgspec.Struct):
@@ -83,6 +84,8 @@
     :param grace_s: grace period between SIGTERM and SIGKILL.
     :param lease_least_s: shortest lease that the store grants.
     :param link_bytes_per_s: capacity of the machine's link; infinite if the file names none.
+    :param memory_limit_bytes: resident memory above which the process is killed.
+    :param descriptor_limit: descriptors that the process may have open.
     """
 
     name: str
@@ -99,6 +102,8 @@
     grace_s: float
     lease_least_s: float
     link_bytes_per_s: float = math.inf
+    memory_limit_bytes: int = 0
+    descriptor_limit: int = 0
 
 
 def read_settings(path: str) -> Result[HostSettings, HostSettingsError]:
@@ -137,6 +142,8 @@
             grace_s=file.bounds.grace_s,
             lease_least_s=file.platform.ttl_min_ms / 1000.0,
             link_bytes_per_s=(max(0.0, file.limits.link_mbps) or math.inf) * BYTES_PER_MBIT,
+            memory_limit_bytes=file.limits.memory_mb * BYTES_PER_MB,
+            descriptor_limit=file.limits.max_fds,
         )
     )
 
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -267,6 +267,7 @@
     :param mode: returns how the copy is kept up to date; it is called again every
         :data:`MODE_CHECK_INTERVAL_S`.
 
+    :ivar prefix: the prefix.
     :ivar read_at: when the last call that succeeded was sent; the copy has all changes until then.
     """
 
@@ -281,7 +282,7 @@
         mode: Callable[[], MirrorMode] = Watch,
     ) -> None:
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._now = now
         self._on_change = on_change
         self._on_availability = on_availability
@@ -326,12 +327,12 @@
             case Reread():
                 read_all = True
         if self._revision is None or read_all:
-            self._items, self._revision = await self._store.read_prefix(self._prefix)
+            self._items, self._revision = await self._store.read_prefix(self.prefix)
             self.read_at, self._answered_at = begun_at, self._now()
             self._on_change(self._items, self._revision)
             return
         assert isinstance(mode, Watch)
-        events, revision = await self._store.watch(self._prefix, self._revision, mode.wait_s)
+        events, revision = await self._store.watch(self.prefix, self._revision, mode.wait_s)
         self.read_at, self._answered_at = begun_at, self._now()
         for item in events:
             if item.deleted:
