Contain odd input of the host list, the store and workers in the daemon

Its clients of the platform services read JSON by hand and handled ValueError, KeyError and TypeError; RecursionError (nesting), OverflowError (a number like 1e999, a port of 70000 at connect) and UnicodeEncodeError (half a surrogate pair in a document) passed through to the task group and ended the process. A port out of range and a weight that isn't a number were taken as they came.

The entries of the host list and usage reports are now validated models, one odd entry is counted, logged and passed over, and a value nested deeper than 64 levels is read as null, so that it doesn't hide the rest of the list. A host whose address no call accepts is a failed connection.

Ruled out: containing the error in the loop of the core. An error of the core ends the daemon on purpose, since a partly updated table could start a task twice; odd input must not reach it.

--- a/src/eelgrassyard/daemon/_peers.py
+++ b/src/eelgrassyard/daemon/_peers.py
@@ -111,8 +111,10 @@
             await self._wait_for_messages()
             try:
                 stream = await self._connect()
-            except (OSError, TimeoutError, ssl.SSLError):
-                await self._handle_failure("cannot connect")
+            except Exception as error:
+                # An address of the host list may be one that no call accepts, such as a port out
+                # of range. That is a failed connection, not the end of the process.
+                await self._handle_failure(f"cannot connect: {type(error).__name__}")
                 continue
             self._handle_connected()
             try:
--- a/src/eelgrassyard/daemon/_platform_clients.py
+++ b/src/eelgrassyard/daemon/_platform_clients.py
@@ -5,20 +5,12 @@
 import json
 import random
 from collections.abc import Callable
-from typing import Any
 from urllib.parse import quote
 
 import anyio
 import xxhash
 
-from ..policy import (
-    HostEntry,
-    HostListRead,
-    ListedHost,
-    ListedUpstream,
-    UpstreamEntry,
-    UpstreamRole,
-)
+from ..policy import HostListRead
 from ._connections import (
     HttpConnections,
     HttpReply,
@@ -26,6 +18,8 @@
     ReplyLostError,
     ReplyTooLargeError,
 )
+from ._host_list import parse_host_list
+from ._json import read_json
 from ._logs import log_change
 from ._metrics import Metrics
 from ._settings import HostListSettings, StoreSettings
@@ -33,6 +27,9 @@
 CALL_TIMEOUT_S = 5.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 10.0
+MAX_REVISION = 2**63 - 1
+"""Largest revision: messages between hosts hold it in 64 bits."""
+
 REDELIVERY_INTERVAL_S = 10.0
 """An unchanged host list is delivered to the core again after this time."""
 
@@ -169,15 +166,20 @@
             await self._client.wait_after_failure()
 
     def _apply_value(self, body: bytes) -> bool:
+        content = read_json(body).unwrap_or(None)
+        if not isinstance(content, dict) or "value" not in content:
+            return False
+        revision, value = content.get("revision"), content["value"]
+        if not isinstance(revision, int) or not 0 <= revision <= MAX_REVISION:
+            return False
         try:
-            content = json.loads(body)
-            revision = int(content["revision"])
-            value = content["value"]
-        except (ValueError, KeyError, TypeError):
+            text = value if isinstance(value, str) else json.dumps(value, ensure_ascii=False)
+            document = text.encode()
+        except UnicodeEncodeError:
+            # JSON escapes may name half of a surrogate pair, which has no UTF-8 form.
             return False
-        document = value if isinstance(value, str) else json.dumps(value, ensure_ascii=False)
         self._seen_revision = revision
-        self._on_document(revision, document.encode())
+        self._on_document(revision, document)
         return True
 
 
@@ -246,54 +248,3 @@
         if self._known is not None and due:
             self._delivered_at = now
             self._on_host_list(self._known)
-
-
-def parse_host_list(body: bytes, metrics: Metrics) -> HostListRead | None:
-    """Parse the host list; an invalid entry is counted and skipped, an invalid list gives None."""
-    try:
-        items = json.loads(body)["hosts"]
-        if not isinstance(items, list):
-            raise TypeError
-    except (ValueError, KeyError, TypeError):
-        metrics.count("host_list.bad_answer")
-        return None
-    hosts: list[ListedHost] = []
-    upstreams: list[ListedUpstream] = []
-    for item in items:
-        try:
-            leaving = item["state"] == "leaving"
-            if item["role"] == "entry":
-                hosts.append(ListedHost(host=_host_entry(item), leaving=leaving))
-            else:
-                upstreams.append(ListedUpstream(upstream=_upstream_entry(item), leaving=leaving))
-        except (ValueError, KeyError, TypeError):
-            metrics.count("host_list.bad_entry")
-    return HostListRead(hosts=tuple(hosts), upstreams=tuple(upstreams))
-
-
-def _host_entry(item: Any) -> HostEntry:
-    return HostEntry(
-        name=str(item["name"]),
-        address=str(item["address"]),
-        port=int(item["port"]),
-        failure_domain=str(item["failure_domain"]),
-        region=str(item.get("region", "")),
-        weight=float(item.get("weight", 1.0)),
-    )
-
-
-def _upstream_entry(item: Any) -> UpstreamEntry:
-    url = item.get("url") or f"http://{item['address']}:{int(item['port'])}"
-    return UpstreamEntry(
-        name=str(item["name"]),
-        role=UpstreamRole(item["role"]),
-        url=str(url),
-        failure_domain=str(item["failure_domain"]),
-        rack=str(item.get("rack", "")),
-        service=str(item.get("service", "")),
-        slots=int(item.get("slots", 0)),
-        connections=int(item.get("connections", 60)),
-        cores=float(item.get("cores", 0.0)),
-        memory_mb=int(item.get("memory_mb", 0)),
-        accelerators=int(item.get("accelerators", 0)),
-    )
--- a/src/eelgrassyard/daemon/_upstream_client.py
+++ b/src/eelgrassyard/daemon/_upstream_client.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import json
-import math
 import ssl
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, NoReturn
+from typing import Annotated, NoReturn
 from urllib.parse import quote
 
 import anyio
 import anyio.abc
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from .._clock import Clock
 from ..policy import (
@@ -35,6 +35,8 @@
     ReplyTooLargeError,
     client_tls,
 )
+from ._json import read_json
+from ._logs import log_change
 from ._metrics import Metrics
 from ._settings import LimitSettings
 
@@ -152,10 +154,10 @@
         reply = await self._send_control(address.url, "/usage", b"", method="GET")
         if reply is None or reply.status != 200:
             return
-        try:
-            tasks = tuple(_parse_usage_entry(item) for item in json.loads(reply.body)["tasks"])
-        except (ValueError, KeyError, TypeError):
+        tasks = _parse_usage(reply.body)
+        if tasks is None:
             self._metrics.count("upstream.bad_usage")
+            log_change("upstream", "usage report not understood", peer=upstream)
             return
         self._put(UsageReported(upstream=upstream, tasks=tasks))
 
@@ -327,13 +329,27 @@
     return True
 
 
-def _parse_usage_entry(item: Any) -> UsageEntry:
-    cores = float(item["cores"])
-    if not math.isfinite(cores):
-        raise ValueError("cores")
-    return UsageEntry(
-        task=str(item["task"]),
-        kind=str(item["kind"]),
-        cores=cores,
-        memory_mb=int(item["memory_mb"]),
+class _UsageModel(BaseModel):
+    """One task in the usage report of a worker."""
+
+    model_config = ConfigDict(coerce_numbers_to_str=True, allow_inf_nan=False)
+
+    task: str
+    kind: str
+    cores: Annotated[float, Field(ge=0, le=1_000_000)]
+    memory_mb: Annotated[int, Field(ge=0, le=10**12)]
+
+
+class _UsageReportModel(BaseModel):
+    tasks: list[_UsageModel]
+
+
+def _parse_usage(body: bytes) -> tuple[UsageEntry, ...] | None:
+    try:
+        report = _UsageReportModel.model_validate(read_json(body).unwrap_or(None))
+    except ValidationError:
+        return None
+    return tuple(
+        UsageEntry(task=task.task, kind=task.kind, cores=task.cores, memory_mb=task.memory_mb)
+        for task in report.tasks
     )
--- a/tests/test_daemon_host.py
+++ b/tests/test_daemon_host.py
@@ -341,7 +341,7 @@
 
 def test_host_list_is_read_without_its_broken_entries():
     """Guards against rejecting the whole host list because of one invalid entry."""
-    from eelgrassyard.daemon._platform_clients import parse_host_list
+    from eelgrassyard.daemon._host_list import parse_host_list
 
     metrics = Metrics()
     entries = [
