Give each call a result when its connection attempt raises

Callers saw: a worker entry whose address has a NUL, a label of 300 characters or a port out of range makes each poll of that worker end only with its timeout, and a line `Task exception was never retrieved` each 0.7 s.

Cause: `HttpClient._connect` handled only OSError. ValueError, UnicodeError and OverflowError ended its task: the queued calls stayed in the queue, and the connection was counted as open for good, so that with the limit reached no call could ever open another one. A name instead of an IPv4 address was looked up in a thread.

A wrong name resolution was ruled out as the reason: `999.1.1.1:80` ended with BROKEN.

The address is parsed once, without a lookup; calls to an unusable one fail at once. Any error of an attempt fails the queued calls and reaches the exception handler of the loop. Open connections are counted from the connections and attempts that exist, so no place can leak; an attempt that connects after it was given up is closed.

--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import ipaddress
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +13,8 @@
 
 from ._traffic import Traffic
 
+MAX_PORT = 65_535
+
 
 class CallError(enum.StrEnum):
     """Reason for which a call has no complete response. Only ``REFUSED`` ensures that nothing was
@@ -52,20 +55,41 @@
     done: bool = False
 
 
+def _report(message: str, error: Exception) -> None:
+    """Report an error that was contained to one call or connection."""
+    asyncio.get_running_loop().call_exception_handler({"message": message, "exception": error})
+
+
+def _parse_address(address: str) -> tuple[str, int] | None:
+    """Parse ``host:port`` with an IPv4 address; None if it can't be connected to.
+
+    The event loop would look up a name in a thread, which may hang and delays the exit.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
+        return None
+    return host, int(port)
+
+
 class HttpClient:
     """Connection pool for calls to one address.
 
-    :param address: ``host:port`` with an IPv4 address.
+    :param address: ``host:port`` with an IPv4 address; calls to any other address fail with
+        ``BROKEN``.
     :param max_connections: limit on open connections; further calls are queued.
     """
 
     def __init__(self, *, address: str, max_connections: int) -> None:
         self.address = address
+        self._endpoint = _parse_address(address)
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
-        self._connection_count = 0
         self._queue: deque[_Call] = deque()
-        self._connect_tasks: set[asyncio.Task[None]] = set()
+        self._task_by_opening: dict[_Connection, asyncio.Task[None]] = {}
         self._connections: set[_Connection] = set()
 
     def call(
@@ -99,37 +123,51 @@
             progress_s=progress_s,
             traffic=traffic if traffic is not None else Traffic(),
         )
-        call.timer = asyncio.get_running_loop().call_later(timeout_s, self._expire, call)
+        loop = asyncio.get_running_loop()
+        call.timer = loop.call_later(timeout_s, self._expire, call)
+        if self._endpoint is None:
+            loop.call_soon(self._finish, call, CallError.BROKEN)
+            return
         while self._idle:
             connection = self._idle.pop()
             if connection.is_usable():
                 connection.send(call)
                 return
         self._queue.append(call)
-        if self._connection_count < self._max_connections:
-            self._open()
+        self._open_if_queued()
 
-    def _open(self) -> None:
-        self._connection_count += 1
-        task = asyncio.get_running_loop().create_task(self._connect())
-        self._connect_tasks.add(task)
-        task.add_done_callback(self._connect_tasks.discard)
+    def _open_if_queued(self) -> None:
+        """Open a connection if calls are queued and the limit allows it."""
+        open_count = len(self._connections) + len(self._task_by_opening)
+        if self._endpoint is None or not self._queue or open_count >= self._max_connections:
+            return
+        connection = _Connection(client=self)
+        self._task_by_opening[connection] = asyncio.get_running_loop().create_task(
+            self._connect(connection, *self._endpoint)
+        )
 
-    async def _connect(self) -> None:
-        host, _, port = self.address.rpartition(":")
+    async def _connect(self, connection: _Connection, host: str, port: int) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(
-                lambda: _Connection(client=self), host, int(port)
-            )
-        except OSError as error:
-            self._connection_count -= 1
+            await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
+        except Exception as error:
+            if not isinstance(error, OSError):
+                _report("connection could not be opened", error)
+            if self._task_by_opening.pop(connection, None) is None:
+                return
             refused = isinstance(error, ConnectionRefusedError)
-            reason = CallError.REFUSED if refused else CallError.BROKEN
-            while self._queue:
-                self._finish(self._queue.popleft(), reason)
+            self._fail_queued(CallError.REFUSED if refused else CallError.BROKEN)
+
+    def _fail_queued(self, reason: CallError) -> None:
+        queue, self._queue = self._queue, deque()
+        for call in queue:
+            self._finish(call, reason)
 
     def connection_opened(self, connection: _Connection) -> None:
         """Handle a newly opened connection."""
+        if self._task_by_opening.pop(connection, None) is None:
+            # The attempt was given up.
+            connection.abort()
+            return
         self._connections.add(connection)
         self.connection_idle(connection)
 
@@ -144,14 +182,12 @@
 
     def connection_closed(self, connection: _Connection, call: _Call | None) -> None:
         """Handle a closed connection; its call, if any, fails."""
-        self._connection_count -= 1
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         if call is not None:
             self._finish(call, CallError.BROKEN)
-        if self._queue and self._connection_count < self._max_connections:
-            self._open()
+        self._open_if_queued()
 
     def _expire(self, call: _Call) -> None:
         if call.done:
@@ -163,14 +199,16 @@
         if not self._connections:
             # A connection attempt to an unreachable machine can hang for seconds. Pending attempts
             # are cancelled so that later calls do not wait for them.
-            for task in list(self._connect_tasks):
-                task.cancel()
-                self._connection_count -= 1
-            self._connect_tasks.clear()
-            if self._queue:
-                self._open()
+            self._cancel_attempts()
+            self._open_if_queued()
         self._finish(call, CallError.SILENT)
 
+    def _cancel_attempts(self) -> None:
+        tasks = list(self._task_by_opening.values())
+        self._task_by_opening.clear()
+        for task in tasks:
+            task.cancel()
+
     def response_continues(self, call: _Call) -> None:
         """Handle a part of the response to a call."""
         if call.progress_s is not None and call.timer is not None and not call.done:
@@ -191,10 +229,8 @@
 
     def close(self) -> None:
         """Close all connections; calls in progress fail with ``BROKEN``."""
-        for task in list(self._connect_tasks):
-            task.cancel()
-        while self._queue:
-            self._finish(self._queue.popleft(), CallError.BROKEN)
+        self._cancel_attempts()
+        self._fail_queued(CallError.BROKEN)
         for connection in list(self._connections):
             connection.abort()
 
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -246,3 +246,62 @@
         )
 
     serve(scenario)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1\x00:80",
+        "a" * 300 + ":80",
+        "127.0.0.1:70000",
+        "127.0.0.1:-1",
+        "127.0.0.1:²",
+        "127.0.0.1:" + "9" * 5000,
+        "999.1.1.1:80",
+        "worker.example:80",
+        ":80",
+        "",
+    ],
+)
+def test_calls_to_an_address_without_an_ipv4_address_and_a_port_fail_at_once(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a connection attempt that raises: its call had no result before its timeout,
+    and no later call could open a connection. Guards against a name lookup as well."""
+
+    async def main() -> None:
+        looked_up: list[object] = []
+        monkeypatch.setattr(
+            asyncio.get_running_loop(), "getaddrinfo", lambda *names, **_: looked_up.append(names)
+        )
+        client = HttpClient(address=address, max_connections=1)
+        for _ in range(3):
+            assert await call(client, "GET", "/") is CallError.BROKEN
+        assert not looked_up
+
+    asyncio.run(main())
+
+
+def test_an_unforeseen_error_of_a_connection_attempt_fails_its_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against calls without a result, and a place of the pool that is never free again."""
+    reported: list[object] = []
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        error = RuntimeError("unforeseen")
+
+        async def fail(*_: object, **__: object) -> None:
+            raise error
+
+        client = HttpClient(address=free_address(), max_connections=1)
+        with monkeypatch.context() as patch:
+            patch.setattr(loop, "create_connection", fail)
+            for _ in range(3):
+                assert await call(client, "GET", "/") is CallError.BROKEN
+        assert reported == [error] * 3
+        assert await call(client, "GET", "/") is CallError.REFUSED
+
+    asyncio.run(main())
