Contain an error in handling the result of one HTTP call

Callers saw: when the callback of one call raises, asyncio writes `Fatal error: protocol.data_received() call failed` and closes the connection; the call that had just been sent on it fails as BROKEN though the server may carry it out. After a refused connection, the other queued calls end only with their timeouts.

Cause: the callback ran inside `data_received`, and inside the loop that fails the queue, without containment.

Evidence: before the change `answered` failed with `isinstance(<CallError.BROKEN: 'broken'>, Response)` and `refused` with `assert <CallError.SILENT: 'silent'> is <CallError.REFUSED: 'refused'>`; `silent` passed before as well.

`HttpClient._finish` is the only place that calls back. It now catches the error and hands it to the exception handler of the loop, which logs it.

--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -221,7 +221,11 @@
         call.done = True
         if call.timer is not None:
             call.timer.cancel()
-        call.on_result(result)
+        try:
+            call.on_result(result)
+        except Exception as error:
+            # It must not fail the other calls of the connection or the queue.
+            _report(f"result of a call to {self.address} could not be handled", error)
 
     def complete_call(self, call: _Call, response: Response) -> None:
         """Report the response to a call."""
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -305,3 +305,37 @@
         assert await call(client, "GET", "/") is CallError.REFUSED
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("mode", ["answered", "refused", "silent"])
+def test_an_error_in_handling_one_result_does_not_affect_other_calls(mode: str) -> None:
+    """Guards against queued calls that fail or never end, and a lost connection, after the callback
+    of another call has raised."""
+    reported: list[object] = []
+    error = RuntimeError("unforeseen")
+
+    def handler(exchange: Exchange) -> None:
+        if mode == "answered" or exchange.request.path != "/first":
+            exchange.respond(200)
+
+    def fail(_: object) -> None:
+        raise error
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        client = HttpClient(
+            address=free_address() if mode == "refused" else address, max_connections=1
+        )
+        client.call(
+            "GET", "/first", timeout_s=0.05 if mode == "silent" else 5.0, on_result=fail
+        )
+        result = await call(client, "GET", "/")
+        if mode == "refused":
+            assert result is CallError.REFUSED
+        else:
+            assert isinstance(result, Response)
+        assert reported == [error]
+        client.close()
+
+    serve(scenario, handler)
