Give each HTTP call its own final response only

Cause: the client kept filling the body after the end of a message, did not distinguish interim responses, ignored data without a call only as far as the traffic is counted, and HttpParserUpgrade is no subclass of HttpParserError.

Evidence: before the change `assert [(100, b''), ...] == [(200, b'ok') ...]`, `[(200, b'okok') ...] == [(200, b'ok') ...]`, and the loop's handler was told of HttpParserUpgrade.

A message ends the response of the call; anything after it, or data without a call, closes the connection, since it is out of step with its requests.

--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -249,7 +249,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._headers: dict[str, str] = {}
-        self._message_complete = False
+        self._response: Response | None = None
         self._keep_alive = False
 
     def is_usable(self) -> bool:
@@ -270,16 +270,27 @@
         self._transport.write(call.data)
 
     def data_received(self, data: bytes) -> None:
-        if self._call is not None:
-            self._call.traffic.received += len(data)
-            self._client.response_continues(self._call)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        if self._call is None:
+            # Data without a request would be taken for the response to the next one.
             self.abort()
             return
-        if self._message_complete:
-            self._finish()
+        self._call.traffic.received += len(data)
+        self._client.response_continues(self._call)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self._response is None:
+                self.abort()
+                return
+            self._keep_alive = False
+        if self._response is not None:
+            self._finish(self._call, self._response)
+
+    def on_message_begin(self) -> None:
+        """Parser callback: start of a message."""
+        if self._response is not None:
+            # A second response; the connection is out of step with its requests.
+            self._keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header."""
@@ -287,28 +298,33 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: part of the body."""
-        self._body.append(body)
+        if self._response is None:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Parser callback: end of the message."""
-        self._message_complete = True
+        status = self._parser.get_status_code()
+        if self._response is not None:
+            return
+        body, headers = b"".join(self._body), self._headers
+        self._body, self._headers = [], {}
+        if 100 <= status < 200:
+            # An interim response; the final one follows.
+            return
+        self._response = Response(status=status, body=body, headers=headers)
         # The parser can answer this only within its callbacks.
         self._keep_alive = self._parser.should_keep_alive()
 
-    def _finish(self) -> None:
-        response = Response(
-            status=self._parser.get_status_code(), body=b"".join(self._body), headers=self._headers
-        )
-        call, self._call = self._call, None
-        self._message_complete = False
+    def _finish(self, call: _Call, response: Response) -> None:
+        self._call = None
+        self._response = None
         self._body, self._headers = [], {}
         self._parser = httptools.HttpResponseParser(self)
-        if self._keep_alive and call is not None:
+        if self._keep_alive:
             self._client.connection_idle(self)
         else:
             self.abort()
-        if call is not None:
-            self._client.complete_call(call, response)
+        self._client.complete_call(call, response)
 
     def abort(self) -> None:
         """Close the connection at once, without flushing buffered data."""
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -339,3 +339,93 @@
         client.close()
 
     serve(scenario, handler)
+
+
+def ask(
+    parts: list[bytes], *, calls: int = 1, timeout_s: float = 0.5
+) -> tuple[list[object], list[object]]:
+    """Call a server that answers each request with these parts, each in a segment of its own.
+
+    :returns: the results of the calls, each made after the one before, and what the exception
+        handler of the loop was told.
+    """
+    reported: list[object] = []
+
+    async def main() -> list[object]:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.closing(writer), contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError
+            ):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    for part in parts:
+                        writer.write(part)
+                        await writer.drain()
+                        # Lets the client read the part before the next one.
+                        for _ in range(3):
+                            await asyncio.sleep(0)
+
+        address = free_address()
+        host, _, port = address.partition(":")
+        server = await asyncio.start_server(answer, host, int(port))
+        client = HttpClient(address=address, max_connections=1)
+        results: list[object] = []
+        for number in range(calls):
+            waiting: asyncio.Future[None] = loop.create_future()
+
+            def on_result(result: object, waiting: asyncio.Future[None] = waiting) -> None:
+                results.append(result)
+                if not waiting.done():
+                    waiting.set_result(None)
+
+            client.call("GET", f"/{number}", timeout_s=timeout_s, on_result=on_result)
+            await waiting
+        client.close()
+        server.close()
+        # The closed connections report their end before the loop closes.
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return results
+
+    return asyncio.run(main()), reported
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [b"HTTP/1.1 100 Continue\r\n\r\n", OK],
+        [b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + OK],
+        [OK + OK],
+        [OK + OK[:50]],
+        [OK + b"nonsense"],
+        [
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"2\r\nok\r\n0\r\nA: b\r\n\r\n",
+        ],
+    ],
+)
+def test_a_call_gets_its_own_final_response(parts: list[bytes]) -> None:
+    """Guards against an interim response that is taken for the final one, and the rest of a
+    connection's data that is taken for a part of this response or for the next one."""
+    results, reported = ask(parts, calls=3)
+    assert [(r.status, r.body) for r in results if isinstance(r, Response)] == [(200, b"ok")] * 3
+    assert not reported
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nhello",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + OK,
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_a_response_that_is_no_http_answer_fails_the_call_only(data: bytes) -> None:
+    """Guards against an error of the parser that reaches the event loop."""
+    assert ask([data], calls=2) == ([CallError.BROKEN] * 2, [])
