Validate worker answers row by row, and their numbers at the border

Callers saw nothing yet; a worker that lists an odd row stalls its own polls or loses work of others. A task name with the digit "²", or with 5,000 digits, raises in the callback of the poll: the poll has no result, and the worker is never polled again. A `clock_ms` of 1e308 and run numbers beyond 64 bits pass the decoder; they raise OverflowError later, where deadlines are computed and messages to other hosts are encoded, and take the other actions of that turn with them. An odd `percent` made the whole answer invalid.

Cause: numbers had no bounds, names were checked with str.isdigit, and rows were decoded all or none.

Evidence: before the change `ValueError: invalid literal for int() with base 10: '²'`, `ValueError: Exceeds the limit (4300 digits)`, and `PollReport(clock_s=1e+305 ...)` and `life=` where the test expects CallFailure.BROKEN.

Numbers are limited to 0..2^53. Values of a row are checked per row: an odd percent counts as 0 or is clamped; an unreadable end is acknowledged without its run; a run with a name or number that this system never sends is another's. A running row without a readable task and run makes the whole answer invalid, since taking that run for ended could start its task twice. An error that the decoder does not foresee fails the call as BROKEN and is reported, so each call has a result.

--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -35,6 +37,20 @@
 OCCURRENCE = 0
 """Occurrence number in task names; it is 0 for a job without a schedule."""
 
+MAX_NUMBER = 2**53
+"""Largest number that a worker may report: times in milliseconds and counts stay far below it, it
+is exact in JSON, and messages between hosts hold integers of 64 bits."""
+
+MAX_REASON_CHARS = 200
+"""Length at which the reason why an answer is invalid is cut off."""
+
+_TASK_NAME = re.compile(r"(.+)\.[0-9]{1,9}\.([0-9]{1,9})\.([0-9]{1,9})", re.DOTALL)
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+T = TypeVar("T")
+
 _REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -75,31 +91,33 @@
 
 
 class _OrderAnswer(msgspec.Struct):
-    clock_ms: float | None = None
+    clock_ms: _Milliseconds | None = None
     reason: str = ""
     # Start time of the worker's process.
-    born: int | None = None
+    born: _Number | None = None
 
 
 class _Running(msgspec.Struct, array_like=True):
-    task: str
-    run: int
-    checkpoint: str = ""
-    percent: float = 0.0
+    # Rows are checked one by one, so that an odd value affects its row only.
+    task: object
+    run: object
+    checkpoint: object = ""
+    percent: object = 0.0
 
 
 class _Ended(msgspec.Struct, array_like=True):
-    number: int
-    task: str
-    run: int
-    how: str = ""
+    # An end without a readable number could never be acknowledged.
+    number: _Number
+    task: object
+    run: object
+    how: object = ""
 
 
 class _PollAnswer(msgspec.Struct):
-    clock_ms: float
+    clock_ms: _Milliseconds
     running: list[_Running] = []
     finished: list[_Ended] = []
-    born: int | None = None
+    born: _Number | None = None
 
 
 _encoder = msgspec.json.Encoder()
@@ -114,17 +132,24 @@
 
 def parse_task_name(name: str) -> TaskId | None:
     """Parse a task name; None if it does not have the form of :func:`task_name`."""
-    parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not (parts[2].isdigit() and parts[3].isdigit()):
-        return None
-    return TaskId(parts[0], int(parts[2]), int(parts[3]))
+    match = _TASK_NAME.fullmatch(name)
+    return None if match is None else TaskId(match[1], int(match[2]), int(match[3]))
+
+
+def _is_number(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def _percent(value: object) -> int:
+    """Progress as reported; 0 if it is not a number."""
+    return int(min(100, max(0, value))) if isinstance(value, int | float) else 0
 
 
 class PlatformWorkerCalls:
     """Sends orders and polls to workers over a few keep-alive connections to each.
 
-    :param on_invalid_answer: called with the id of a worker and the reason why its answer is
-        invalid.
+    :param on_invalid_answer: called with the id of a worker and the reason why its answer, or a
+        part of it, is invalid.
     :param is_in_use: tells whether a worker without an entry may still be sent orders.
     :param traffic: counts the bytes of starts, stops and polls.
     """
@@ -137,7 +162,7 @@
         traffic: TrafficByPurpose | None = None,
     ) -> None:
         self._traffic = traffic if traffic is not None else TrafficByPurpose()
-        self._on_invalid_answer = on_invalid_answer
+        self._report_invalid_answer = on_invalid_answer
         self._is_in_use = is_in_use
         self._client_by_key: dict[tuple[str, int], HttpClient] = {}
         self._record_by_id: dict[str, WorkerRecord] = {}
@@ -157,6 +182,20 @@
                 del self._client_by_key[key]
                 client.close()
 
+    def _on_invalid_answer(self, worker_id: str, reason: str) -> None:
+        self._report_invalid_answer(worker_id, reason[:MAX_REASON_CHARS])
+
+    def _decode(
+        self, worker_id: str, response: Response, decode: Callable[[str, Response], T]
+    ) -> T | CallFailure:
+        """Decode an answer; one that the decoder does not foresee fails its call, so that each call
+        has a result."""
+        try:
+            return decode(worker_id, response)
+        except Exception as error:
+            self._on_invalid_answer(worker_id, f"{type(error).__name__}: {error}")
+            return CallFailure.BROKEN
+
     def _call(
         self,
         worker_id: str,
@@ -214,7 +253,7 @@
             if isinstance(response, CallError):
                 on_result(_FAILURE_BY_ERROR[response])
                 return
-            on_result(self._decode_order_answer(order.worker_id, response))
+            on_result(self._decode(order.worker_id, response, self._decode_order_answer))
 
         carried = isinstance(order, StartRun) and bool(order.carried_for)
         self._call(
@@ -268,9 +307,9 @@
             if isinstance(response, CallError):
                 on_result(_FAILURE_BY_ERROR[response])
             elif response.status == 200:
-                on_result(self._decode_poll_answer(worker_id, response))
+                on_result(self._decode(worker_id, response, self._decode_poll_answer))
             else:
-                on_result(self._decode_order_answer(worker_id, response))
+                on_result(self._decode(worker_id, response, self._decode_order_answer))
 
         timeout_s = order.wait_s + order.margin_s
         self._call(
@@ -284,23 +323,32 @@
             return CallFailure.BROKEN
         answer = result.unwrap()
         running = []
-        for run in answer.running:
-            task = parse_task_name(run.task)
-            if task is not None:
-                running.append(RunningEntry(task=task, run=run.run, percent=int(run.percent)))
-        ended = []
-        for end in answer.finished:
-            task = parse_task_name(end.task)
+        for row in answer.running:
+            if not isinstance(row.task, str) or type(row.run) is not int:
+                # The run may be one of this host's, and must not be taken for one that has ended.
+                self._on_invalid_answer(worker_id, f"running: {row.task!r}, {row.run!r}")
+                return CallFailure.BROKEN
+            task = parse_task_name(row.task)
             if task is None:
-                self._on_invalid_answer(
-                    worker_id, f"end of a run with the invalid task name {end.task!r}"
-                )
-                task = TaskId(end.task, 0, 0)
-            how = _TASK_END_BY_NAME.get(end.how, TaskEnd.LOST)
-            ended.append(EndedEntry(number=end.number, task=task, run=end.run, end=how))
+                continue
+            if not _is_number(row.run):
+                self._on_invalid_answer(worker_id, f"running: {row.task!r} with an invalid run")
+                continue
+            running.append(RunningEntry(task=task, run=row.run, percent=_percent(row.percent)))
         return PollReport(
             clock_s=answer.clock_ms / 1000.0,
             life=answer.born,
             running=tuple(running),
-            ended=tuple(ended),
+            ended=tuple(self._ended_entry(worker_id, row) for row in answer.finished),
         )
+
+    def _ended_entry(self, worker_id: str, row: _Ended) -> EndedEntry:
+        """Turn a row into an entry; that of an unknown run only has the number, to acknowledge."""
+        task = parse_task_name(row.task) if isinstance(row.task, str) else None
+        if task is None or not isinstance(row.run, int) or not _is_number(row.run):
+            self._on_invalid_answer(
+                worker_id, f"finished: number {row.number} of the invalid run {row.task!r}"
+            )
+            return EndedEntry(number=row.number, task=TaskId("", 0, 0), run=0, end=TaskEnd.LOST)
+        how = _TASK_END_BY_NAME.get(row.how, TaskEnd.LOST) if isinstance(row.how, str) else None
+        return EndedEntry(number=row.number, task=task, run=row.run, end=how or TaskEnd.LOST)
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -20,7 +20,8 @@
     | st.integers()
     | st.floats()
     | st.text(max_size=8)
-    | st.sampled_from(["ready", "draining", "10.0.0.1:80", "10.0.0.1:²", ":", "a:b:1"]),
+    | st.sampled_from(["ready", "draining", "10.0.0.1:80", "10.0.0.1:²", ":", "a:b:1"])
+    | st.sampled_from(["5c0e7a21d94b36f8.0.0.²", "a.0.0." + "9" * 5000, 2**53 + 1, 2**70, 1e308]),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=4), inner),
     max_leaves=6,
 )
@@ -104,3 +105,85 @@
     """Guards against connections to a worker that fail before they begin, which were never counted
     as closed."""
     assert decode_worker("w", json.dumps({**WORKER, "address": address}).encode()).is_err()
+
+
+ROW = "5c0e7a21d94b36f8.0.0.1"
+
+
+def decode_poll(**changes: object) -> tuple[PollReport | Answered | CallFailure, list[str]]:
+    """Decode the answer to a poll with some fields replaced.
+
+    :returns: the result, and the reasons that were reported.
+    """
+    reasons: list[str] = []
+    calls = PlatformWorkerCalls(
+        on_invalid_answer=lambda _, reason: reasons.append(reason), is_in_use=lambda _: True
+    )
+    body = json.dumps({**POLL, **changes}).encode()
+    response = Response(status=200, body=body)
+    return calls._decode("w", response, calls._decode_poll_answer), reasons
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["5c0e7a21d94b36f8.0.²", "5c0e7a21d94b36f8.0.0.²", "a.0.0." + "9" * 5000, "a.0.-1.0", "..0.0"],
+)
+def test_a_row_with_an_odd_task_name_affects_no_other_row(name: str) -> None:
+    """Guards against a name with other digits, or too many, that raises in the decoder: the poll
+    had no result, and the worker was not polled again."""
+    result, reasons = decode_poll(
+        running=[[name, 1, "", 40], [ROW, 1, "", 40]],
+        finished=[[1, name, 1, "done"], [2, ROW, 2, "done"]],
+    )
+    assert isinstance(result, PollReport)
+    assert [(entry.task.job, entry.run) for entry in result.running] == [(ROW[:16], 1)]
+    assert [entry.number for entry in result.ended] == [1, 2]
+    assert result.ended[0].task.job == ""
+    assert len(reasons) == 1
+
+
+@pytest.mark.parametrize("percent", [-5, 101, 1e308, "x", None, [], 10**30])
+def test_an_odd_percent_is_clamped(percent: object) -> None:
+    """Guards against a poll that fails, or a negative remaining time, because of a rough figure."""
+    result, _ = decode_poll(running=[[ROW, 1, {}, percent]])
+    assert isinstance(result, PollReport)
+    assert 0 <= result.running[0].percent <= 100
+
+
+@pytest.mark.parametrize(
+    "end", [[7, ROW, 10**30, "done"], [7, ROW, "1", "done"], [7, ROW, -1, []], [7, 5, 1, "done"]]
+)
+def test_an_unreadable_end_is_acknowledged_without_its_run(end: list[object]) -> None:
+    """Guards against a row that is listed in each answer for good, and against run numbers that
+    can't be sent to other hosts."""
+    result, reasons = decode_poll(finished=[end, [8, ROW, 2, "done"]])
+    assert isinstance(result, PollReport)
+    assert [(entry.number, entry.task.job) for entry in result.ended] == [(7, ""), (8, ROW[:16])]
+    assert len(reasons) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"clock_ms": 1e308},
+        {"clock_ms": -1.0},
+        {"clock_ms": 2**60},
+        {"born": 2**70},
+        {"born": -1},
+        {"finished": [[2**70, ROW, 1, "done"]]},
+        {"finished": [["1", ROW, 1, "done"]]},
+        {"running": [[5, 1]]},
+        {"running": [[ROW, "1"]]},
+        {"running": [[ROW, 1.5]]},
+        {"running": [[ROW, True]]},
+    ],
+)
+def test_an_answer_with_numbers_out_of_range_or_an_unreadable_run_is_invalid(
+    changes: dict[str, object],
+) -> None:
+    """Guards against a clock whose deadline overflows, numbers that can't be sent to other hosts,
+    which lost all actions of that turn, and a run in progress that counts as ended since its row
+    can't be read."""
+    result, reasons = decode_poll(**changes)
+    assert result is CallFailure.BROKEN
+    assert len(reasons) == 1
