Don't fail a job because a worker's refusal can't be read

Callers saw: a 409 of a worker whose `reason` is missing, unknown or in a body that can't be decoded failed the whole job as `failed`.

Cause: each such refusal counted as Refusal.INVALID, which stands for a task that no worker would accept.

Evidence: before the change `assert Answered(clock_s=None, refusal=<Refusal.INVALID: 'invalid'>, life=None) is <CallFailure.BROKEN>`.

The answer is reported as invalid and the call fails as BROKEN: the run is stopped, and its task placed on another worker. A 400 and the known reasons are handled as before.

--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -279,7 +279,10 @@
             case 200:
                 pass
             case 409:
-                refusal = _REFUSAL_BY_REASON.get(answer.reason, Refusal.INVALID)
+                refusal = _REFUSAL_BY_REASON.get(answer.reason)
+                if refusal is None:
+                    self._on_invalid_answer(worker_id, f"refusal with reason {answer.reason!r}")
+                    return CallFailure.BROKEN
             case 421:
                 return Answered(refusal=Refusal.OTHER_LIFE)
             case 429 | 503:
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -187,3 +187,17 @@
     result, reasons = decode_poll(**changes)
     assert result is CallFailure.BROKEN
     assert len(reasons) == 1
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{}", b'{"reason":"odd"}', b'{"reason":5}', b'{"reason":"room"', b"\xff"]
+)
+def test_an_unreadable_refusal_does_not_count_as_an_invalid_task(body: bytes) -> None:
+    """Guards against a caller's job that fails because one worker's refusal can't be read."""
+    reasons: list[str] = []
+    calls = PlatformWorkerCalls(
+        on_invalid_answer=lambda _, reason: reasons.append(reason), is_in_use=lambda _: True
+    )
+    response = Response(status=409, body=body)
+    assert calls._decode_order_answer("w", response) is CallFailure.BROKEN
+    assert reasons
