Limit the size of the responses that the HTTP client reads

Callers saw nothing yet: a worker, or whatever listens at its address, that sends an endless body or endless headers fills the memory of the process until its timeout.

Cause: the parser sets no limits, and the client had none.

The bytes of each response, its headers and interim responses included, are counted; beyond the limit the connection is closed and the call fails as BROKEN. The reason, and that of a malformed response, is reported: for workers as `worker_answer_not_understood`. Workers get 4 MB, the store 16 MB.

--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -15,6 +15,10 @@
 
 MAX_PORT = 65_535
 
+MAX_RESPONSE_BYTES = 16_000_000
+"""Default of the largest response that is read. The store answers with at most about a megabyte of
+items; a process has 300 MB of memory."""
+
 
 class CallError(enum.StrEnum):
     """Reason for which a call has no complete response. Only ``REFUSED`` ensures that nothing was
@@ -81,10 +85,22 @@
     :param address: ``host:port`` with an IPv4 address; calls to any other address fail with
         ``BROKEN``.
     :param max_connections: limit on open connections; further calls are queued.
+    :param max_response_bytes: limit on the size of a response with its headers; a call with a
+        larger one fails with ``BROKEN``.
+    :param on_error: called with the reason for which a response could not be read.
     """
 
-    def __init__(self, *, address: str, max_connections: int) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        max_connections: int,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
+        on_error: Callable[[str], None] | None = None,
+    ) -> None:
         self.address = address
+        self.max_response_bytes = max_response_bytes
+        self._on_error = on_error
         self._endpoint = _parse_address(address)
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
@@ -215,6 +231,11 @@
             call.timer.cancel()
             call.timer = asyncio.get_running_loop().call_later(call.progress_s, self._expire, call)
 
+    def report_error(self, reason: str) -> None:
+        """Report a response that could not be read."""
+        if self._on_error is not None:
+            self._on_error(reason)
+
     def _finish(self, call: _Call, result: Response | CallError) -> None:
         if call.done:
             return
@@ -250,6 +271,7 @@
         self._body: list[bytes] = []
         self._headers: dict[str, str] = {}
         self._response: Response | None = None
+        self._received = 0
         self._keep_alive = False
 
     def is_usable(self) -> bool:
@@ -275,11 +297,17 @@
             self.abort()
             return
         self._call.traffic.received += len(data)
+        self._received += len(data)
+        if self._received > self._client.max_response_bytes:
+            self._client.report_error(f"response of over {self._client.max_response_bytes} bytes")
+            self.abort()
+            return
         self._client.response_continues(self._call)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._response is None:
+                self._client.report_error(f"malformed response: {type(error).__name__}: {error}")
                 self.abort()
                 return
             self._keep_alive = False
@@ -318,6 +346,7 @@
     def _finish(self, call: _Call, response: Response) -> None:
         self._call = None
         self._response = None
+        self._received = 0
         self._body, self._headers = [], {}
         self._parser = httptools.HttpResponseParser(self)
         if self._keep_alive:
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -34,6 +34,9 @@
 """Connections to one worker for starts that are carried for the leader. Each host of a domain may
 open them, and a worker accepts 64 in all."""
 
+MAX_ANSWER_BYTES = 4_000_000
+"""Largest answer that is read from a worker: at most 500 ends, and the runs in progress."""
+
 OCCURRENCE = 0
 """Occurrence number in task names; it is 0 for a job without a schedule."""
 
@@ -214,7 +217,12 @@
             if record is None:
                 on_result(CallError.BROKEN)
                 return
-            client = HttpClient(address=record.address, max_connections=max_connections)
+            client = HttpClient(
+                address=record.address,
+                max_connections=max_connections,
+                max_response_bytes=MAX_ANSWER_BYTES,
+                on_error=lambda reason: self._on_invalid_answer(worker_id, reason),
+            )
             self._client_by_key[key] = client
         client.call(
             "POST",
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -429,3 +429,53 @@
 def test_a_response_that_is_no_http_answer_fails_the_call_only(data: bytes) -> None:
     """Guards against an error of the parser that reaches the event loop."""
     assert ask([data], calls=2) == ([CallError.BROKEN] * 2, [])
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"A: " + b"b" * 2000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 400 + b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 400,
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 100,
+    ],
+)
+def test_a_response_beyond_the_limit_fails_its_call(data: bytes) -> None:
+    """Guards against a server whose endless response fills the memory of the process, which is
+    then killed."""
+
+    async def main() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.closing(writer), contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(data)
+                await reader.readuntil(b"\r\n\r\n")
+
+        address = free_address()
+        host, _, port = address.partition(":")
+        server = await asyncio.start_server(answer, host, int(port))
+        reasons: list[str] = []
+        client = HttpClient(
+            address=address, max_connections=1, max_response_bytes=1500, on_error=reasons.append
+        )
+        for _ in range(2):
+            assert await call(client, "GET", "/") is CallError.BROKEN
+        assert reasons == ["response of over 1500 bytes"] * 2
+        client.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_the_size_of_each_response_is_limited_on_its_own() -> None:
+    """Guards against a limit that adds up the responses of a connection."""
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        client = HttpClient(address=address, max_connections=1, max_response_bytes=300)
+        for _ in range(10):
+            assert isinstance(await call(client, "POST", "/", b"x" * 100), Response)
+        assert len(server.connections) == 1
+        client.close()
+
+    serve(scenario)
