Answer a request with 500 when its handler raises

Callers saw: a request whose handler raises has no answer at all, nor have the requests pipelined behind it; the log says `request_rejected`, "malformed request: the on_message_complete callback failed", without the error. A response with a status without a phrase or a header beyond Latin-1 is lost as well, since the request then counts as answered.

Cause: httptools wraps what its callbacks raise in HttpParserCallbackError, a subclass of the error for malformed requests. `_reject` writes nothing while a request is in progress.

The handler is called through `_handle`, which reports the error to the exception handler of the loop, tells the handler's `on_close` that nobody waits, and responds with 500; the next pipelined request is then handled. A response that can't be encoded becomes a 500. `report_contained` is shared with the client.

--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ._errors import report_contained
 from ._traffic import Traffic
 
 MAX_PORT = 65_535
@@ -59,11 +60,6 @@
     done: bool = False
 
 
-def _report(message: str, error: Exception) -> None:
-    """Report an error that was contained to one call or connection."""
-    asyncio.get_running_loop().call_exception_handler({"message": message, "exception": error})
-
-
 def _parse_address(address: str) -> tuple[str, int] | None:
     """Parse ``host:port`` with an IPv4 address; None if it can't be connected to.
 
@@ -167,7 +163,7 @@
             await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
         except Exception as error:
             if not isinstance(error, OSError):
-                _report("connection could not be opened", error)
+                report_contained("connection could not be opened", error)
             if self._task_by_opening.pop(connection, None) is None:
                 return
             refused = isinstance(error, ConnectionRefusedError)
@@ -246,7 +242,7 @@
             call.on_result(result)
         except Exception as error:
             # It must not fail the other calls of the connection or the queue.
-            _report(f"result of a call to {self.address} could not be handled", error)
+            report_contained(f"result of a call to {self.address} could not be handled", error)
 
     def complete_call(self, call: _Call, response: Response) -> None:
         """Report the response to a call."""
--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from ._errors import report_contained
 from ._traffic import Traffic
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -77,6 +78,15 @@
             status, body, headers=headers, keep_alive=self._keep_alive and not close
         )
 
+    def client_left(self) -> None:
+        """Notify the handler that its response can't be sent any more."""
+        on_close, self.on_close = self.on_close, None
+        if on_close is not None:
+            try:
+                on_close()
+            except Exception as error:
+                report_contained("disconnect of a client could not be handled", error)
+
     def abort(self) -> None:
         """Abort the connection without a response."""
         self._answered = True
@@ -89,7 +99,8 @@
 class HttpServer:
     """Serves one address.
 
-    :param handler: called with each complete request; it may respond at once or later.
+    :param handler: called with each complete request; it may respond at once or later. If it
+        raises, the request is answered with 500 unless it has a response.
     :param on_error: called with the status and the reason of each request that is rejected
         before it reaches the handler.
     :param traffic: counts the bytes of all connections.
@@ -195,11 +206,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._server.connections.discard(self)
-        for exchange in (self._current_exchange, *self._pipelined):
-            if exchange is not None and exchange.on_close is not None:
-                exchange.on_close()
-        self._current_exchange = None
+        exchange, self._current_exchange = self._current_exchange, None
         self._pipelined.clear()
+        if exchange is not None:
+            exchange.client_left()
 
     def data_received(self, data: bytes) -> None:
         self._server.traffic.received += len(data)
@@ -290,13 +300,22 @@
             keep_alive=incoming.keep_alive,
         )
         if self._current_exchange is None:
-            self._current_exchange = exchange
-            self._server.handler(exchange)
+            self._handle(exchange)
         elif len(self._pipelined) < MAX_PIPELINED:
             self._pipelined.append(exchange)
         else:
             self._reject(429, "too many pipelined requests")
 
+    def _handle(self, exchange: Exchange) -> None:
+        self._current_exchange = exchange
+        try:
+            self._server.handler(exchange)
+        except Exception as error:
+            report_contained("handler of a request failed", error)
+            # Whatever the handler has begun for the client is no longer needed.
+            exchange.client_left()
+            exchange.respond(500)
+
     # --- responses ---
 
     def _write(self, data: bytes) -> None:
@@ -307,7 +326,12 @@
     def respond(self, status: int, body: bytes, *, headers: str, keep_alive: bool) -> None:
         """Write the response to the current request, and handle the next pipelined one."""
         keep_alive = keep_alive and not self._server.closing
-        self._write(_encode_response(status, body, headers=headers, keep_alive=keep_alive))
+        try:
+            data = _encode_response(status, body, headers=headers, keep_alive=keep_alive)
+        except (KeyError, UnicodeEncodeError) as error:
+            report_contained(f"response with status {status} could not be encoded", error)
+            data = _encode_response(500, b"", headers="", keep_alive=keep_alive)
+        self._write(data)
         self._current_exchange = None
         self._state_since = asyncio.get_running_loop().time()
         if not keep_alive:
@@ -315,8 +339,7 @@
                 self._transport.close()
             return
         if self._pipelined:
-            self._current_exchange = self._pipelined.popleft()
-            self._server.handler(self._current_exchange)
+            self._handle(self._pipelined.popleft())
 
     def _reject(self, status: int, reason: str) -> None:
         self._rejected = True
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import pytest
 from hypothesis import example, given, settings
@@ -13,6 +14,9 @@
 from eelgrassyard.net import CallError, Exchange, HttpClient, HttpServer, Response, ServerLimits
 from eelgrassyard.standins import reserve_ports
 
+ANSWER_TIMEOUT_S = 5.0
+"""Time after which a test gives up waiting for an answer."""
+
 
 def free_address() -> str:
     """Return a loopback address that nothing listens on and that stays reserved."""
@@ -52,16 +56,16 @@
     """
     host, _, port = address.partition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(data)
-    if half_close:
-        writer.write_eof()
     received = b""
-    while half_close or received.count(b"HTTP/1.1 ") < answers:
-        part = await reader.read(65536)
-        if not part:
-            break
-        received += part
-    writer.close()
+    with contextlib.closing(writer):
+        writer.write(data)
+        if half_close:
+            writer.write_eof()
+        while half_close or received.count(b"HTTP/1.1 ") < answers:
+            part = await asyncio.wait_for(reader.read(65536), ANSWER_TIMEOUT_S)
+            if not part:
+                break
+            received += part
     return received
 
 
@@ -479,3 +483,83 @@
         client.close()
 
     serve(scenario)
+
+
+GET = b"GET / HTTP/1.1\r\n\r\n"
+
+
+@pytest.mark.parametrize("requests", [1, 3])
+@pytest.mark.parametrize("later", [False, True])
+def test_a_handler_that_raises_fails_its_request_only(requests: int, later: bool) -> None:
+    """Guards against a request without any answer, and no line in the log: the parser wraps what
+    its callbacks raise, so that the error counted as a malformed request. Guards against pipelined
+    requests that wait for good as well."""
+    reported: list[object] = []
+    rejected: list[object] = []
+    left: list[Exchange] = []
+    error = RuntimeError("unforeseen")
+
+    def handler(exchange: Exchange) -> None:
+        if exchange.request.path != "/odd":
+            respond = (exchange.respond, 200, b"ok")
+            asyncio.get_running_loop().call_soon(*respond)
+            return
+        exchange.on_close = lambda: left.append(exchange)
+        raise error
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        server = HttpServer(handler=handler, on_error=lambda *reason: rejected.append(reason))
+        address = free_address()
+        await server.listen(address)
+        odd = GET.replace(b"/ ", b"/odd ")
+        data = (GET + odd if later else odd) + GET * (requests - 1)
+        received = await exchange_bytes(address, data, answers=data.count(b"GET"))
+        statuses = [part.split()[0] for part in received.split(b"HTTP/1.1 ")[1:]]
+        assert statuses == [b"200"] * later + [b"500"] + [b"200"] * (requests - 1)
+        assert reported == [error]
+        assert len(left) == 1
+        assert not rejected
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(("status", "headers"), [(299, ""), (200, "A: \u20ac\r\n")])
+def test_a_response_that_cannot_be_encoded_is_answered_with_500(status: int, headers: str) -> None:
+    """Guards against a request that has no answer, since it counts as answered already."""
+    reported: list[object] = []
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda *_: reported.append(status))
+        assert (await exchange_bytes(address, GET)).split()[1] == b"500"
+        assert reported == [status]
+
+    def handler(exchange: Exchange) -> None:
+        asyncio.get_running_loop().call_soon(partial(exchange.respond, status, headers=headers))
+
+    serve(scenario, handler)
+
+
+def test_an_error_in_handling_a_disconnect_is_contained() -> None:
+    """Guards against a connection whose end is handled in part only."""
+    reported: list[object] = []
+    error = RuntimeError("unforeseen")
+
+    def handler(exchange: Exchange) -> None:
+        def fail() -> None:
+            raise error
+
+        exchange.on_close = fail
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        await exchange_bytes(address, GET, half_close=True)
+        while server.connections or not reported:
+            await asyncio.sleep(0)
+        assert reported == [error]
+        assert server.pending_requests() == 0
+
+    serve(scenario, handler)
