--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -331,9 +331,7 @@
         client = HttpClient(
             address=free_address() if mode == "refused" else address, max_connections=1
         )
-        client.call(
-            "GET", "/first", timeout_s=0.05 if mode == "silent" else 5.0, on_result=fail
-        )
+        client.call("GET", "/first", timeout_s=0.05 if mode == "silent" else 5.0, on_result=fail)
         result = await call(client, "GET", "/")
         if mode == "refused":
             assert result is CallError.REFUSED
@@ -360,8 +358,9 @@
         loop.set_exception_handler(lambda _, context: reported.append(context))
 
         async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            with contextlib.closing(writer), contextlib.suppress(
-                asyncio.IncompleteReadError, ConnectionError
+            with (
+                contextlib.closing(writer),
+                contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
             ):
                 while True:
                     await reader.readuntil(b"\r\n\r\n")
