Contain an action that raises to itself

What callers saw: an answer that never came, or hosts that took this one for silent. Driver.perform_actions takes all actions of the core and performed them in one loop, so one that raised (a deadline that is no integer in a call to a worker, an answer that could not be formed, a field that no log line can hold) lost all that followed, and all messages to other hosts of that turn. asyncio only logs the error of such a callback.

Each action and each frame is now contained, logged as unforeseen_error with the action and its ids, and counted in DispatchHost.unforeseen_errors. What waits for the failed action ends: a call to a worker that raised counts as unanswered (SILENT: it may have been sent, and it is no sign of a crash), an answer that raised is given once more as ABANDONED, which claims the least, and a session that could not be opened is reported as closed.

--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -4,6 +4,7 @@
 
 import math
 import zlib
+from collections import Counter
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
@@ -72,6 +73,7 @@
     :ivar pool: worker pool of the domain while this host leads it, otherwise None.
     :ivar crashes: crashes of workers under tasks, in all domains.
     :ivar new_config: newer configuration received from another host; the driver takes it.
+    :ivar unforeseen_errors: number of contained errors since the start, by what raised them.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self._peer_attempts_by_domain: dict[str, int] = {}
         self._actions: list[HostAction] = []
         self._last_called_at = now
+        self.unforeseen_errors: Counter[str] = Counter()
 
     def _add_host(self, host: HostRecord) -> None:
         known = self._host_by_name.get(host.name)
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -4,23 +4,36 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol
+from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
 
 from .._clock import Clock
 from .._journal import Journal
-from ..dispatch._actions import Note, OrderResult, PollResult, PollWorker, StartRun, StopRun
+from .._unforeseen import UNFORESEEN_ERROR, describe_error
+from ..dispatch._actions import (
+    CallFailure,
+    Note,
+    OrderResult,
+    PollResult,
+    PollWorker,
+    StartRun,
+    StopRun,
+)
 from ..dispatch._entry import AnswerCaller
 from ..dispatch._host import DispatchHost
-from ..dispatch._host_state import CloseSession, SendSession
-from ..dispatch._jobs import Job
+from ..dispatch._host_state import CloseSession, HostAction, SendSession
+from ..dispatch._jobs import Job, Outcome
 from ..dispatch._links import CloseLink, OpenLink, SendLink
-from ..dispatch._messages import Message
+from ..dispatch._messages import HostRecord, Message
 from ._sessions import SessionClient, SessionServer
 from ._traffic import Traffic
 
 TICK_S = 0.02
 """Interval at which the core handles its timers, a fifth of its shortest time limit."""
 
+_Result = TypeVar("_Result")
+_Order = TypeVar("_Order", StartRun, StopRun, PollWorker)
+
 
 class WorkerCalls(Protocol):
     """Sends orders and polls to workers in the platform's protocol.
@@ -135,61 +148,128 @@
         self._actions_scheduled = False
         if self._stopped:
             return
-        messages_by_session: dict[str, list[Message]] = {}
-        messages_by_link: dict[str, list[Message]] = {}
+        frames = _Frames()
         for action in self.core.take_actions(self.now()):
-            match action:
-                case Note(event=event, fields=fields, routine=routine):
-                    self._journal.write(event, fields, routine=routine)
-                case StartRun():
-                    self._start_run(action)
-                case StopRun():
-                    self._stop_run(action)
-                case PollWorker():
-                    self._poll_worker(action)
-                case SendSession(session=session, message=message):
-                    messages_by_session.setdefault(session, []).append(message)
-                case SendLink(name=name, message=message):
-                    messages_by_link.setdefault(name, []).append(message)
-                case AnswerCaller(ticket=ticket):
-                    on_answer = self._answer_by_ticket.pop(ticket, None)
-                    if on_answer is not None:
-                        on_answer(action)
-                case OpenLink(host=host):
-                    self._client.open(host.name, host.address)
-                case CloseLink(name=name):
-                    messages_by_link.pop(name, None)
-                    self._client.close(name)
-                case CloseSession(session=session):
-                    self._server.send(session, messages_by_session.pop(session, []))
-                    self._server.close(session)
-                case _:
-                    self._journal.write("unknown_action", {"action": type(action).__name__})
-        for session, messages in messages_by_session.items():
-            self._server.send(session, messages)
-        for name, messages in messages_by_link.items():
-            self._client.send(name, messages)
+            try:
+                self._perform(action, frames)
+            except Exception as error:
+                # The other actions of this turn answer callers and keep sessions alive.
+                self._record_error(type(action).__name__, error, _action_ids(action))
+        for session, messages in frames.by_session.items():
+            self._send_frame(session, messages, self._server.send)
+        for name, messages in frames.by_link.items():
+            self._send_frame(name, messages, self._client.send)
+
+    def _perform(self, action: HostAction, frames: _Frames) -> None:
+        match action:
+            case Note(event=event, fields=fields, routine=routine):
+                self._journal.write(event, fields, routine=routine)
+            case StartRun():
+                self._start_run(action)
+            case StopRun():
+                self._stop_run(action)
+            case PollWorker():
+                self._poll_worker(action)
+            case SendSession(session=session, message=message):
+                frames.by_session.setdefault(session, []).append(message)
+            case SendLink(name=name, message=message):
+                frames.by_link.setdefault(name, []).append(message)
+            case AnswerCaller():
+                self._answer(action)
+            case OpenLink(host=host):
+                self._open_link(host)
+            case CloseLink(name=name):
+                frames.by_link.pop(name, None)
+                self._client.close(name)
+            case CloseSession(session=session):
+                messages = frames.by_session.pop(session, [])
+                self._send_frame(session, messages, self._server.send)
+                self._server.close(session)
+            case _:
+                self._journal.write("unknown_action", {"action": type(action).__name__})
+
+    def _answer(self, answer: AnswerCaller) -> None:
+        on_answer = self._answer_by_ticket.pop(answer.ticket, None)
+        if on_answer is None:
+            return
+        try:
+            on_answer(answer)
+        except Exception as error:
+            self._record_error("AnswerCaller", error, _action_ids(answer))
+            # The intended answer may be the cause; this one claims the least.
+            on_answer(
+                AnswerCaller(
+                    ticket=answer.ticket, outcome=Outcome.ABANDONED, reason="unforeseen error"
+                )
+            )
+
+    def _open_link(self, host: HostRecord) -> None:
+        try:
+            self._client.open(host.name, host.address)
+        except Exception:
+            self._link_closed(host.name, False)
+            raise
+
+    def _send_frame(
+        self, to: str, messages: list[Message], send: Callable[[str, list[Message]], None]
+    ) -> None:
+        try:
+            send(to, messages)
+        except Exception as error:
+            names = [type(message).__name__ for message in messages]
+            self._record_error("send", error, {"to": to, "messages": names})
+
+    def _record_error(self, event: str, error: Exception, fields: dict[str, object]) -> None:
+        self.core.unforeseen_errors[event] += 1
+        line: dict[str, object] = {"in": event, **describe_error(error)}
+        try:
+            self._journal.write(UNFORESEEN_ERROR, {**line, **fields})
+        except Exception:
+            # The fields may be what no line can hold.
+            self._journal.write(UNFORESEEN_ERROR, line)
 
     def _start_run(self, order: StartRun) -> None:
         def on_result(result: OrderResult) -> None:
             self.core.start_answered(self.now(), order, result)
             self.schedule_actions()
 
-        self._calls.start(order, on_result)
+        self._call(order, self._calls.start, on_result)
 
     def _stop_run(self, order: StopRun) -> None:
         def on_result(result: OrderResult) -> None:
             self.core.stop_answered(self.now(), order, result)
             self.schedule_actions()
 
-        self._calls.stop(order, on_result)
+        self._call(order, self._calls.stop, on_result)
 
     def _poll_worker(self, order: PollWorker) -> None:
         def on_result(result: PollResult) -> None:
             self.core.poll_answered(self.now(), order, result)
             self.schedule_actions()
 
-        self._calls.poll(order, on_result)
+        self._call(order, self._calls.poll, on_result)
+
+    def _call(
+        self,
+        order: _Order,
+        send: Callable[[_Order, Callable[[_Result], None]], None],
+        on_result: Callable[[_Result | CallFailure], None],
+    ) -> None:
+        """Make a call to a worker; one that raises counts as unanswered, since it may have been
+        sent."""
+        answered = False
+
+        def answer_once(result: _Result | CallFailure) -> None:
+            nonlocal answered
+            if not answered:
+                answered = True
+                on_result(result)
+
+        try:
+            send(order, answer_once)
+        except Exception as error:
+            self._record_error(type(order).__name__, error, _action_ids(order))
+            answer_once(CallFailure.SILENT)
 
     # --- sessions ---
 
@@ -212,3 +292,32 @@
     def _link_closed(self, name: str, refused: bool) -> None:
         self.core.link_closed(self.now(), name, refused=refused)
         self.schedule_actions()
+
+
+@dataclass(slots=True, kw_only=True)
+class _Frames:
+    """Messages of one turn, which are sent in one frame a session."""
+
+    by_session: dict[str, list[Message]] = field(default_factory=dict)
+    by_link: dict[str, list[Message]] = field(default_factory=dict)
+
+
+def _action_ids(action: HostAction) -> dict[str, object]:
+    """Fields of a log line that identify an action."""
+    match action:
+        case Note(event=event):
+            return {"note": event}
+        case StartRun() | StopRun():
+            return {"worker": action.worker_id, "task": str(action.task), "run": action.run}
+        case PollWorker(worker_id=worker_id):
+            return {"worker": worker_id}
+        case AnswerCaller(ticket=ticket, outcome=outcome):
+            return {"ticket": ticket, "outcome": outcome.value}
+        case OpenLink(host=host):
+            return {"peer": host.name, "address": host.address}
+        case CloseLink(name=name):
+            return {"peer": name}
+        case CloseSession(session=session):
+            return {"session": session}
+        case _:
+            return {}
