Report a session that cannot be opened for any reason as closed

What was seen: an entry of another writer under hosts/ without a port, with port 70000 or with NUL in its address wrote nothing, and its link stayed open without a connection until the ping timeout; SessionClient kept the ended task of each such attempt. SessionClient._connect handled only OSError, while an odd address raises ValueError or OverflowError in a task that nobody awaits. A name instead of an address took a lookup in a thread for each attempt.

The address is now checked before the attempt (an IP address and a port from 1 to 65535; the platform has no name lookups), a refusal is the line host_address_unusable, and any other error while connecting is logged, counted and reported as closed.

Evidence, the new tests before the fix: 12 of 12 'TimeoutError', as on_close was never called.

--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -25,6 +25,7 @@
 from ..dispatch._jobs import Job, Outcome
 from ..dispatch._links import CloseLink, OpenLink, SendLink
 from ..dispatch._messages import HostRecord, Message
+from ._session_reports import SessionReports
 from ._sessions import SessionClient, SessionServer
 from ._traffic import Traffic
 
@@ -81,14 +82,19 @@
         self._actions_scheduled = False
         self._stopped = False
         self._timer: asyncio.TimerHandle | None = None
+        reports = SessionReports(log=journal.write, on_error=self._record_error)
         self._server = SessionServer(
-            on_message=self._session_message, on_close=self._session_closed, traffic=traffic
+            on_message=self._session_message,
+            on_close=self._session_closed,
+            traffic=traffic,
+            reports=reports,
         )
         self._client = SessionClient(
             on_open=self._link_connected,
             on_message=self._link_message,
             on_close=self._link_closed,
             traffic=traffic,
+            reports=reports,
         )
 
     async def start(self) -> None:
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -9,8 +9,10 @@
 
 import msgspec
 
+from .._addresses import parse_address
 from .._decoding import decode
 from ..dispatch._messages import Message, ToClient, ToServer
+from ._session_reports import SessionReports
 from ._traffic import Traffic
 
 FRAME_HEADER_BYTES = 4
@@ -90,6 +92,7 @@
     :param on_message: called with the id of the session and each message received.
     :param on_close: called with the id of each closed session.
     :param traffic: counts the bytes of all sessions.
+    :param reports: gets the errors and refusals of all sessions.
     """
 
     def __init__(
@@ -98,7 +101,9 @@
         on_message: Callable[[str, Message], None],
         on_close: Callable[[str], None],
         traffic: Traffic | None = None,
+        reports: SessionReports | None = None,
     ) -> None:
+        self._reports = reports if reports is not None else SessionReports()
         self.traffic = traffic if traffic is not None else Traffic()
         self.on_message = on_message
         self.on_close = on_close
@@ -162,6 +167,7 @@
     :param on_close: called with the name of the host when the session has failed to open or was
         lost, and whether the connection was refused. It is not called after :meth:`close`.
     :param traffic: counts the bytes of all sessions.
+    :param reports: gets the errors and refusals of all sessions.
     """
 
     def __init__(
@@ -171,7 +177,9 @@
         on_message: Callable[[str, Message], None],
         on_close: Callable[[str, bool], None],
         traffic: Traffic | None = None,
+        reports: SessionReports | None = None,
     ) -> None:
+        self._reports = reports if reports is not None else SessionReports()
         self.traffic = traffic if traffic is not None else Traffic()
         self.on_open = on_open
         self.on_message = on_message
@@ -196,18 +204,32 @@
         self._task_by_name[name] = task
 
     async def _connect(self, name: str, address: str) -> None:
-        host, _, port = address.rpartition(":")
         session = _OutboundSession(client=self, name=name)
+        result = parse_address(address)
+        if result.is_err():
+            self._reports.log(
+                "host_address_unusable", {"peer": name, "reason": result.unwrap_err()}
+            )
+            self._connect_failed(name)
+            return
+        host, port = result.unwrap()
         try:
-            await asyncio.get_running_loop().create_connection(lambda: session, host, int(port))
+            await asyncio.get_running_loop().create_connection(lambda: session, host, port)
         except OSError as error:
-            self._task_by_name.pop(name, None)
-            self.on_close(name, isinstance(error, ConnectionRefusedError))
+            self._connect_failed(name, refused=isinstance(error, ConnectionRefusedError))
+            return
+        except Exception as error:
+            self._reports.on_error("connect", error, {"peer": name, "address": address})
+            self._connect_failed(name)
             return
         self._task_by_name.pop(name, None)
         self._session_by_name[name] = session
         self.on_open(name)
 
+    def _connect_failed(self, name: str, *, refused: bool = False) -> None:
+        self._task_by_name.pop(name, None)
+        self.on_close(name, refused)
+
     def send(self, name: str, messages: list[Message]) -> None:
         """Send messages if the session is open."""
         session = self._session_by_name.get(name)
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -19,6 +19,7 @@
 from eelgrassyard.dispatch._messages import HostRecord, Message, Ping, Pong
 from eelgrassyard.net import SessionClient, SessionServer
 from eelgrassyard.net._driver import TICK_S, Driver, WorkerCalls
+from eelgrassyard.net._session_reports import SessionReports
 from eelgrassyard.standins import reserve_ports
 
 
@@ -36,14 +37,22 @@
         self.opened: list[str] = []
         self.client_messages: list[Message] = []
         self.lost: list[tuple[str, bool]] = []
+        self.lines: list[tuple[str, dict[str, object]]] = []
+        self.errors: list[tuple[str, Exception, dict[str, object]]] = []
+        reports = SessionReports(
+            log=lambda event, fields: self.lines.append((event, fields)),
+            on_error=lambda event, error, fields: self.errors.append((event, error, fields)),
+        )
         self.server = SessionServer(
             on_message=lambda session, message: self.server_messages.append((session, message)),
             on_close=self.closed.append,
+            reports=reports,
         )
         self.client = SessionClient(
             on_open=self.opened.append,
             on_message=lambda _, message: self.client_messages.append(message),
             on_close=lambda name, refused: self.lost.append((name, refused)),
+            reports=reports,
         )
 
 
@@ -126,6 +135,64 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        ":80",
+        "127.0.0.1",
+        "127.0.0.1:70000",
+        "127.0.0.1:-1",
+        "127.0.0.1:\u00b2",
+        "127.0.0.1\0:80",
+        "999.1.1.1:80",
+        "no-such-host:80",
+        pytest.param("x" * 300 + ":80", id="long name"),
+        pytest.param("127.0.0.1:" + "9" * 5000, id="long port"),
+    ],
+)
+def test_an_address_that_cannot_be_connected_to_is_reported_as_closed(
+    address: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a link that stays open without a connection because the task that opens it
+    ended with an error, and against lookups of names, which occupy a thread for seconds."""
+    lookups: list[object] = []
+
+    async def main() -> None:
+        pair = SessionPair()
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, "getaddrinfo", lambda host, *_, **__: lookups.append(host))
+        pair.client.open("h", address)
+        async with asyncio.timeout(1.0):
+            await until(lambda: pair.lost)
+        assert pair.lost == [("h", False)]
+        assert pair.client._task_by_name == {}
+
+    asyncio.run(main())
+    assert lookups == []
+
+
+def test_an_unforeseen_error_while_connecting_is_reported_as_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the same where another error ends the task."""
+
+    async def main() -> None:
+        pair = SessionPair()
+
+        async def fail(*_: object, **__: object) -> None:
+            raise RuntimeError("odd")
+
+        monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+        pair.client.open("h", free_address())
+        async with asyncio.timeout(1.0):
+            await until(lambda: pair.lost)
+        assert pair.lost == [("h", False)]
+        assert [event for event, _, _ in pair.errors] == ["connect"]
+
+    asyncio.run(main())
+
+
 def test_a_session_that_was_closed_on_purpose_is_not_reported_as_lost() -> None:
     """Guards against a search for a new leader after a session was closed on purpose."""
 
