Contain unforeseen errors of the dispatch core

What callers saw: after one unforeseen error in the timers of the core, each tick raised again and perform_actions was not called any more: the host still listened and answered pings of the transport, but started, answered and reported nothing, as a stall rather than an end of the process. An error in another event left the pool half changed or lost the answers of that turn.

DispatchHost now handles each event of HostEvents (the former class) in a containment: the error is a log line with its traceback, counted, and confined to the job, worker, session or link of the event.

Ruled out: catching errors only in the driver, since it can't tell which job, worker or session an event of the core has left half changed.

--- a/src/eelgrassyard/dispatch/_delivery.py
+++ b/src/eelgrassyard/dispatch/_delivery.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ._actions import Note, Reply, SendPeerLeader
+from functools import partial
+
+from ._actions import Action, Note, Reply, SendPeerLeader
 from ._entry import AnswerCaller, SendLeader
 from ._host_state import LOCAL_REQUESTER, HostAction, HostState
 from ._links import SendLink
@@ -26,18 +28,28 @@
         actions = pool.actions[:]
         pool.actions.clear()
         for action in actions:
-            match action:
-                case Reply(requester=requester, message=message) if requester == LOCAL_REQUESTER:
-                    if isinstance(message, JobEnded):
-                        self.entry.job_ended(now, message)
-                case Reply(requester=requester, message=message):
-                    self._send_session(requester, message)
-                case SendPeerLeader(domain=domain, message=message):
-                    host = self._peer_host_by_domain.get(domain)
-                    if host is not None:
-                        self._actions.append(SendLink(name=host.name, message=message))
-                case _:
-                    self._actions.append(action)
+            try:
+                self._deliver_pool_action(now, action)
+            except Exception as error:
+                self._contain(now, "deliver", error, partial(self._delivery_failed, action))
+
+    def _deliver_pool_action(self, now: float, action: Action) -> None:
+        match action:
+            case Reply(requester=requester, message=message) if requester == LOCAL_REQUESTER:
+                if isinstance(message, JobEnded):
+                    self.entry.job_ended(now, message)
+            case Reply(requester=requester, message=message):
+                self._send_session(requester, message)
+            case SendPeerLeader(domain=domain, message=message):
+                host = self._peer_host_by_domain.get(domain)
+                if host is not None:
+                    self._actions.append(SendLink(name=host.name, message=message))
+            case _:
+                self._actions.append(action)
+
+    def _delivery_failed(self, action: Action) -> None:
+        if isinstance(action, Reply) and isinstance(action.message, JobEnded):
+            self.entry.fail(action.message.job_id)
 
     def _deliver_entry_actions(self, now: float) -> bool:
         actions = self.entry.actions[:]
@@ -45,11 +57,22 @@
         for action in actions:
             match action:
                 case SendLeader(message=message):
-                    self._send_leader(now, message)
+                    try:
+                        self._send_leader(now, message)
+                    except Exception as error:
+                        recover = partial(self._request_failed, now, message)
+                        self._contain(now, "send_leader", error, recover)
                 case AnswerCaller() | Note():
                     self._actions.append(action)
         return bool(actions)
 
+    def _request_failed(self, now: float, message: Submit | Cancel) -> None:
+        """Recover from an error in the pool about a job of this host's own callers."""
+        if isinstance(message, Submit) and self.pool is not None:
+            self.pool.fail_job(now, LOCAL_REQUESTER, message.job.id)
+        else:
+            self._start_over(now)
+
     def _send_leader(self, now: float, message: Submit | Cancel) -> None:
         if self.pool is not None:
             forward_to_pool(self.pool, now, LOCAL_REQUESTER, message)
--- a/src/eelgrassyard/dispatch/_entry.py
+++ b/src/eelgrassyard/dispatch/_entry.py
@@ -16,6 +16,9 @@
 """Time for which a job whose leader was lost waits for the next one. Failover takes about half a
 second if the old leader is silent."""
 
+UNFORESEEN_REASON = "unforeseen error"
+"""Reason in the answer to a job that is given up because of an error in a host."""
+
 RETRY_AFTER_S = 1.0
 """Retry delay given to the caller of a job that is refused for lack of a leader."""
 
@@ -145,9 +148,10 @@
 
     def job_ended(self, now: float, message: JobEnded) -> None:
         """Handle the outcome of a job, as reported by the leader."""
-        entry_job = self.job_by_id.pop(message.job_id, None)
+        entry_job = self.job_by_id.get(message.job_id)
         if entry_job is not None:
             self._answer(entry_job, message.outcome, message.reason, message.retry_after_s)
+            del self.job_by_id[message.job_id]
 
     def job_returned(self, now: float, message: JobReturned) -> None:
         """Handle a job that was returned by a host that does not lead, or no longer does."""
@@ -173,27 +177,46 @@
                 )
             )
 
+    def fail(self, job_id: str) -> None:
+        """Give up a job after an unforeseen error; it may have run."""
+        entry_job = self.job_by_id.get(job_id)
+        if entry_job is not None:
+            self._remove(entry_job)
+            self._answer(entry_job, Outcome.ABANDONED, UNFORESEEN_REASON)
+
+    def fail_request(self, ticket: int) -> None:
+        """Answer one request after an unforeseen error; its job may have run."""
+        self.caller_left(0.0, ticket)
+        self.actions.append(
+            AnswerCaller(ticket=ticket, outcome=Outcome.ABANDONED, reason=UNFORESEEN_REASON)
+        )
+
     def advance(self, now: float) -> None:
-        """Submit jobs that no leader has, and answer those that got no leader in time or whose
-        callers' wait has ended."""
-        for entry_job in list(self.job_by_id.values()):
-            objective_s = entry_job.job.objective_s()
-            if now >= entry_job.caller_deadline:
-                self._remove(entry_job)
-                self._answer(entry_job, Outcome.ABANDONED, "not completed while the caller waited")
-            elif entry_job.sent_epoch == 0 and self._epoch:
-                self._send(now, entry_job)
-            elif entry_job.sent_epoch == 0 and entry_job.round == 0:
-                if now - entry_job.no_leader_since >= NO_LEADER_TIMEOUT_RATIO * objective_s:
-                    self._remove(entry_job)
-                    self._answer(entry_job, Outcome.NOT_RUN, "no leader available", RETRY_AFTER_S)
-            elif entry_job.sent_epoch == 0 and (
-                now - entry_job.no_leader_since >= FAILOVER_TIMEOUT_S
-                or now - entry_job.arrived_at >= LATE_FACTOR * objective_s
-            ):
+        """Advance all jobs."""
+        for job_id in list(self.job_by_id):
+            self.advance_job(now, job_id)
+
+    def advance_job(self, now: float, job_id: str) -> None:
+        """Submit a job that no leader has, or answer it if it got no leader in time or its callers'
+        wait has ended."""
+        entry_job = self.job_by_id[job_id]
+        objective_s = entry_job.job.objective_s()
+        if now >= entry_job.caller_deadline:
+            self._remove(entry_job)
+            self._answer(entry_job, Outcome.ABANDONED, "not completed while the caller waited")
+        elif entry_job.sent_epoch == 0 and self._epoch:
+            self._send(now, entry_job)
+        elif entry_job.sent_epoch == 0 and entry_job.round == 0:
+            if now - entry_job.no_leader_since >= NO_LEADER_TIMEOUT_RATIO * objective_s:
                 self._remove(entry_job)
-                self._answer(
-                    entry_job,
-                    Outcome.ABANDONED,
-                    "the leader was lost and no other took over in time",
-                )
+                self._answer(entry_job, Outcome.NOT_RUN, "no leader available", RETRY_AFTER_S)
+        elif entry_job.sent_epoch == 0 and (
+            now - entry_job.no_leader_since >= FAILOVER_TIMEOUT_S
+            or now - entry_job.arrived_at >= LATE_FACTOR * objective_s
+        ):
+            self._remove(entry_job)
+            self._answer(
+                entry_job,
+                Outcome.ABANDONED,
+                "the leader was lost and no other took over in time",
+            )
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -2,37 +2,35 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 from ._actions import OrderResult, PollResult, PollWorker, StartRun, StopRun
+from ._host_events import HostEvents
+from ._host_state import HostAction
 from ._jobs import Job
-from ._messages import (
-    HostRecord,
-)
-from ._outbound import OutboundSessions
-from ._worker_pool import WorkerPool
-from ._workers import WorkerRecord, keep_peaks
+from ._messages import HostRecord, Message, Submit
+from ._workers import WorkerRecord
 
-SESSION_TIMEOUT_S = 0.45
-"""Time without a message, usually a ping, after which the host of an inbound session counts as
-lost; its jobs are stopped."""
 
-REMOTE_SESSION_TIMEOUT_S = 0.6
-"""The same for hosts of other failure domains."""
-
-
-class DispatchHost(OutboundSessions):
+class DispatchHost(HostEvents):
     """Makes all decisions of one host about jobs whose callers wait.
 
     The driver reports each event by calling a method, calls :meth:`advance` at least every 20 ms,
     and carries out the actions that :meth:`take_actions` returns.
 
+    No event raises: an unforeseen error is logged, counted in :attr:`unforeseen_errors`, and
+    contained to the job, worker, session or link that the event concerns. One that cannot be
+    contained to it discards the pool, as after a suspension of the process.
+
     :param now: start of the process, in seconds.
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
     :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
     """
 
+    # --- store ---
+
     def set_workers(
         self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
     ) -> None:
@@ -40,127 +38,170 @@
 
         :param read_at: time in seconds at which the registry was as the records say.
         """
-        self._record_by_id = keep_peaks(records, known=self._record_by_id)
-        self._registry_read_at = read_at
-        if self.pool is not None:
-            self.pool.set_workers(now, self._record_by_id, read_at=read_at)
-
-    def store_answering(self, now: float) -> None:
-        """Record that data of the store has just arrived."""
-        if self.pool is not None:
-            self.pool.store_answering(now)
+        try:
+            super().set_workers(now, records, read_at=read_at)
+        except Exception as error:
+            self._contain(now, "set_workers", error, lambda: self._start_over(now))
 
     def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
         """Replace the hosts that the store lists."""
-        listed = {host.name: host for host in hosts}
-        for host in listed.values():
-            self._add_host(host)
-        self.leadership.set_hosts(self._host_by_name, listed)
-        self.leadership.hosts_known = True
-
-    def set_seeds(self, addresses: Iterable[str]) -> None:
-        """Add the addresses of hosts whose names are not known yet; they may be stale."""
-        for address in addresses:
-            if address != self.own.address:
-                self._add_host(HostRecord(name=address, address=address, domain="", incarnation=0))
-
-    def set_config(self, version: int, document: bytes) -> None:
-        """Set the configuration in force, which is also sent to hosts with an older one."""
-        self.config_version = version
-        self.config_document = document
-        self._compressed_config = None
+        try:
+            super().set_hosts(now, hosts)
+        except Exception as error:
+            self._contain(now, "set_hosts", error, lambda: None)
+
+    # --- callers ---
 
     def job_arrived(self, now: float, ticket: int, job: Job, *, caller_waits_s: float) -> None:
         """Handle a caller's request.
 
         :param ticket: names the request in :class:`~eelgrassyard.dispatch._entry.AnswerCaller`.
         """
-        self._check_suspension(now)
-        self.entry.submit(now, ticket, job, caller_waits_s=caller_waits_s)
+        try:
+            super().job_arrived(now, ticket, job, caller_waits_s=caller_waits_s)
+        except Exception as error:
+            self._contain(
+                now, "job_arrived", error, lambda: self.entry.fail_request(ticket), job=job.id
+            )
 
     def caller_left(self, now: float, ticket: int) -> None:
         """Handle a caller's disconnect before the answer."""
-        self.entry.caller_left(now, ticket)
+        try:
+            super().caller_left(now, ticket)
+        except Exception as error:
+            # The job goes on until its deadline.
+            self._contain(now, "caller_left", error, lambda: None)
+
+    # --- workers ---
 
     def start_answered(self, now: float, order: StartRun, result: OrderResult) -> None:
         """Handle a worker's answer to a start, or its absence."""
-        if order.carried_for:
-            self._check_suspension(now)
-            self._report_carried(order, result)
-            return
-        pool = self._issuing_pool(now, order)
-        if pool is not None:
-            pool.start_answered(now, order.worker_id, order.task, order.run, result)
+        try:
+            super().start_answered(now, order, result)
+        except Exception as error:
+            self._contain_answer(now, "start_answered", error, order)
 
     def stop_answered(self, now: float, order: StopRun, result: OrderResult) -> None:
         """Handle a worker's answer to a stop, or its absence."""
-        pool = self._issuing_pool(now, order)
-        if pool is not None:
-            pool.stop_answered(now, order.worker_id, order.task, order.run, result)
+        try:
+            super().stop_answered(now, order, result)
+        except Exception as error:
+            self._contain_answer(now, "stop_answered", error, order)
 
     def poll_answered(self, now: float, order: PollWorker, result: PollResult) -> None:
         """Handle a worker's poll report, or its absence."""
-        pool = self._issuing_pool(now, order)
-        if pool is not None:
-            pool.poll_answered(now, order.worker_id, result)
-
-    def _issuing_pool(
-        self, now: float, order: StartRun | StopRun | PollWorker
-    ) -> WorkerPool | None:
-        """The pool that issued an order, unless it has been discarded since."""
-        self._check_suspension(now)
-        # A host may lose leadership and regain it while an order of its earlier pool is in flight.
-        # The answer must not reach the new pool, since the worker had not seen the new epoch.
-        return self.pool if self.pool is not None and self.pool.epoch == order.fence else None
+        try:
+            super().poll_answered(now, order, result)
+        except Exception as error:
+            self._contain_answer(now, "poll_answered", error, order)
+
+    def _contain_answer(
+        self, now: float, event: str, error: Exception, order: StartRun | StopRun | PollWorker
+    ) -> None:
+        """Contain the error of a worker's answer: it counts as one that did not arrive."""
+
+        def recover() -> None:
+            if self.pool is not None and self.pool.epoch == order.fence:
+                self.pool.answer_failed(now, order)
+
+        self._contain(now, event, error, recover, worker=order.worker_id)
+
+    # --- other hosts ---
+
+    def session_received(self, now: float, session_id: str, message: Message) -> None:
+        """Handle a message on an inbound session."""
+        try:
+            super().session_received(now, session_id, message)
+        except Exception as error:
+
+            def recover() -> None:
+                if isinstance(message, Submit) and self.pool is not None:
+                    self.pool.fail_job(now, session_id, message.job.id)
+                else:
+                    self._close_session(now, session_id)
+
+            self._contain_message(now, "session_received", error, recover, session_id, message)
+
+    def session_closed(self, now: float, session_id: str) -> None:
+        """Handle a broken session."""
+        try:
+            super().session_closed(now, session_id)
+        except Exception as error:
+            # Runs of its jobs may be left that nobody would stop.
+            self._contain(now, "session_closed", error, lambda: self._start_over(now))
+
+    def link_connected(self, now: float, name: str) -> None:
+        """Handle an opened session: introduce this host."""
+        try:
+            super().link_connected(now, name)
+        except Exception as error:
+            self._contain(now, "link_connected", error, lambda: self.links.drop(now, name))
+
+    def link_closed(self, now: float, name: str, *, refused: bool) -> None:
+        """Handle a session that has broken or could not be opened.
+
+        :param refused: whether no process listened at the address.
+        """
+        try:
+            super().link_closed(now, name, refused=refused)
+        except Exception as error:
+            self._contain(now, "link_closed", error, lambda: self._start_over(now))
+
+    def link_received(self, now: float, name: str, message: Message) -> None:
+        """Handle a message on an outbound session."""
+        try:
+            super().link_received(now, name, message)
+        except Exception as error:
+            self._contain_message(
+                now, "link_received", error, lambda: self.links.drop(now, name), name, message
+            )
+
+    def _contain_message(
+        self,
+        now: float,
+        event: str,
+        error: Exception,
+        recover: Callable[[], None],
+        peer: str,
+        message: Message,
+    ) -> None:
+        self._contain(now, event, error, recover, peer=peer, message=type(message).__name__)
+
+    # --- timers ---
+
+    def drain(self, now: float) -> None:
+        """Prepare the end of the process: refuse new connections, and resign soon."""
+        try:
+            super().drain(now)
+        except Exception as error:
+            self._contain(now, "drain", error, lambda: self._start_over(now))
 
     def advance(self, now: float) -> None:
         """Handle due timers: close silent sessions, and advance the pool, leadership, links and
         entry."""
-        self._check_suspension(now)
-        for session_id, session in list(self._session_by_id.items()):
-            is_remote = session.host is not None and session.host.domain != self.own.domain
-            limit_s = REMOTE_SESSION_TIMEOUT_S if is_remote else SESSION_TIMEOUT_S
-            if now - session.last_heard > limit_s:
-                self._close_session(now, session_id)
-        self.crashes.advance(now)
-        if self.pool is not None:
-            self.pool.advance(now)
-            if self.pool.fenced_out:
-                self._stop_leading(now)
-                self.leadership.fenced_out(now)
-        self._resign_when_due(now)
-        self._update_links(now)
-        if self.leadership.advance(now, self.links):
-            self._open_pool(now)
-        self.entry.set_leader(now, self._confirmed_epoch())
-        self.entry.advance(now)
-
-    def _update_links(self, now: float) -> None:
-        for name in self.links.take_lost():
-            self._link_lost(now, name)
-        wanted = self.leadership.wanted_links()
-        if self.pool is not None:
-            wanted.update(self._peer_pool_links())
-        self.links.set_wanted(now, wanted)
-        self.links.advance(
-            now,
-            config_version=self.config_version,
-            evacuation_revision=self.evacuations.revision,
-            leads_epoch=self.leadership.epoch if self.pool is not None else 0,
-            ready=self.is_ready(),
-        )
-
-    def _link_lost(self, now: float, name: str) -> None:
-        leader = self.leadership.leader
-        if leader is not None and leader.name == name:
-            self._note("leader_lost", leader=name, epoch=self.leadership.epoch)
-            self.entry.set_leader(now, 0)
-        self.leadership.host_lost(now, name)
-        for domain, host in list(self._peer_host_by_domain.items()):
-            if host.name == name:
-                del self._peer_host_by_domain[domain]
-                self._peer_attempts_by_domain[domain] = (
-                    self._peer_attempts_by_domain.get(domain, 0) + 1
+        for event, handle in (
+            ("advance_suspension", self._check_suspension),
+            ("advance_sessions", self._close_silent_sessions),
+            ("advance_pool", self._advance_pool),
+            ("advance_leadership", self._advance_leadership),
+        ):
+            try:
+                handle(now)
+            except Exception as error:
+                self._contain(now, event, error, lambda: self._start_over(now))
+        for job_id in list(self.entry.job_by_id):
+            try:
+                self.entry.advance_job(now, job_id)
+            except Exception as error:
+                self._contain(
+                    now, "advance_entry", error, partial(self.entry.fail, job_id), job=job_id
                 )
-                if self.pool is not None:
-                    self.pool.peer_pool_lost(now, domain)
+
+    def take_actions(self, now: float) -> list[HostAction]:
+        """Actions that the driver must carry out now, in order."""
+        try:
+            return super().take_actions(now)
+        except Exception as error:
+            self._contain(now, "take_actions", error, lambda: self._start_over(now))
+            actions, self._actions = self._actions, []
+            return actions
--- /dev/null
+++ b/src/eelgrassyard/dispatch/_host_events.py
@@ -0,0 +1,159 @@
+"""Handling of all events of a host: callers, workers, the store, and timers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from ._actions import OrderResult, PollResult, PollWorker, StartRun, StopRun
+from ._jobs import Job
+from ._leadership import Role
+from ._messages import HostRecord
+from ._outbound import OutboundSessions
+from ._worker_pool import WorkerPool
+from ._workers import WorkerRecord, keep_peaks
+
+SESSION_TIMEOUT_S = 0.45
+"""Time without a message, usually a ping, after which the host of an inbound session counts as
+lost; its jobs are stopped."""
+
+REMOTE_SESSION_TIMEOUT_S = 0.6
+"""The same for hosts of other failure domains."""
+
+
+class HostEvents(OutboundSessions):
+    """Handles the events of a host, without containment of errors."""
+
+    def set_workers(
+        self, now: float, records: Mapping[str, WorkerRecord], *, read_at: float
+    ) -> None:
+        """Replace the registered workers of all domains, by id.
+
+        :param read_at: time in seconds at which the registry was as the records say.
+        """
+        self._record_by_id = keep_peaks(records, known=self._record_by_id)
+        self._registry_read_at = read_at
+        if self.pool is not None:
+            self.pool.set_workers(now, self._record_by_id, read_at=read_at)
+
+    def store_answering(self, now: float) -> None:
+        """Record that data of the store has just arrived."""
+        if self.pool is not None:
+            self.pool.store_answering(now)
+
+    def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
+        """Replace the hosts that the store lists."""
+        listed = {host.name: host for host in hosts}
+        for host in listed.values():
+            self._add_host(host)
+        self.leadership.set_hosts(self._host_by_name, listed)
+        self.leadership.hosts_known = True
+
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Add the addresses of hosts whose names are not known yet; they may be stale."""
+        for address in addresses:
+            if address != self.own.address:
+                self._add_host(HostRecord(name=address, address=address, domain="", incarnation=0))
+
+    def set_config(self, version: int, document: bytes) -> None:
+        """Set the configuration in force, which is also sent to hosts with an older one."""
+        self.config_version = version
+        self.config_document = document
+        self._compressed_config = None
+
+    def job_arrived(self, now: float, ticket: int, job: Job, *, caller_waits_s: float) -> None:
+        """Handle a caller's request.
+
+        :param ticket: names the request in :class:`~eelgrassyard.dispatch._entry.AnswerCaller`.
+        """
+        self._check_suspension(now)
+        self.entry.submit(now, ticket, job, caller_waits_s=caller_waits_s)
+
+    def caller_left(self, now: float, ticket: int) -> None:
+        """Handle a caller's disconnect before the answer."""
+        self.entry.caller_left(now, ticket)
+
+    def start_answered(self, now: float, order: StartRun, result: OrderResult) -> None:
+        """Handle a worker's answer to a start, or its absence."""
+        if order.carried_for:
+            self._check_suspension(now)
+            self._report_carried(order, result)
+            return
+        pool = self._issuing_pool(now, order)
+        if pool is not None:
+            pool.start_answered(now, order.worker_id, order.task, order.run, result)
+
+    def stop_answered(self, now: float, order: StopRun, result: OrderResult) -> None:
+        """Handle a worker's answer to a stop, or its absence."""
+        pool = self._issuing_pool(now, order)
+        if pool is not None:
+            pool.stop_answered(now, order.worker_id, order.task, order.run, result)
+
+    def poll_answered(self, now: float, order: PollWorker, result: PollResult) -> None:
+        """Handle a worker's poll report, or its absence."""
+        pool = self._issuing_pool(now, order)
+        if pool is not None:
+            pool.poll_answered(now, order.worker_id, result)
+
+    def _issuing_pool(
+        self, now: float, order: StartRun | StopRun | PollWorker
+    ) -> WorkerPool | None:
+        """The pool that issued an order, unless it has been discarded since."""
+        self._check_suspension(now)
+        # A host may lose leadership and regain it while an order of its earlier pool is in flight.
+        # The answer must not reach the new pool, since the worker had not seen the new epoch.
+        return self.pool if self.pool is not None and self.pool.epoch == order.fence else None
+
+    def _close_silent_sessions(self, now: float) -> None:
+        for session_id, session in list(self._session_by_id.items()):
+            is_remote = session.host is not None and session.host.domain != self.own.domain
+            limit_s = REMOTE_SESSION_TIMEOUT_S if is_remote else SESSION_TIMEOUT_S
+            if now - session.last_heard > limit_s:
+                self._close_session(now, session_id)
+
+    def _advance_pool(self, now: float) -> None:
+        self.crashes.advance(now)
+        if self.pool is not None:
+            self.pool.advance(now)
+            if self.pool.fenced_out:
+                self._stop_leading(now)
+                self.leadership.fenced_out(now)
+        self._resign_when_due(now)
+
+    def _advance_leadership(self, now: float) -> None:
+        if (self.leadership.role is Role.LEADING) != (self.pool is not None):
+            # An error has interrupted a change of the role.
+            self._start_over(now)
+        self._update_links(now)
+        if self.leadership.advance(now, self.links):
+            self._open_pool(now)
+        self.entry.set_leader(now, self._confirmed_epoch())
+
+    def _update_links(self, now: float) -> None:
+        for name in self.links.take_lost():
+            self._link_lost(now, name)
+        wanted = self.leadership.wanted_links()
+        if self.pool is not None:
+            wanted.update(self._peer_pool_links())
+        self.links.set_wanted(now, wanted)
+        self.links.advance(
+            now,
+            config_version=self.config_version,
+            evacuation_revision=self.evacuations.revision,
+            leads_epoch=self.leadership.epoch if self.pool is not None else 0,
+            ready=self.is_ready(),
+        )
+
+    def _link_lost(self, now: float, name: str) -> None:
+        leader = self.leadership.leader
+        if leader is not None and leader.name == name:
+            self._note("leader_lost", leader=name, epoch=self.leadership.epoch)
+            self.entry.set_leader(now, 0)
+        self.leadership.host_lost(now, name)
+        for domain, host in list(self._peer_host_by_domain.items()):
+            if host.name == name:
+                del self._peer_host_by_domain[domain]
+                self._peer_attempts_by_domain[domain] = (
+                    self._peer_attempts_by_domain.get(domain, 0) + 1
+                )
+                if self.pool is not None:
+                    self.pool.peer_pool_lost(now, domain)
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -5,9 +5,11 @@
 import math
 import zlib
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
+from functools import partial
 
+from .._unforeseen import UNFORESEEN_ERROR, describe_error
 from ._actions import Action, Note
 from ._crashes import CrashHistory
 from ._entry import AnswerCaller, Entry
@@ -25,6 +27,14 @@
 LOCAL_REQUESTER = ""
 """Requester id of jobs of this host's own callers, which need no session."""
 
+MIN_START_OVER_PAUSE_S = 0.3
+MAX_START_OVER_PAUSE_S = 2.0
+"""Pause after an unforeseen error before this host may lead again. It doubles with each further
+one: another host may lead meanwhile, which the error does not concern."""
+
+START_OVER_MEMORY_S = 30.0
+"""Time without such an error after which the pause is as short as at first."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SendSession:
@@ -110,6 +120,8 @@
         self._actions: list[HostAction] = []
         self._last_called_at = now
         self.unforeseen_errors: Counter[str] = Counter()
+        self._start_over_pause_s = 0.0
+        self._started_over_at = now
 
     def _add_host(self, host: HostRecord) -> None:
         known = self._host_by_name.get(host.name)
@@ -174,6 +186,61 @@
         if self.pool is not None:
             self.pool.requester_lost(now, session_id, silent=True)
 
+    def _contain(
+        self,
+        now: float,
+        event: str,
+        error: Exception,
+        recover: Callable[[], None],
+        **fields: object,
+    ) -> None:
+        """Contain an unforeseen error in the handling of an event.
+
+        :param recover: brings what the event concerns into a known state; if that fails as well,
+            the host starts over.
+        """
+        self._record_error(event, error, fields)
+        try:
+            recover()
+        except Exception as second:
+            self._record_error(f"{event}_recovery", second, fields)
+            self._start_over(now)
+
+    def _record_error(self, event: str, error: Exception, fields: dict[str, object]) -> None:
+        self.unforeseen_errors[event] += 1
+        self._note(UNFORESEEN_ERROR, **{"in": event, **fields, **describe_error(error)})
+
+    def _start_over(self, now: float) -> None:
+        """Discard the pool and the state of sessions after an unforeseen error that may have left
+        them half changed.
+
+        The runs of the pool are adopted by the next leader, or expire with their leases. What the
+        pool knows of their progress is not reported, since it may be wrong: the next leader takes
+        each task for one that may be running.
+        """
+        if self._start_over_pause_s and now - self._started_over_at > START_OVER_MEMORY_S:
+            self._start_over_pause_s = 0.0
+        self._start_over_pause_s = min(
+            MAX_START_OVER_PAUSE_S, max(MIN_START_OVER_PAUSE_S, 2.0 * self._start_over_pause_s)
+        )
+        self._started_over_at = now
+        self._note(
+            "starts_over", led=self.pool is not None, pause_s=round(self._start_over_pause_s, 3)
+        )
+        self.pool = None
+        self._peer_host_by_domain.clear()
+        steps = (
+            *(partial(self._close_session, now, session) for session in self._session_by_id),
+            partial(self.links.set_wanted, now, {}),
+            partial(self.leadership.pause, now, self._start_over_pause_s),
+            partial(self.entry.set_leader, now, 0),
+        )
+        for step in steps:
+            try:
+                step()
+            except Exception as error:
+                self._record_error("start_over", error, {})
+
     def _note(self, event: str, **fields: object) -> None:
         self._actions.append(Note(event=event, fields=fields))
 
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -143,7 +143,7 @@
             evacuation_revision=self.evacuations.revision,
             leader=leader,
             epoch=self.leadership.epoch if leader is not None else 0,
-            draining=self.draining,
+            draining=self.draining or self.leadership.is_paused(now),
             room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
             crashes=crashes,
         )
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -65,6 +65,7 @@
         self._search_started_at = now
         self._min_search_s = STARTUP_SEARCH_S
         self._claim_backoff_until = 0.0
+        self._paused_until = 0.0
         self._lost_at: dict[str, float] = {}
         self._host_by_name: Mapping[str, HostRecord] = {}
         self.registered: frozenset[str] = frozenset()
@@ -136,6 +137,15 @@
         self._claim_backoff_until = now + FENCED_BACKOFF_S
         self.search(now)
 
+    def pause(self, now: float, seconds: float) -> None:
+        """Search again, and claim leadership only after a pause."""
+        self._paused_until = self._claim_backoff_until = now + seconds
+        self.search(now)
+
+    def is_paused(self, now: float) -> bool:
+        """Tell whether other hosts need not wait for this one to claim leadership."""
+        return now < self._paused_until
+
     def host_lost(self, now: float, name: str) -> None:
         """Handle a broken or silent session to a host."""
         self._lost_at[name] = now
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -141,6 +141,14 @@
         if link is not None and link.is_open:
             self._mark_lost(now, link, refused=refused)
 
+    def drop(self, now: float, name: str) -> None:
+        """Close a session after an unforeseen error, and reopen it after the usual delay."""
+        link = self.link_by_name.get(name)
+        if link is not None and link.is_open:
+            self.actions.append(CloseLink(name=name))
+            self._mark_lost(now, link, refused=False)
+            link.opened_at = now
+
     def _mark_lost(self, now: float, link: Link, *, refused: bool) -> None:
         had_answered = link.pong is not None
         link.is_open = link.connected = False
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -83,7 +83,8 @@
 
     :param leader: leader of the answering host's domain, or None if it knows none.
     :param epoch: epoch of that leader, or 0.
-    :param draining: whether the answering host is about to end.
+    :param draining: whether the answering host will not lead: it is about to end, or pauses after
+        an unforeseen error.
     :param room_by_service: free thousandths of a core of single workers of the answering pool, by
         service and speed class of the worker.
     :param evacuation_revision: revision of the evacuations that the answering host knows.
--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -7,12 +7,18 @@
     CallFailure,
     OrderResult,
     PollResult,
+    PollWorker,
     Refusal,
+    Reply,
+    StartRun,
+    StopRun,
 )
+from ._entry import UNFORESEEN_REASON
 from ._handover import Handover
 from ._jobs import Outcome, TaskEnd, TaskId
+from ._messages import JobEnded
 from ._tasks import Phase, Task
-from ._workers import Worker
+from ._workers import SILENT_POLL_INTERVAL_S, Worker
 
 RUN_NUMBER_STEP = 1000
 """Added to a task's run number if a worker has seen that number or a higher one before."""
@@ -127,6 +133,29 @@
             self.poller.poll_answered(now, worker, result)
             self._place_all(now)
 
+    def answer_failed(self, now: float, order: StartRun | StopRun | PollWorker) -> None:
+        """Handle an answer whose handling has raised like one that did not arrive."""
+        match order:
+            case StartRun():
+                self.start_answered(now, order.worker_id, order.task, order.run, CallFailure.SILENT)
+            case StopRun():
+                self.stops.schedule_retry(now, order.worker_id, order.task, order.run)
+            case PollWorker():
+                worker = self.worker_by_id.get(order.worker_id)
+                if worker is not None:
+                    self.poller.poll_answered(now, worker, CallFailure.SILENT)
+                    # The next answer may raise as well.
+                    worker.next_poll_at = now + SILENT_POLL_INTERVAL_S
+
+    def fail_job(self, now: float, requester: str, job_id: str) -> None:
+        """Give up a job after an unforeseen error; it may have run."""
+        pool_job = self.job_by_id.get(job_id)
+        if pool_job is not None and pool_job.requester == requester:
+            self._finish(now, pool_job, Outcome.ABANDONED, UNFORESEEN_REASON)
+            return
+        message = JobEnded(job_id=job_id, outcome=Outcome.ABANDONED, reason=UNFORESEEN_REASON)
+        self.actions.append(Reply(requester=requester, message=message))
+
     def _fence_out(self, worker: Worker) -> None:
         if not self.fenced_out:
             self.note("fenced_out", worker=worker.record.id, epoch=self.epoch)
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -116,7 +116,10 @@
 
     def _tick(self) -> None:
         self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
-        self.core.advance(self.now())
+        try:
+            self.core.advance(self.now())
+        except Exception as error:
+            self._record_error("advance", error, {})
         self.perform_actions()
 
     def schedule_actions(self) -> None:
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -173,3 +173,27 @@
     bench.perform(OpenLink(host=peer), PONG)
     assert bench.sent == [("s1", [PONG.message])]
     assert not bench.core.links.link_by_name["b"].is_open
+
+
+def test_an_error_in_the_timers_of_the_core_loses_no_action_and_no_later_tick(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that listens but sends nothing any more because each tick raises."""
+    ticks = 0
+
+    def fail(now: float) -> None:
+        nonlocal ticks
+        ticks += 1
+        bench.core._actions.append(PONG)
+        raise RuntimeError("odd")
+
+    async def main() -> None:
+        bench.driver._tick()
+        while ticks < 3:
+            await asyncio.sleep(0.005)
+        bench.driver.stop()
+
+    monkeypatch.setattr(bench.core, "advance", fail)
+    asyncio.run(main())
+    assert bench.sent == [("s1", [PONG.message])] * 3
+    assert bench.core.unforeseen_errors["advance"] == 3
