Send the other messages of a frame that cannot hold one of them

What callers saw: jobs without an answer. All messages of a turn to one host are one frame, and SessionServer.send and SessionClient.send encoded it whole: one number beyond 64 bits (a capacity in a pong, a size in a job) raised OverflowError and lost all messages beside it, and those to other hosts. A burst of large jobs made a frame beyond MAX_FRAME_BYTES, which the other host refuses by aborting the session.

A frame that cannot be encoded or is too large is now split; a single message that no frame can hold is left out, logged and counted. If that is the submission of a job, its caller gets 502 at once. For other messages the deadline of the job ends the wait, and silence closes the session.

Evidence, before the fix: 'OverflowError: can't serialize ints < -2**63 or > 2**64 - 1' left SessionClient.send in the first test; in the second, send wrote 6 MB in one frame.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -156,6 +156,15 @@
                 now, "link_received", error, lambda: self.links.drop(now, name), name, message
             )
 
+    def message_unsent(self, now: float, message: Message) -> None:
+        """Handle a message to another host that no frame can hold.
+
+        A job that cannot be submitted is answered now. The senders of other requests, and the
+        receivers of other answers, wait until the deadline of the job.
+        """
+        if isinstance(message, Submit):
+            self.entry.fail(message.job.id)
+
     def _contain_message(
         self,
         now: float,
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -26,7 +26,7 @@
 from ..dispatch._links import CloseLink, OpenLink, SendLink
 from ..dispatch._messages import HostRecord, Message
 from ._session_reports import SessionReports
-from ._sessions import SessionClient, SessionServer
+from ._sessions import SessionClient, SessionServer, Unsent
 from ._traffic import Traffic
 
 TICK_S = 0.02
@@ -220,13 +220,18 @@
             raise
 
     def _send_frame(
-        self, to: str, messages: list[Message], send: Callable[[str, list[Message]], None]
+        self, to: str, messages: list[Message], send: Callable[[str, list[Message]], list[Unsent]]
     ) -> None:
         try:
-            send(to, messages)
+            unsent = send(to, messages)
         except Exception as error:
             names = [type(message).__name__ for message in messages]
             self._record_error("send", error, {"to": to, "messages": names})
+            return
+        for message, reason in unsent:
+            self._record_error("send", reason, {"to": to, "message": type(message).__name__})
+            self.core.message_unsent(self.now(), message)
+            self.schedule_actions()
 
     def _record_error(self, event: str, error: Exception, fields: dict[str, object]) -> None:
         self.core.unforeseen_errors[event] += 1
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -28,6 +28,9 @@
 _server_decoder = msgspec.msgpack.Decoder(list[ToServer])
 _client_decoder = msgspec.msgpack.Decoder(list[ToClient])
 
+Unsent = tuple[Message, Exception]
+"""A message that no frame can hold, and the reason."""
+
 
 class _FrameProtocol(asyncio.Protocol, abc.ABC):
     """Framing of a session: splits the stream into frames and decodes their messages.
@@ -68,17 +71,24 @@
     def message_received(self, message: Message) -> None:
         """Handle a received message."""
 
-    def send(self, messages: list[Message]) -> None:
-        """Send messages in one frame, unless the connection is closed."""
+    def send(self, messages: list[Message]) -> list[Unsent]:
+        """Send messages in one frame, unless the connection is closed.
+
+        :returns: messages that could not be encoded or are too large for a frame.
+        """
         transport = self.transport
         if transport is None or transport.is_closing():
-            return
+            return []
         if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.abort()
-            return
-        frame = _encoder.encode(messages)
-        self._traffic.sent += FRAME_HEADER_BYTES + len(frame)
-        transport.write(len(frame).to_bytes(FRAME_HEADER_BYTES, "big") + frame)
+            return []
+        frames: list[bytes] = []
+        unsent: list[Unsent] = []
+        _encode(messages, frames, unsent)
+        for frame in frames:
+            self._traffic.sent += FRAME_HEADER_BYTES + len(frame)
+            transport.write(len(frame).to_bytes(FRAME_HEADER_BYTES, "big") + frame)
+        return unsent
 
     def abort(self) -> None:
         """Close the connection at once, without flushing buffered data."""
@@ -86,6 +96,23 @@
             self.transport.abort()
 
 
+def _encode(messages: list[Message], frames: list[bytes], unsent: list[Unsent]) -> None:
+    """Encode messages into one frame, or into several if one cannot hold them."""
+    try:
+        frame = _encoder.encode(messages)
+        if len(frame) > MAX_FRAME_BYTES:
+            raise ValueError(f"frame of {len(frame)} bytes")
+    except Exception as error:
+        if len(messages) == 1:
+            unsent.append((messages[0], error))
+            return
+        middle = len(messages) // 2
+        _encode(messages[:middle], frames, unsent)
+        _encode(messages[middle:], frames, unsent)
+    else:
+        frames.append(frame)
+
+
 class SessionServer:
     """Accepts inbound sessions.
 
@@ -130,11 +157,10 @@
         self._last_number += 1
         return f"s{self._last_number}"
 
-    def send(self, session_id: str, messages: list[Message]) -> None:
-        """Send messages if the session is still open."""
+    def send(self, session_id: str, messages: list[Message]) -> list[Unsent]:
+        """Send messages if the session is still open; returns those that no frame can hold."""
         session = self.session_by_id.get(session_id)
-        if session is not None:
-            session.send(messages)
+        return session.send(messages) if session is not None else []
 
     def close(self, session_id: str) -> None:
         """Close a session after its unsent messages have been written."""
@@ -230,11 +256,10 @@
         self._task_by_name.pop(name, None)
         self.on_close(name, refused)
 
-    def send(self, name: str, messages: list[Message]) -> None:
-        """Send messages if the session is open."""
+    def send(self, name: str, messages: list[Message]) -> list[Unsent]:
+        """Send messages if the session is open; returns those that no frame can hold."""
         session = self._session_by_name.get(name)
-        if session is not None:
-            session.send(messages)
+        return session.send(messages) if session is not None else []
 
     def close(self, name: str) -> None:
         """Close a session, or cancel opening it."""
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -6,6 +6,7 @@
 import json
 import os
 from collections.abc import Callable, Iterator
+from typing import cast
 
 import pytest
 
@@ -23,14 +24,17 @@
 from eelgrassyard.dispatch._entry import AnswerCaller
 from eelgrassyard.dispatch._host import DispatchHost
 from eelgrassyard.dispatch._host_state import HostAction, SendSession
-from eelgrassyard.dispatch._jobs import Outcome, TaskId
-from eelgrassyard.dispatch._links import Link, OpenLink
-from eelgrassyard.dispatch._messages import HostRecord, Message, Pong
+from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskId
+from eelgrassyard.dispatch._links import Link, OpenLink, SendLink
+from eelgrassyard.dispatch._messages import HostRecord, Message, Pong, Submit
 from eelgrassyard.net._driver import Driver
 
 OWN = HostRecord(name="a", address="127.0.0.1:1", domain="d", incarnation=1)
 TASK = TaskId("5c0e7a21d94b36f8", 0, 0)
 START = StartRun(worker_id="w", task=TASK, run=1, payload="p", deadline_s=1.0, fence=5)
+JOB = Job(
+    id=TASK.job, kind="k", service="s", payload="p", steps=(Step(count=1, cpu=1000),), target_s=0.5
+)
 STOP = StopRun(worker_id="w", task=TASK, run=1, fence=5)
 POLL = PollWorker(worker_id="w", fence=5, deadline_s=None, ends_seen=0, wait_s=0.0)
 
@@ -66,7 +70,7 @@
         self.core = core
         self.sent: list[tuple[str, list[Message]]] = []
         self.driver._server.send = (  # type: ignore[method-assign]
-            lambda session, messages: self.sent.append((session, messages))  # type: ignore[assignment,return-value]
+            lambda session, messages: self.sent.append((session, messages)) or []  # type: ignore[func-returns-value]
         )
         self.answers: list[AnswerCaller] = []
 
@@ -197,3 +201,28 @@
     asyncio.run(main())
     assert bench.sent == [("s1", [PONG.message])] * 3
     assert bench.core.unforeseen_errors["advance"] == 3
+
+
+def test_a_job_that_cannot_be_sent_to_the_leader_is_answered_at_once(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a job whose message no frame can hold and whose caller waits until its
+    deadline, while the other messages are sent."""
+    sent: list[Message] = []
+    odd = Submit(job=JOB, waited_s=0.0, caller_waits_s=1.0, round=2**70)
+
+    def send(name: str, messages: list[Message]) -> list[tuple[Message, Exception]]:
+        sent.extend(message for message in messages if message is not odd)
+        return [(odd, OverflowError("too large"))]
+
+    monkeypatch.setattr(bench.driver._client, "send", send)
+    bench.driver._answer_by_ticket[3] = bench.answers.append
+    bench.core.entry.submit(bench.driver.now(), 3, JOB, caller_waits_s=1.0)
+    other = cast(Message, Pong(number=3))
+    bench.perform(
+        SendLink(name="b", message=odd),
+        SendLink(name="b", message=other),  # type: ignore[arg-type]
+    )
+    bench.perform()
+    assert sent == [other]
+    assert [answer.outcome for answer in bench.answers] == [Outcome.ABANDONED]
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -16,7 +16,7 @@
 from eelgrassyard._clock import Clock
 from eelgrassyard._journal import BURST_LINES, Journal
 from eelgrassyard.dispatch._host import DispatchHost
-from eelgrassyard.dispatch._messages import HostRecord, Message, Ping, Pong
+from eelgrassyard.dispatch._messages import ConfigDocument, HostRecord, Message, Ping, Pong
 from eelgrassyard.net import SessionClient, SessionServer
 from eelgrassyard.net._driver import TICK_S, Driver, WorkerCalls
 from eelgrassyard.net._session_reports import SessionReports
@@ -208,6 +208,46 @@
     asyncio.run(main())
 
 
+def test_a_message_that_cannot_be_encoded_leaves_the_others_of_its_frame() -> None:
+    """Guards against a number beyond 64 bits in one message, such as the capacity in a pong, that
+    loses the answers to jobs beside it."""
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        await pair.server.listen(address)
+        pair.client.open("h", address)
+        await until(lambda: pair.opened)
+        odd = Ping(number=2**70)
+        unsent = pair.client.send("h", [Ping(number=1), odd, Ping(number=3)])
+        assert [message for message, _ in unsent] == [odd]
+        async with asyncio.timeout(1.0):
+            await until(lambda: len(pair.server_messages) == 2)
+        assert [message for _, message in pair.server_messages] == [Ping(number=1), Ping(number=3)]
+
+    asyncio.run(main())
+
+
+def test_messages_beyond_the_size_of_a_frame_are_sent_in_several() -> None:
+    """Guards against a burst of large jobs whose frame the other host refuses, with the session of
+    all other jobs."""
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        await pair.server.listen(address)
+        pair.client.open("h", address)
+        await until(lambda: pair.opened)
+        pair.client.send("h", [Ping(number=1)])
+        await until(lambda: pair.server_messages)
+        documents = [ConfigDocument(version=n, document=b"x" * 1_500_000) for n in range(4)]
+        assert pair.client.send("h", list(documents)) == []
+        async with asyncio.timeout(5.0):
+            await until(lambda: len(pair.server_messages) == 5)
+        assert [message for _, message in pair.server_messages[1:]] == documents
+        assert pair.lost == []
+
+    asyncio.run(main())
+
+
 @settings(max_examples=60)
 @given(data=st.binary(min_size=1, max_size=60))
 def test_no_bytes_break_the_server(data: bytes) -> None:
