--- a/src/eelgrassyard/_unhandled.py
+++ b/src/eelgrassyard/_unhandled.py
@@ -147,6 +147,8 @@
         if isinstance(owner, asyncio.Task):
             return _part({"task": owner})
         return f"callback {getattr(callback, '__qualname__', type(callback).__name__)}"
+    if "socket" in context:
+        return "listening socket"
     if (generator := context.get("asyncgen")) is not None:
         return f"generator {getattr(generator, '__qualname__', '')}"
     return type(task).__name__ if task is not None else "event loop"
--- a/src/eelgrassyard/platform/__main__.py
+++ b/src/eelgrassyard/platform/__main__.py
@@ -10,6 +10,10 @@
 
 SETTINGS_VARIABLE = "EELGRASSYARD_SETTINGS"
 
+METRICS_PORT_VARIABLE = "EELGRASSYARD_METRICS_PORT"
+"""Port of ``metrics`` in the deploy file, which names one port for all days, while those in the
+settings file are new each day."""
+
 
 def main() -> int:
     """Run a host with the settings file named by the environment variable."""
@@ -23,7 +27,7 @@
             file=sys.stderr,
         )
         return 2
-    return run_host(path)
+    return run_host(path, metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""))
 
 
 if __name__ == "__main__":
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -120,11 +120,19 @@
 
     :param path: settings file, which is read again when it changes.
     :param journal: where lines are written; standard output if left out.
+    :param metrics_port: further port for metrics and state, at the IP address of the ready address;
+        empty if there is none.
     """
 
     def __init__(
-        self, *, settings: HostSettings, path: str, journal: Journal | None = None
+        self,
+        *,
+        settings: HostSettings,
+        path: str,
+        journal: Journal | None = None,
+        metrics_port: str = "",
     ) -> None:
+        self._metrics_port = metrics_port
         self._settings = settings
         self._path = path
         self._clock = Clock()
@@ -179,6 +187,9 @@
         self._ready_server = HttpServer(
             handler=self._serve_status, traffic=self._traffic.of("status")
         )
+        self._metrics_server = HttpServer(
+            handler=self._serve_status, traffic=self._traffic.of("metrics")
+        )
         self._store = StoreClient(address=settings.store_address, traffic=self._traffic)
         self._metrics = HostMetrics(
             core=self._core,
@@ -225,6 +236,7 @@
         await self._driver.start()
         await self._ready_server.listen(self._settings.ready_address)
         await self._caller_server.listen(self._settings.front_address)
+        await self._listen_for_metrics()
         try:
             async with anyio.create_task_group() as group:
                 for mirror in self._mirrors:
@@ -238,9 +250,21 @@
             self._driver.stop()
         self._caller_server.close()
         self._ready_server.close()
+        self._metrics_server.close()
         self._journal.write("stop", {"bytes": self._traffic.dump()})
         self._journal.flush()
 
+    async def _listen_for_metrics(self) -> None:
+        if not self._metrics_port:
+            return
+        ip, _, _ = self._settings.ready_address.rpartition(":")
+        address = f"{ip}:{self._metrics_port}"
+        try:
+            await self._metrics_server.listen(address)
+        except (OSError, ValueError, OverflowError) as error:
+            # Metrics stay available at the ready address.
+            self._journal.write("metrics_not_served", {"address": address, "reason": str(error)})
+
     def _make_mirrors(self) -> list[Mirror]:
         store, on_availability = self._store, self._store_availability_changed
         return [
@@ -503,11 +527,15 @@
                 exchange.respond(200 if self._core.is_ready() else 503)
 
 
-def run_host(path: str) -> int:
-    """Run a host until it is stopped; return the exit code of the process."""
+def run_host(path: str, *, metrics_port: str = "") -> int:
+    """Run a host until it is stopped; return the exit code of the process.
+
+    :param path: settings file.
+    :param metrics_port: see :class:`PlatformHost`.
+    """
     journal = Journal(host="")
     try:
-        return _run_host(path, journal)
+        return _run_host(path, journal, metrics_port)
     except Exception as error:
         report_process_failure(journal, error)
         return EXIT_FAILED
@@ -515,14 +543,14 @@
         journal.close(LAST_LINES_S)
 
 
-def _run_host(path: str, journal: Journal) -> int:
+def _run_host(path: str, journal: Journal, metrics_port: str) -> int:
     result = read_settings(path)
     if result.is_err():
         print(f"eelgrassyard: {result.unwrap_err()}", flush=True)
         return 2
     settings = result.unwrap()
     journal.host = settings.name
-    host = PlatformHost(settings=settings, path=path, journal=journal)
+    host = PlatformHost(settings=settings, path=path, journal=journal, metrics_port=metrics_port)
     try:
         anyio.run(host.run)
     except OSError as error:
--- a/src/eelgrassyard/platform/_process_metrics.py
+++ b/src/eelgrassyard/platform/_process_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from collections.abc import Callable, Iterable, Mapping
 
 from prometheus_client import Metric, ProcessCollector
@@ -36,6 +37,7 @@
         self._now = now
         self._read_at_by_prefix = read_at_by_prefix
         self._limits = limits
+        self._started_at = time.time()
         self._process = ProcessCollector(namespace="eelgrassyard", registry=None)
 
     def describe(self) -> Iterable[Metric]:
@@ -70,6 +72,9 @@
             yield GaugeMetricFamily(
                 f"eelgrassyard_process_{name}", "Limit of the settings file, 0 if unknown", value
             )
+        yield GaugeMetricFamily(
+            "eelgrassyard_start_time_seconds", "Unix time of the start", self._started_at
+        )
         try:
             yield from list(self._process.collect())
         except (OSError, ValueError, ArithmeticError) as error:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -37,7 +37,7 @@
     :ivar host: host under test, which runs in this process.
     """
 
-    def __init__(self, *, grace_s: float = 6.0) -> None:
+    def __init__(self, *, grace_s: float = 6.0, metrics_port: str = "") -> None:
         self.store = StandinStore()
         self.worker = StandinWorker(worker_id="i-1")
         self.store_address = free_address()
@@ -57,7 +57,9 @@
             grace_s=grace_s,
             lease_least_s=1.0,
         )
-        self.host = PlatformHost(settings=self.settings, path="/nonexistent")
+        self.host = PlatformHost(
+            settings=self.settings, path="/nonexistent", metrics_port=metrics_port
+        )
 
     async def call(self, address: str, method: str, path: str, body: object = None) -> Response:
         """Make an HTTP call on a new connection; fail unless it is answered."""
@@ -127,13 +129,17 @@
 
 
 def run_scenario(
-    scenario: Callable[[Site], Awaitable[None]], *, configured: bool = True, grace_s: float = 6.0
+    scenario: Callable[[Site], Awaitable[None]],
+    *,
+    configured: bool = True,
+    grace_s: float = 6.0,
+    metrics_port: str = "",
 ) -> Site:
     """Run a scenario against a running host, which is ready if there is a configuration."""
     sites: list[Site] = []
 
     async def main() -> None:
-        site = Site(grace_s=grace_s)
+        site = Site(grace_s=grace_s, metrics_port=metrics_port)
         sites.append(site)
         await site.store.server.listen(site.store_address)
         await site.worker.server.listen(site.worker_address)
