Restart background tasks that fail instead of ending the process

Callers saw processes that ended one after the other after a write to the store: one error in a mirror, the registration, the settings or the housekeeping cancelled the task group of the host and ended the process, and the next leader read the same entry. An error while /metrics or /state was rendered left its reader without an answer.

A mirror starts with a fresh read, and read_at stays as it was if the change could not be applied, so that a leader doesn't take its copy for newer than it is. /metrics and /state answer 500. Readiness isn't tied to a failing task: the same entry fails at all hosts, and each can go on with its copy as while the store is lost; tasks_failing shows it.

--- a/src/eelgrassyard/_unhandled.py
+++ b/src/eelgrassyard/_unhandled.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -79,6 +80,14 @@
             line["trace"] = _frames(error)
         self._journal.write(event, line)
 
+    @contextlib.contextmanager
+    def contained(self, part: str) -> Iterator[None]:
+        """Report an error in the block instead of raising it."""
+        try:
+            yield
+        except Exception as error:
+            self.report(part, error)
+
     def handle_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Exception handler of an event loop: report errors of callbacks, protocols and tasks
         whose result nobody retrieved."""
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -6,12 +6,14 @@
 import dataclasses
 import signal
 import zlib
+from collections.abc import Callable
 
 import anyio
 import msgspec
 
 from .._clock import Clock
 from .._journal import Journal
+from .._supervision import Supervisor
 from .._unhandled import UnhandledErrors, report_process_failure
 from ..dispatch._host import DispatchHost
 from ..dispatch._messages import HostRecord
@@ -139,6 +141,7 @@
         self._journal = Journal(host=settings.name) if journal is None else journal
         self._journal.capture_stdlib_logging()
         self._errors = UnhandledErrors(journal=self._journal)
+        self._supervisor = Supervisor(errors=self._errors, now=self._clock.now)
         self._traffic = TrafficByPurpose()
         now = self._clock.now()
         self._own = HostRecord(
@@ -200,6 +203,7 @@
             process=ProcessMetrics(
                 journal=self._journal,
                 errors=self._errors,
+                supervisor=self._supervisor,
                 now=self._clock.now,
                 read_at_by_prefix=lambda: {
                     mirror.prefix: mirror.read_at for mirror in self._mirrors
@@ -239,11 +243,12 @@
         await self._listen_for_metrics()
         try:
             async with anyio.create_task_group() as group:
+                run = self._supervisor.run
                 for mirror in self._mirrors:
-                    group.start_soon(mirror.run)
-                group.start_soon(self._maintain_registration)
-                group.start_soon(self._poll_settings)
-                group.start_soon(self._run_housekeeping)
+                    group.start_soon(run, f"mirror {mirror.prefix}", mirror.run)
+                group.start_soon(run, "registration", self._maintain_registration)
+                group.start_soon(run, "settings", self._poll_settings)
+                group.start_soon(run, "housekeeping", self._run_housekeeping)
                 await self._serve_until_stopped()
                 group.cancel_scope.cancel()
         finally:
@@ -293,7 +298,8 @@
             async for number in signals:
                 self._metrics.count_signal(number.name)
                 if number == signal.SIGHUP:
-                    self._reload_settings()
+                    with self._errors.contained("settings"):
+                        self._reload_settings()
                     continue
                 await self._drain()
                 return
@@ -519,13 +525,23 @@
     def _serve_status(self, exchange: Exchange) -> None:
         match exchange.request.path:
             case "/metrics":
-                exchange.respond(200, self._metrics.render(), headers=METRICS_HEADERS)
+                self._serve_text("metrics", self._metrics.render, METRICS_HEADERS, exchange)
             case "/state":
-                state = {**self._core.dump(), "bytes": self._traffic.dump()}
-                exchange.respond(200, msgspec.json.encode(state, enc_hook=str))
+                self._serve_text("state", self._render_state, "", exchange)
             case _:
                 exchange.respond(200 if self._core.is_ready() else 503)
 
+    def _serve_text(
+        self, part: str, render: Callable[[], bytes], headers: str, exchange: Exchange
+    ) -> None:
+        with self._errors.contained(part):
+            exchange.respond(200, render(), headers=headers)
+        exchange.respond(500)
+
+    def _render_state(self) -> bytes:
+        state = {**self._core.dump(), "bytes": self._traffic.dump()}
+        return msgspec.json.encode(state, enc_hook=str)
+
 
 def run_host(path: str, *, metrics_port: str = "") -> int:
     """Run a host until it is stopped; return the exit code of the process.
--- a/src/eelgrassyard/platform/_process_metrics.py
+++ b/src/eelgrassyard/platform/_process_metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client.registry import Collector
 
 from .._journal import Journal
+from .._supervision import Supervisor
 from .._unhandled import UnhandledErrors
 
 
@@ -28,12 +29,14 @@
         *,
         journal: Journal,
         errors: UnhandledErrors,
+        supervisor: Supervisor,
         now: Callable[[], float],
         read_at_by_prefix: Callable[[], Mapping[str, float]],
         limits: Mapping[str, int],
     ) -> None:
         self._journal = journal
         self._errors = errors
+        self._supervisor = supervisor
         self._now = now
         self._read_at_by_prefix = read_at_by_prefix
         self._limits = limits
@@ -58,6 +61,17 @@
             "part",
             self._errors.count_by_part,
         )
+        yield _counter(
+            "task_restarts",
+            "Restarts of background tasks after an error",
+            "task",
+            self._supervisor.restarts_by_task,
+        )
+        yield GaugeMetricFamily(
+            "eelgrassyard_tasks_failing",
+            "Background tasks that have failed within the last seconds",
+            len(self._supervisor.failing),
+        )
         now = self._now()
         ages = {prefix: now - at for prefix, at in self._read_at_by_prefix().items()}
         age = GaugeMetricFamily(
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -301,7 +301,8 @@
 
     async def run(self) -> None:
         """Read the items, then keep them up to date until cancelled; retry with exponential
-        backoff."""
+        backoff. After an error of ``on_change`` it may be run again, and reads all items anew."""
+        self._revision = None
         pause_s = RETRY_MIN_S
         while True:
             try:
@@ -329,12 +330,10 @@
                 read_all = True
         if self._revision is None or read_all:
             self._items, self._revision = await self._store.read_prefix(self.prefix)
-            self.read_at, self._answered_at = begun_at, self._now()
-            self._on_change(self._items, self._revision)
+            self._report_change(begun_at)
             return
         assert isinstance(mode, Watch)
         events, revision = await self._store.watch(self.prefix, self._revision, mode.wait_s)
-        self.read_at, self._answered_at = begun_at, self._now()
         for item in events:
             if item.deleted:
                 self._items.pop(item.key, None)
@@ -342,7 +341,20 @@
                 self._items[item.key] = item
         self._revision = max(self._revision, revision)
         if events:
+            self._report_change(begun_at)
+        else:
+            self.read_at, self._answered_at = begun_at, self._now()
+
+    def _report_change(self, begun_at: float) -> None:
+        assert self._revision is not None
+        read_before_at = self.read_at
+        self.read_at, self._answered_at = begun_at, self._now()
+        try:
             self._on_change(self._items, self._revision)
+        except BaseException:
+            # The changes may not be in force, so the copy is no newer than before.
+            self.read_at = read_before_at
+            raise
 
     async def _pause(self) -> None:
         paused_s = 0.0
--- a/tests/test_platform_supervision.py
+++ b/tests/test_platform_supervision.py
@@ -5,10 +5,13 @@
 import re
 import socket
 
+import anyio
 import pytest
 
+from eelgrassyard.platform._host import PlatformHost
+from eelgrassyard.platform._store import Item
 from platform_standin import config
-from test_platform_host import Site, free_address, run_scenario
+from test_platform_host import JOB, Site, free_address, run_scenario
 
 SAMPLE = re.compile(r'^eelgrassyard_(\w+?)(?:\{\w+="([^"]*)"\})? (\S+)$', re.MULTILINE)
 
@@ -68,3 +71,95 @@
         assert metrics["ready", ""] == 1.0
 
     run_scenario(scenario, metrics_port=address.rpartition(":")[2])
+
+
+FAILURES = [
+    ("mirror op/", "_operator_keys_changed"),
+    ("mirror servers/", "_workers_changed"),
+    ("mirror hosts/", "_hosts_changed"),
+    ("registration", "_maintain_registration"),
+    ("settings", "_reload_settings"),
+    ("housekeeping", "_report_store_traffic"),
+]
+
+
+@pytest.mark.parametrize(("task", "method"), FAILURES, ids=[task for task, _ in FAILURES])
+def test_an_error_in_a_background_task_does_not_end_the_host(
+    task: str, method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one odd entry that ends the process, and against a task that stays dead."""
+    original = getattr(PlatformHost, method)
+    failures: list[str] = []
+
+    def fail_once(self: PlatformHost, *arguments: object) -> object:
+        if not failures:
+            failures.append(method)
+            raise RecursionError("maximum recursion depth exceeded")
+        return original(self, *arguments)
+
+    monkeypatch.setattr(PlatformHost, method, fail_once)
+
+    async def scenario(site: Site) -> None:
+        with anyio.fail_after(10.0):
+            while True:
+                metrics = await read_metrics(site, site.settings.ready_address)
+                if metrics.get(("task_restarts_total", task)) == 1.0:
+                    break
+                await anyio.sleep(0.05)
+        assert metrics["unhandled_errors_total", task] == 1.0
+        assert metrics["log_events_total", "task_failed"] == 1.0
+        assert metrics["tasks_failing", ""] == 1.0
+        while "hosts/front-1" not in site.store.items:
+            await anyio.sleep(0.05)
+        job = {**JOB, "best_effort": True}
+        answer = await site.request_as_caller("POST", "/lohu930/5c0e7a21d94b36f8", job)
+        assert answer.status == 200
+
+    run_scenario(scenario)
+
+
+def test_a_mirror_that_failed_applies_the_change_that_it_failed_at() -> None:
+    """Guards against a restarted mirror that goes on after the change and never applies it."""
+
+    async def scenario(site: Site) -> None:
+        host, failures = site.host, list[str]()
+        mirror = host._worker_mirror
+        apply_change = mirror._on_change
+
+        def fail_once(items: dict[str, Item], revision: int) -> None:
+            if not failures and "servers/i-2" in items:
+                failures.append("servers/i-2")
+                raise RecursionError("maximum recursion depth exceeded")
+            apply_change(items, revision)
+
+        mirror._on_change = fail_once
+        site.store.put("servers/i-2", site.worker.entry(site.worker_address, "patan", "svc"))
+        with anyio.fail_after(10.0):
+            while "i-2" not in host._record_by_id:
+                await anyio.sleep(0.02)
+        assert failures
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "part"), [("/metrics", "metrics"), ("/state", "state")], ids=["metrics", "state"]
+)
+def test_an_error_in_metrics_or_state_is_a_500_and_the_host_stays_ready(
+    path: str, part: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that is taken out of rotation, or a reader that waits in vain, because
+    one value cannot be shown."""
+
+    async def scenario(site: Site) -> None:
+        def fail(*_: object) -> bytes:
+            raise ValueError("odd")
+
+        monkeypatch.setattr(site.host._metrics, "render", fail)
+        monkeypatch.setattr(site.host._core, "dump", fail)
+        address = site.settings.ready_address
+        assert (await site.call(address, "GET", path)).status == 500
+        assert (await site.call(address, "GET", "/api/ready")).status == 200
+        assert site.host._errors.count_by_part[part] == 1
+
+    run_scenario(scenario)
