Count the log lines that the output refuses

Lines in the buffer were thrown away without a trace when a write failed (reader gone, disk full), so a gap in a log looked like a quiet host. They now count as omitted: log_lines_omitted shows them, and the next line that gets out carries the number.

Before: test_lines_that_the_output_refuses_are_counted failed with 'assert 0 == 2'.

--- a/src/eelgrassyard/_journal.py
+++ b/src/eelgrassyard/_journal.py
@@ -175,7 +175,9 @@
                 self._schedule_flush()
                 return
             except OSError:
-                # The reader is gone, and there is no other output to report that to.
+                # The reader is gone or the disk is full, and there is no other output to report
+                # that to; the count is in the metrics, and in a line if the output works again.
+                self.omitted += self._pending.count(b"\n")
                 self._pending.clear()
                 return
             del self._pending[:written]
--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -90,6 +90,17 @@
     assert counts[OTHER_EVENT] == MAX_EVENTS + 1
 
 
+def test_lines_that_the_output_refuses_are_counted() -> None:
+    """Guards against lines that are lost without a trace while the reader is gone."""
+    reader, writer = os.pipe()
+    journal = Journal(host="front-1", descriptor=writer)
+    os.close(reader)
+    journal.write("start", {})
+    journal.write("stop", {})
+    assert journal.omitted == 2
+    os.close(writer)
+
+
 def overflow(depth: int = 0) -> int:
     """Recurse without end."""
     return overflow(depth + 1) + 1
