Write a line for lost leases and for malformed requests at the ready address

Two errors left no line: the registration passed over each status 404 of the store (the lease of the host's entry has expired, or the entry was written with one that has), and the servers of the ready and the metrics address had no receiver for requests that they refuse. An entry that disappears again and again, or polls that are refused, could not be traced. Both are lines now, and counted in log_events_total.

Before: both tests ended in TimeoutError, as host_entry_not_renewed and request_rejected were never written.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -182,16 +182,16 @@
         self._caller_server = HttpServer(
             handler=self._caller_api.handle,
             limits=ServerLimits(),
-            on_error=lambda status, reason: self._journal.write(
-                "request_rejected", {"status": status, "reason": reason}
-            ),
+            on_error=self._request_rejected,
             traffic=self._traffic.of("callers"),
         )
-        self._ready_server = HttpServer(
-            handler=self._serve_status, traffic=self._traffic.of("status")
-        )
-        self._metrics_server = HttpServer(
-            handler=self._serve_status, traffic=self._traffic.of("metrics")
+        self._ready_server, self._metrics_server = (
+            HttpServer(
+                handler=self._serve_status,
+                on_error=self._request_rejected,
+                traffic=self._traffic.of(purpose),
+            )
+            for purpose in ("status", "metrics")
         )
         self._store = StoreClient(address=settings.store_address, traffic=self._traffic)
         self._metrics = HostMetrics(
@@ -511,10 +511,9 @@
                 else:
                     await self._store.renew_lease(lease)
             except StoreError as error:
+                self._journal.write("host_entry_not_renewed", {"reason": str(error)})
                 if error.status == 404:
                     lease = 0
-                else:
-                    self._journal.write("host_entry_not_renewed", {"reason": str(error)})
             self._registration_lost = anyio.Event()
             with anyio.move_on_after(HOST_RENEWAL_INTERVAL_S):
                 await self._registration_lost.wait()
@@ -522,6 +521,9 @@
 
     # --- readiness, metrics and state ---
 
+    def _request_rejected(self, status: int, reason: str) -> None:
+        self._journal.write("request_rejected", {"status": status, "reason": reason})
+
     def _serve_status(self, exchange: Exchange) -> None:
         match exchange.request.path:
             case "/metrics":
--- a/tests/test_platform_supervision.py
+++ b/tests/test_platform_supervision.py
@@ -163,3 +163,37 @@
         assert site.host._errors.count_by_part[part] == 1
 
     run_scenario(scenario)
+
+
+async def wait_for_event(site: Site, event: str) -> None:
+    """Wait until the host has written a line with an event."""
+    with anyio.fail_after(10.0):
+        while not site.host._journal.count_by_event[event]:
+            await anyio.sleep(0.05)
+
+
+def test_a_lease_that_has_expired_leaves_a_line_and_is_replaced() -> None:
+    """Guards against a host whose entry disappears again and again without a line."""
+
+    async def scenario(site: Site) -> None:
+        while "hosts/front-1" not in site.store.items:
+            await anyio.sleep(0.05)
+        site.store.leases.clear()
+        await wait_for_event(site, "host_entry_not_renewed")
+        with anyio.fail_after(10.0):
+            while not site.store.leases:
+                await anyio.sleep(0.05)
+
+    run_scenario(scenario)
+
+
+def test_a_malformed_request_at_the_ready_address_leaves_a_line() -> None:
+    """Guards against a balancer whose polls are refused without a line."""
+
+    async def scenario(site: Site) -> None:
+        host, _, port = site.settings.ready_address.partition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(b"GET\r\n\r\n")
+            await wait_for_event(site, "request_rejected")
+
+    run_scenario(scenario)
