Check the bounds of entries and configurations when they are read

The decoders checked types only. An entry of another writer with an address that is none, such as 999.1.1.1, a name or one with a NUL, was used as a worker: each poll of it was a name lookup or an error of a task that nothing handled. Capacities, versions and incarnations beyond 64 bits were accepted, though messages between hosts can't hold them, and so were negative time limits in a configuration. Entries of hosts were used as they came, also those that name another host.

All numbers now have bounds, names and lists a length, addresses must be IPv4 with a port, a host's entry must be under its name, and a worker's id, which is sent to the worker in a header, must be printable ASCII. A refused host entry is logged once for each value: each change of the prefix brings all entries again.

--- a/src/eelgrassyard/_addresses.py
+++ b/src/eelgrassyard/_addresses.py
@@ -1,4 +1,4 @@
-"""Addresses of other processes."""
+"""Addresses of other processes, checked before they are used."""
 
 from __future__ import annotations
 
@@ -11,15 +11,17 @@
 
 
 def parse_address(text: str) -> Result[tuple[str, int], str]:
-    """Split an address of the form ``IP:PORT``; the error is the reason if it has another form.
+    """Split an address of the form ``HOST:PORT``; the error is the reason if it has another form.
 
-    Names are refused: the platform has no name lookups, and one would occupy a thread for seconds.
+    The host must be an IPv4 address: a name would be looked up in a thread at each connection,
+    which may hang for as long as the resolver takes.
     """
-    host, _, port = text[:MAX_ADDRESS_CHARS].rpartition(":")
+    shown = text[:MAX_ADDRESS_CHARS]
+    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        ipaddress.IPv4Address(host)
     except ValueError:
-        return Err(f"{text[:MAX_ADDRESS_CHARS]!a} does not begin with an IP address")
+        return Err(f"{shown!a} does not begin with an IPv4 address")
     if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
-        return Err(f"{text[:MAX_ADDRESS_CHARS]!a} does not end in a port")
-    return Ok((host.removeprefix("[").removesuffix("]"), int(port)))
+        return Err(f"{shown!a} does not end in a port")
+    return Ok((host, int(port)))
--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -4,18 +4,16 @@
 
 import asyncio
 import enum
-import ipaddress
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
 
+from .._addresses import parse_address
 from ._errors import report_contained
 from ._traffic import Traffic
 
-MAX_PORT = 65_535
-
 MAX_RESPONSE_BYTES = 16_000_000
 """Default of the largest response that is read. The store answers with at most about a megabyte of
 items; a process has 300 MB of memory."""
@@ -60,21 +58,6 @@
     done: bool = False
 
 
-def _parse_address(address: str) -> tuple[str, int] | None:
-    """Parse ``host:port`` with an IPv4 address; None if it can't be connected to.
-
-    The event loop would look up a name in a thread, which may hang and delays the exit.
-    """
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return None
-    if not (port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) <= MAX_PORT):
-        return None
-    return host, int(port)
-
-
 class HttpClient:
     """Connection pool for calls to one address.
 
@@ -97,7 +80,7 @@
         self.address = address
         self.max_response_bytes = max_response_bytes
         self._on_error = on_error
-        self._endpoint = _parse_address(address)
+        self._endpoint = parse_address(address).unwrap_or(None)
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
         self._queue: deque[_Call] = deque()
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -230,6 +230,7 @@
         self._removal_at_by_id: dict[str, float] = {}
         self._value_by_id: dict[str, str] = {}
         self._registered_hosts: set[str] = set()
+        self._refused_host_values: dict[str, str] = {}
         self._registration_lost = anyio.Event()
 
     async def run(self) -> None:
@@ -461,14 +462,19 @@
 
     def _hosts_changed(self, items: dict[str, Item], _: int) -> None:
         hosts = []
+        refused: dict[str, str] = {}
         for key, item in items.items():
-            result = decode_host(item.content())
+            result = decode_host(key.removeprefix(HOST_PREFIX), item.content())
             if result.is_err():
-                self._journal.write(
-                    "host_entry_ignored", {"key": key, "reason": result.unwrap_err()}
-                )
+                # Each change of any entry brings all of them.
+                if self._refused_host_values.get(key) != item.value:
+                    self._journal.write(
+                        "host_entry_ignored", {"key": key, "reason": result.unwrap_err()}
+                    )
+                refused[key] = item.value
             else:
                 hosts.append(result.unwrap())
+        self._refused_host_values = refused
         self._registered_hosts = {host.name for host in hosts}
         self._core.set_hosts(self._clock.now(), hosts)
         if self._own.name not in self._registered_hosts:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,9 +10,16 @@
 from hypothesis import strategies as st
 
 from eelgrassyard.dispatch._jobs import TaskId
-from eelgrassyard.platform._documents import decode_config, decode_worker
+from eelgrassyard.dispatch._messages import HostRecord
+from eelgrassyard.platform._documents import (
+    decode_config,
+    decode_host,
+    decode_worker,
+    encode_host,
+)
 from eelgrassyard.platform._settings import read_settings
 from eelgrassyard.platform._worker_calls import parse_task_name, task_name
+from odd_values import ODD_CONFIGS, ODD_HOST_ENTRIES, WORKER_ENTRIES_BY_CASE
 from platform_standin import config
 
 SETTINGS = """
@@ -111,6 +118,41 @@
     assert decode_worker("i-1", json.dumps({**ENTRY, **change}).encode()).is_err()
 
 
+@pytest.mark.parametrize("worker_id", ["", "a\r\nX-Fence: 1", "caf\u00e9", "a\0"])
+def test_worker_entries_under_odd_keys_are_refused(worker_id: str) -> None:
+    """Guards against header lines that another writer adds to the calls of workers."""
+    assert decode_worker(worker_id, json.dumps(ENTRY).encode()).is_err()
+
+
+@pytest.mark.parametrize(
+    "value", [value for case in WORKER_ENTRIES_BY_CASE.values() for value in case.values()]
+)
+def test_odd_worker_entries_are_refused(value: bytes) -> None:
+    """Guards against numbers that no message between hosts can hold, and addresses that fail
+    before a connection begins."""
+    assert decode_worker("i-1", value).is_err()
+
+
+@pytest.mark.parametrize("value", ODD_CONFIGS.values(), ids=ODD_CONFIGS)
+def test_odd_configurations_are_refused(value: bytes) -> None:
+    """Guards against limits that close each connection, and versions that no message can hold."""
+    assert decode_config(value).is_err()
+
+
+@pytest.mark.parametrize("name", ODD_HOST_ENTRIES)
+def test_odd_host_entries_are_refused(name: str) -> None:
+    """Guards against sessions to addresses that are none, and entries in the name of another."""
+    assert decode_host(f"a-{name}", ODD_HOST_ENTRIES[name]).is_err()
+
+
+def test_a_host_entry_is_read_back() -> None:
+    """Guards against fields that are encoded in another order than they are decoded."""
+    host = HostRecord(
+        name="front-1", address="10.0.0.1:80", domain="d", incarnation=2**52, weight=0.5
+    )
+    assert decode_host("front-1", encode_host(host)).unwrap() == host
+
+
 @given(value=st.binary(max_size=80))
 def test_any_bytes_are_refused_or_decoded(value: bytes) -> None:
     """Guards against a single invalid entry that aborts the decoding of all entries."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -86,7 +86,7 @@
 @given(changed(HOST) | st.binary(max_size=40))
 def test_no_host_entry_raises(value: bytes) -> None:
     """Guards against a host entry that ends the process."""
-    decode_host(value)
+    decode_host("front-1", value)
 
 
 @settings(derandomize=True, deadline=None, max_examples=400)
