Keep one item that can't be read from hiding the others of its page

The answers of the store to a read or a watch were decoded as a whole. One item with a field of another type made the client refuse each answer that held it, so that the hosts followed the workers, the operator's keys or each other no more until the item was gone, and logged store_lost.

A page whose items don't all decode is now decoded item by item. An item with a key counts as one without a value, so that its reader refuses it; the mirror logs store_item_ignored once for each reason. After a change of which not even the key can be read, the mirror reads all items again. Items under another prefix are ignored, revisions and ids of leases have bounds, and a truncated page without a key to go on from is an error, where it was read again and again.

The new test with processes timed out before, since the hosts never saw the workers that came after the odd items. A page in which the fields of an item itself are nested deeply is still refused as a whole; values are text, so a writer can't bring that about.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -32,10 +32,11 @@
     decode_worker,
     encode_host,
 )
+from ._items import Item
 from ._metrics import HostMetrics
 from ._process_metrics import ProcessMetrics
 from ._settings import HostSettings, read_settings
-from ._store import Item, Mirror, MirrorMode, Reread, StoreClient, StoreError, Watch
+from ._store import Mirror, MirrorMode, Reread, StoreClient, StoreError, Watch
 from ._worker_calls import PlatformWorkerCalls
 
 HOST_LEASE_S = 8.0
@@ -221,6 +222,7 @@
             now=self._clock.now,
             on_change=self._workers_changed,
             on_availability=self._store_availability_changed,
+            on_odd_item=self._ignore_item,
             mode=self._registry_mode,
         )
         self._mirrors = self._make_mirrors()
@@ -280,6 +282,7 @@
                 now=self._clock.now,
                 on_change=self._operator_keys_changed,
                 on_availability=on_availability,
+                on_odd_item=self._ignore_item,
             ),
             self._worker_mirror,
             Mirror(
@@ -288,6 +291,7 @@
                 now=self._clock.now,
                 on_change=self._hosts_changed,
                 on_availability=on_availability,
+                on_odd_item=self._ignore_item,
                 mode=lambda: HOSTS_MODE,
             ),
         ]
@@ -363,6 +367,9 @@
             event = "store_answers" if up else "store_lost"
             self._journal.write(event, {"reason": reason, "calls": self._store.calls})
 
+    def _ignore_item(self, key: str, reason: str) -> None:
+        self._journal.write("store_item_ignored", {"key": key, "reason": reason})
+
     def _report_store_traffic(self) -> None:
         """Tell the core that the store is answering, if bytes have arrived since the last report.
         The bytes of a failed call, such as a refusal, are no sign of that."""
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -4,19 +4,19 @@
 
 import asyncio
 import base64
-import binascii
 import math
 import random
 import urllib.parse
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Annotated
 
 import anyio
 import msgspec
 
 from .._decoding import decode
 from ..net import CallError, HttpClient, Response, TrafficByPurpose
+from ._items import MAX_ID, Item, Page, decode_page
 
 TRAFFIC_PURPOSE = "store_"
 """Start of the names of the purposes for which bytes are counted."""
@@ -48,49 +48,11 @@
 HOSTS_PURPOSE = "hosts"
 """Prefix whose traffic counts the calls for this host's own entry."""
 
-T = TypeVar("T")
-
-
-class Item(msgspec.Struct, kw_only=True):
-    """A key of the store with its value, or the deletion of a key.
-
-    :param revision: revision of the store at which the key was written or deleted.
-    :param value: value in standard base64.
-    :param lease: lease that the key is bound to, or 0.
-    """
-
-    key: str
-    revision: int = 0
-    value: str = ""
-    lease: int = 0
-    deleted: bool = False
-
-    def content(self) -> bytes:
-        """The decoded value; empty if it is not valid base64."""
-        try:
-            return base64.b64decode(self.value, validate=True)
-        except (binascii.Error, ValueError):
-            return b""
-
-
-class _Range(msgspec.Struct):
-    items: list[Item]
-    current_rev: int
-    truncated: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[Item]
-    current_rev: int
-
 
 class _Lease(msgspec.Struct):
-    lease: int
-    ttl_ms: int
+    lease: Annotated[int, msgspec.Meta(ge=1, le=MAX_ID)]
 
 
-_range_decoder = msgspec.json.Decoder(_Range)
-_events_decoder = msgspec.json.Decoder(_Events)
 _lease_decoder = msgspec.json.Decoder(_Lease)
 
 
@@ -171,45 +133,62 @@
             )
         return result
 
-    async def read_prefix(self, prefix: str) -> tuple[dict[str, Item], int]:
+    async def read_prefix(self, prefix: str) -> Page:
         """Read all items under a prefix.
 
-        :returns: items by key, and the revision from which to watch.
+        :returns: the items, with the revision from which to watch.
         """
-        items: dict[str, Item] = {}
-        first_revision: int | None = None
+        found: Page | None = None
         after = ""
         while True:
             query = f"prefix={_quote(prefix)}" + (f"&after={_quote(after)}" if after else "")
             response = await self._call("read", "GET", f"/api/kv-range?{query}", prefix=prefix)
-            page = _decode(_range_decoder, response.body, "read", self._address)
-            # Pages are not a snapshot. A watch from the revision of the first page also delivers
-            # the changes made during the read.
-            first_revision = page.current_rev if first_revision is None else first_revision
-            for item in page.items:
-                items[item.key] = item
-            if not page.truncated or not page.items:
-                return items, first_revision
+            page = self._page(response, "read", prefix)
+            if found is None:
+                # Pages are not a snapshot. A watch from the revision of the first page also
+                # delivers the changes made during the read.
+                found = page
+            else:
+                found.items += page.items
+                found.reason_by_key |= page.reason_by_key
+                found.nameless += page.nameless
+            if not page.truncated:
+                return found
+            if not page.items or page.items[-1].key == after:
+                raise StoreError(
+                    step="read", peer=self._address, reason="a page has no key to go on from"
+                )
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Item], int]:
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
         """Wait for changes under a prefix after a revision.
 
-        :returns: the changes, none if there were none within the wait, and the revision from which
+        :returns: the changes, none if there were none within the wait, with the revision from which
             to continue.
         """
         target = f"/api/kv-watch?prefix={_quote(prefix)}&after={after}&wait_ms={int(wait_s * 1000)}"
         response = await self._call(
             "watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2, prefix=prefix
         )
-        page = _decode(_events_decoder, response.body, "watch", self._address)
-        return page.events, page.current_rev
+        return self._page(response, "watch", prefix)
+
+    def _page(self, response: Response, step: str, prefix: str) -> Page:
+        result = decode_page(response.body, prefix=prefix)
+        if result.is_err():
+            raise self._invalid(step, result.unwrap_err())
+        return result.unwrap()
+
+    def _invalid(self, step: str, reason: str) -> StoreError:
+        return StoreError(step=step, peer=self._address, reason=f"invalid response: {reason}")
 
     async def create_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
         body = msgspec.json.encode({"ttl_ms": int(ttl_s * 1000)})
         response = await self._call("lease", "POST", "/api/kv-lease", body)
-        return _decode(_lease_decoder, response.body, "lease", self._address).lease
+        result = decode(_lease_decoder, response.body)
+        if result.is_err():
+            raise self._invalid("lease", result.unwrap_err())
+        return result.unwrap().lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; a :class:`StoreError` with status 404 means that it has expired."""
@@ -228,13 +207,6 @@
     return urllib.parse.quote(text, safe="")
 
 
-def _decode(decoder: msgspec.json.Decoder[T], body: bytes, step: str, peer: str) -> T:
-    result = decode(decoder, body)
-    if result.is_err():
-        raise StoreError(step=step, peer=peer, reason=f"invalid response: {result.unwrap_err()}")
-    return result.unwrap()
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Watch:
     """Read the changes as they come, or in batches.
@@ -265,6 +237,8 @@
     :param now: the host's clock, in seconds, which also counts the time of a suspension.
     :param on_change: called after each change with all items by key and the store's revision.
     :param on_availability: called after each call with whether the store answered, and the error.
+    :param on_odd_item: called with the key of each item that can't be read, and the reason; the key
+        is empty if it can't be read either.
     :param mode: returns how the copy is kept up to date; it is called again every
         :data:`MODE_CHECK_INTERVAL_S`.
 
@@ -280,6 +254,7 @@
         now: Callable[[], float],
         on_change: Callable[[dict[str, Item], int], None],
         on_availability: Callable[[bool, str], None],
+        on_odd_item: Callable[[str, str], None],
         mode: Callable[[], MirrorMode] = Watch,
     ) -> None:
         self._store = store
@@ -287,6 +262,8 @@
         self._now = now
         self._on_change = on_change
         self._on_availability = on_availability
+        self._on_odd_item = on_odd_item
+        self._reason_by_key: dict[str, str] = {}
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
         self.read_at = -math.inf
@@ -329,18 +306,31 @@
             case Reread():
                 read_all = True
         if self._revision is None or read_all:
-            self._items, self._revision = await self._store.read_prefix(self.prefix)
+            page = await self._store.read_prefix(self.prefix)
+            self._items = {item.key: item for item in page.items}
+            self._revision = page.revision
+            self._report_odd_items(page)
+            self._reason_by_key = page.reason_by_key
             self._report_change(begun_at)
             return
         assert isinstance(mode, Watch)
-        events, revision = await self._store.watch(self.prefix, self._revision, mode.wait_s)
-        for item in events:
+        page = await self._store.watch(self.prefix, self._revision, mode.wait_s)
+        if page.nameless:
+            # One of the items that are held may have changed.
+            self._report_odd_items(page)
+            self._revision = None
+            return
+        for item in page.items:
             if item.deleted:
                 self._items.pop(item.key, None)
             else:
                 self._items[item.key] = item
-        self._revision = max(self._revision, revision)
-        if events:
+            if item.key not in page.reason_by_key:
+                self._reason_by_key.pop(item.key, None)
+        self._report_odd_items(page)
+        self._reason_by_key |= page.reason_by_key
+        self._revision = max(self._revision, page.revision)
+        if page.items:
             self._report_change(begun_at)
         else:
             self.read_at, self._answered_at = begun_at, self._now()
@@ -356,6 +346,14 @@
             self.read_at = read_before_at
             raise
 
+    def _report_odd_items(self, page: Page) -> None:
+        """Report items that can't be read, unless they were reported by an earlier read."""
+        for key, reason in page.reason_by_key.items():
+            if self._reason_by_key.get(key) != reason:
+                self._on_odd_item(key, reason)
+        if page.nameless:
+            self._on_odd_item("", f"{page.nameless} items without a key that can be read")
+
     async def _pause(self) -> None:
         paused_s = 0.0
         variation = random.uniform(0.75, 1.25)
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -126,3 +126,13 @@
     "name-of-another": host_entry("d0-h0"),
     "name-empty": host_entry(""),
 }
+
+ODD_ITEMS: list[dict[str, object]] = [
+    {"value": 7, "lease": 0},
+    {"value": None, "lease": 0},
+    {"value": "", "lease": 2**64},
+    {"value": "", "lease": -1},
+    {"value": "", "lease": "none"},
+    {"value": "", "lease": 0, "deleted": 1},
+]
+"""Fields of items that are not as the store's page says."""
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,15 +9,18 @@
 
 from eelgrassyard._decoding import MAX_REASON_CHARACTERS, decode, shorten
 from eelgrassyard.dispatch._messages import ToServer
-from eelgrassyard.platform import _caller_api, _documents, _store, _worker_calls
+from eelgrassyard.platform import _caller_api, _documents, _items, _store, _worker_calls
 
 DECODER_BY_NAME = {
     "job": _caller_api._job_decoder,
     "configuration": _documents._config_decoder,
     "worker entry": _documents._server_decoder,
     "host entry": _documents._host_decoder,
-    "range": _store._range_decoder,
-    "events": _store._events_decoder,
+    "items": _items._answer_decoder,
+    "raw items": _items._raw_answer_decoder,
+    "item": _items._item_decoder,
+    "key": _items._key_decoder,
+    "lease": _store._lease_decoder,
     "order answer": _worker_calls._order_decoder,
     "poll answer": _worker_calls._poll_decoder,
     "frame": msgspec.msgpack.Decoder(list[ToServer]),
--- a/tests/test_host_processes_odd_entries.py
+++ b/tests/test_host_processes_odd_entries.py
@@ -22,6 +22,7 @@
 from odd_values import (
     ODD_CONFIGS,
     ODD_HOST_ENTRIES,
+    ODD_ITEMS,
     PREFIX,
     ROUTE_HOST,
     SERVICE,
@@ -215,6 +216,20 @@
         )
         return response.status_code == 200 and response.json() == {"state": "completed"}
 
+    async def until_moved(self) -> None:
+        """Drain the workers, add others, and wait until jobs run on the others only."""
+        for domain in DOMAINS:
+            await self.add_worker(f"{domain}-w1", domain)
+        for key in ("servers/d0-w0-1", "servers/d1-w0-1"):
+            entry = json.loads(base64.b64decode(self.store.items[key]["value"]))
+            self.store.put(key, json.dumps({**entry, "state": "draining"}).encode())
+
+        async def all_moved() -> bool:
+            await self.until_served()
+            return set(self.ledger.used_workers[-8:]) <= {"d0-w1", "d1-w1"}
+
+        await self.until(all_moved)
+
     async def until_served(self) -> None:
         """Wait until each host has served a job after this call."""
         for host in self.hosts:
@@ -248,17 +263,26 @@
             await site.until_logged(
                 leaders, "worker_entry_ignored", "worker", {f"a-{name}" for name in entries}
             )
-            for domain in DOMAINS:
-                await site.add_worker(f"{domain}-w1", domain)
-            for key in ("servers/d0-w0-1", "servers/d1-w0-1"):
-                entry = json.loads(base64.b64decode(site.store.items[key]["value"]))
-                site.store.put(key, json.dumps({**entry, "state": "draining"}).encode())
+            await site.until_moved()
+
+    asyncio.run(scenario())
+
 
-            async def all_moved() -> bool:
-                await site.until_served()
-                return set(site.ledger.used_workers[-8:]) <= {"d0-w1", "d1-w1"}
+def test_items_that_cannot_be_read_hide_no_worker(tmp_path: Path) -> None:
+    """Guards against hosts that follow the workers no more, since one item of a page or of the
+    changes can't be read: each answer with it was refused as a whole."""
 
-            await site.until(all_moved)
+    async def scenario() -> None:
+        async with running_site(tmp_path) as site:
+            leaders = await site.leaders()
+            for number, fields in enumerate(ODD_ITEMS):
+                site.store.revision += 1
+                item = {"key": f"servers/a-{number}", "revision": site.store.revision, **fields}
+                site.store.items[str(item["key"])] = item
+                site.store.events.append(item)
+            await site.until_moved()
+            keys = {f"servers/a-{number}" for number in range(len(ODD_ITEMS))}
+            await site.until_logged(leaders, "store_item_ignored", "key", keys)
 
     asyncio.run(scenario())
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -18,8 +18,8 @@
 from eelgrassyard.dispatch._messages import ConfigDocument, TakeOver
 from eelgrassyard.net import CallError, HttpClient, Response
 from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost, run_host
+from eelgrassyard.platform._items import Item
 from eelgrassyard.platform._settings import HostSettings
-from eelgrassyard.platform._store import Item
 from eelgrassyard.standins import reserve_ports
 from platform_standin import StandinWorker, config
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,7 +14,8 @@
     PlatformHost,
     registry_pause_s,
 )
-from eelgrassyard.platform._store import STALE_AFTER_S, Item, Mirror, MirrorMode, Reread, Watch
+from eelgrassyard.platform._items import Item, Page
+from eelgrassyard.platform._store import STALE_AFTER_S, Mirror, MirrorMode, Reread, Watch
 from eelgrassyard.standins import reserve_ports
 from test_platform_host import Site, run_scenario
 
@@ -25,16 +26,16 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
 
-    async def read_prefix(self, prefix: str) -> tuple[dict[str, Item], int]:
+    async def read_prefix(self, prefix: str) -> Page:
         """Read all items under a prefix."""
         self.calls.append("read")
-        return {f"{prefix}a": Item(key=f"{prefix}a", revision=1)}, 1
+        return Page(items=[Item(key=f"{prefix}a", revision=1)], revision=1)
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> tuple[list[Item], int]:
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
         """Read the changes under a prefix."""
         self.calls.append("watch")
         await anyio.sleep(0.01)
-        return [], after
+        return Page(items=[], revision=after)
 
 
 def mirror_for(
@@ -53,6 +54,7 @@
             now=anyio.current_time,
             on_change=lambda items, revision: None,
             on_availability=lambda up, reason: None,
+            on_odd_item=lambda key, reason: None,
             mode=mode,
         )
         async with anyio.create_task_group() as group:
@@ -123,7 +125,7 @@
     def record_watches(name: str, host: PlatformHost) -> None:
         watch = host._store.watch
 
-        async def recorded(prefix: str, after: int, wait_s: float) -> tuple[list[Item], int]:
+        async def recorded(prefix: str, after: int, wait_s: float) -> Page:
             watched[name].append(prefix)
             return await watch(prefix, after, wait_s)
 
