Don't keep long values of other writers in memory

A mirror kept the value of each item. With 250 items of 1 MiB of another writer under servers/, the four host processes of a site on loopback came to 655 to 1,037 MB of resident memory (trial, 40 s), and the deploy file has them killed above 300 MB.

Values longer than 65,536 characters of base64 are dropped as a page is read, and the item counts as one that can't be read; entries of workers and hosts have some hundred bytes. The operator's keys may have 6,000,000 characters, since a configuration can have a megabyte.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -32,7 +32,7 @@
     decode_worker,
     encode_host,
 )
-from ._items import Item
+from ._items import MAX_CONFIG_CHARACTERS, Item
 from ._metrics import HostMetrics
 from ._process_metrics import ProcessMetrics
 from ._settings import HostSettings, read_settings
@@ -283,6 +283,7 @@
                 on_change=self._operator_keys_changed,
                 on_availability=on_availability,
                 on_odd_item=self._ignore_item,
+                max_characters=MAX_CONFIG_CHARACTERS,
             ),
             self._worker_mirror,
             Mirror(
--- a/src/eelgrassyard/platform/_items.py
+++ b/src/eelgrassyard/platform/_items.py
@@ -16,6 +16,13 @@
 MAX_ID = 2**63 - 1
 """Largest revision or id of a lease."""
 
+MAX_ENTRY_CHARACTERS = 65_536
+"""Longest value that is kept of an entry of a worker or host, in base64; they have some hundred
+bytes. Another writer may leave hundreds of values of a megabyte."""
+
+MAX_CONFIG_CHARACTERS = 6_000_000
+"""Longest value that is kept of the operator's keys, in base64."""
+
 _Id = Annotated[int, Meta(ge=0, le=MAX_ID)]
 
 
@@ -23,7 +30,7 @@
     """A key of the store with its value, or the deletion of a key.
 
     :param revision: revision of the store at which the key was written or deleted.
-    :param value: value in standard base64; empty if it can't be read.
+    :param value: value in standard base64; empty if it can't be read or is too long.
     :param lease: lease that the key is bound to, or 0.
     """
 
@@ -83,17 +90,18 @@
     nameless: int = 0
 
 
-def decode_page(body: bytes, *, prefix: str) -> Result[Page, str]:
+def decode_page(body: bytes, *, prefix: str, max_characters: int) -> Result[Page, str]:
     """Decode the answer to a read or a watch; the error is the reason if it is invalid.
 
     :param prefix: prefix that all keys must have.
+    :param max_characters: longest value that is kept.
     """
     result = decode(_answer_decoder, body)
     if result.is_ok():
         answer = result.unwrap()
         page = Page(items=[], revision=answer.current_rev, truncated=answer.truncated)
         for item in answer.items or answer.events:
-            _add_item(page, item, prefix)
+            _add_item(page, item, prefix, max_characters)
         return Ok(page)
     # An item that can't be decoded must not hide the others.
     raw_result = decode(_raw_answer_decoder, body)
@@ -102,14 +110,14 @@
     raw_answer = raw_result.unwrap()
     page = Page(items=[], revision=raw_answer.current_rev, truncated=raw_answer.truncated)
     for raw in raw_answer.items or raw_answer.events:
-        _add_raw_item(page, bytes(raw), prefix)
+        _add_raw_item(page, bytes(raw), prefix, max_characters)
     return Ok(page)
 
 
-def _add_raw_item(page: Page, raw: bytes, prefix: str) -> None:
+def _add_raw_item(page: Page, raw: bytes, prefix: str, max_characters: int) -> None:
     result = decode(_item_decoder, raw)
     if result.is_ok():
-        _add_item(page, result.unwrap(), prefix)
+        _add_item(page, result.unwrap(), prefix, max_characters)
         return
     key = decode(_key_decoder, raw)
     if key.is_err():
@@ -117,11 +125,14 @@
         return
     item = Item(key=key.unwrap().key)
     page.reason_by_key[item.key] = result.unwrap_err()
-    _add_item(page, item, prefix)
+    _add_item(page, item, prefix, max_characters)
 
 
-def _add_item(page: Page, item: Item, prefix: str) -> None:
+def _add_item(page: Page, item: Item, prefix: str, max_characters: int) -> None:
     if not item.key.startswith(prefix):
         page.reason_by_key[item.key] = shorten(f"the key doesn't begin with {prefix}")
         return
+    if len(item.value) > max_characters:
+        page.reason_by_key[item.key] = f"the value has {len(item.value)} characters"
+        item.value = ""
     page.items.append(item)
--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -16,7 +16,7 @@
 
 from .._decoding import decode
 from ..net import CallError, HttpClient, Response, TrafficByPurpose
-from ._items import MAX_ID, Item, Page, decode_page
+from ._items import MAX_ENTRY_CHARACTERS, MAX_ID, Item, Page, decode_page
 
 TRAFFIC_PURPOSE = "store_"
 """Start of the names of the purposes for which bytes are counted."""
@@ -133,9 +133,10 @@
             )
         return result
 
-    async def read_prefix(self, prefix: str) -> Page:
+    async def read_prefix(self, prefix: str, *, max_characters: int) -> Page:
         """Read all items under a prefix.
 
+        :param max_characters: longest value that is kept, in base64.
         :returns: the items, with the revision from which to watch.
         """
         found: Page | None = None
@@ -143,7 +144,7 @@
         while True:
             query = f"prefix={_quote(prefix)}" + (f"&after={_quote(after)}" if after else "")
             response = await self._call("read", "GET", f"/api/kv-range?{query}", prefix=prefix)
-            page = self._page(response, "read", prefix)
+            page = self._page(response, "read", prefix, max_characters)
             if found is None:
                 # Pages are not a snapshot. A watch from the revision of the first page also
                 # delivers the changes made during the read.
@@ -160,9 +161,10 @@
                 )
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
+    async def watch(self, prefix: str, after: int, wait_s: float, *, max_characters: int) -> Page:
         """Wait for changes under a prefix after a revision.
 
+        :param max_characters: longest value that is kept, in base64.
         :returns: the changes, none if there were none within the wait, with the revision from which
             to continue.
         """
@@ -170,10 +172,10 @@
         response = await self._call(
             "watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2, prefix=prefix
         )
-        return self._page(response, "watch", prefix)
+        return self._page(response, "watch", prefix, max_characters)
 
-    def _page(self, response: Response, step: str, prefix: str) -> Page:
-        result = decode_page(response.body, prefix=prefix)
+    def _page(self, response: Response, step: str, prefix: str, max_characters: int) -> Page:
+        result = decode_page(response.body, prefix=prefix, max_characters=max_characters)
         if result.is_err():
             raise self._invalid(step, result.unwrap_err())
         return result.unwrap()
@@ -239,6 +241,7 @@
     :param on_availability: called after each call with whether the store answered, and the error.
     :param on_odd_item: called with the key of each item that can't be read, and the reason; the key
         is empty if it can't be read either.
+    :param max_characters: longest value that is kept, in base64.
     :param mode: returns how the copy is kept up to date; it is called again every
         :data:`MODE_CHECK_INTERVAL_S`.
 
@@ -255,6 +258,7 @@
         on_change: Callable[[dict[str, Item], int], None],
         on_availability: Callable[[bool, str], None],
         on_odd_item: Callable[[str, str], None],
+        max_characters: int = MAX_ENTRY_CHARACTERS,
         mode: Callable[[], MirrorMode] = Watch,
     ) -> None:
         self._store = store
@@ -263,6 +267,7 @@
         self._on_change = on_change
         self._on_availability = on_availability
         self._on_odd_item = on_odd_item
+        self._max_characters = max_characters
         self._reason_by_key: dict[str, str] = {}
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
@@ -306,7 +311,7 @@
             case Reread():
                 read_all = True
         if self._revision is None or read_all:
-            page = await self._store.read_prefix(self.prefix)
+            page = await self._store.read_prefix(self.prefix, max_characters=self._max_characters)
             self._items = {item.key: item for item in page.items}
             self._revision = page.revision
             self._report_odd_items(page)
@@ -314,7 +319,9 @@
             self._report_change(begun_at)
             return
         assert isinstance(mode, Watch)
-        page = await self._store.watch(self.prefix, self._revision, mode.wait_s)
+        page = await self._store.watch(
+            self.prefix, self._revision, mode.wait_s, max_characters=self._max_characters
+        )
         if page.nameless:
             # One of the items that are held may have changed.
             self._report_odd_items(page)
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from eelgrassyard.net import Exchange, HttpServer
-from eelgrassyard.platform._items import Page, decode_page
+from eelgrassyard.platform._items import MAX_ENTRY_CHARACTERS, Page, decode_page
 from eelgrassyard.platform._store import Mirror, StoreClient, StoreError
 from eelgrassyard.standins import reserve_ports
 from odd_values import ODD_ITEMS
@@ -27,7 +27,7 @@
 
 def read(body: bytes) -> Page:
     """Decode an answer that is valid as a whole."""
-    return decode_page(body, prefix=PREFIX).unwrap()
+    return decode_page(body, prefix=PREFIX, max_characters=MAX_ENTRY_CHARACTERS).unwrap()
 
 
 @pytest.mark.parametrize("name", ["items", "events"])
@@ -62,13 +62,13 @@
 def test_an_odd_revision_of_an_answer_is_an_error(revision: object) -> None:
     """Guards against a revision that can't be sent in the next call."""
     body = page_of(GOOD, revision=revision)
-    assert decode_page(body, prefix=PREFIX).is_err()
+    assert decode_page(body, prefix=PREFIX, max_characters=10).is_err()
 
 
 @given(data=st.binary(max_size=80) | st.binary(max_size=80).map(lambda data: page_of(repr(data))))
 def test_any_answer_is_read_or_refused(data: bytes) -> None:
     """Guards against an answer that ends the task that reads it."""
-    decode_page(data, prefix=PREFIX)
+    decode_page(data, prefix=PREFIX, max_characters=10)
 
 
 def call_store(answer: Callable[[Exchange], None], act: Callable[[StoreClient], object]) -> None:
@@ -91,7 +91,7 @@
 
     async def act(store: StoreClient) -> None:
         with pytest.raises(StoreError, match="no key to go on from"):
-            await store.read_prefix(PREFIX)
+            await store.read_prefix(PREFIX, max_characters=10)
 
     call_store(lambda exchange: exchange.respond(200, page_of(GOOD, truncated=True)), act)
 
@@ -139,3 +139,11 @@
     assert contents == [b"x", b"y"]
     assert paths[:3] == ["range", "watch", "range"]
     assert odd == [""]
+
+
+def test_long_values_are_not_kept() -> None:
+    """Guards against memory that other writers fill: 250 values of a megabyte took 1,037 MB."""
+    value = "A" * (MAX_ENTRY_CHARACTERS + 4)
+    page = read(page_of({**GOOD, "key": "servers/odd", "value": value}, GOOD))
+    assert [len(item.value) for item in page.items] == [0, 4]
+    assert list(page.reason_by_key) == ["servers/odd"]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -26,12 +26,12 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
 
-    async def read_prefix(self, prefix: str) -> Page:
+    async def read_prefix(self, prefix: str, *, max_characters: int) -> Page:
         """Read all items under a prefix."""
         self.calls.append("read")
         return Page(items=[Item(key=f"{prefix}a", revision=1)], revision=1)
 
-    async def watch(self, prefix: str, after: int, wait_s: float) -> Page:
+    async def watch(self, prefix: str, after: int, wait_s: float, *, max_characters: int) -> Page:
         """Read the changes under a prefix."""
         self.calls.append("watch")
         await anyio.sleep(0.01)
@@ -125,9 +125,9 @@
     def record_watches(name: str, host: PlatformHost) -> None:
         watch = host._store.watch
 
-        async def recorded(prefix: str, after: int, wait_s: float) -> Page:
+        async def recorded(prefix: str, after: int, wait_s: float, *, max_characters: int) -> Page:
             watched[name].append(prefix)
-            return await watch(prefix, after, wait_s)
+            return await watch(prefix, after, wait_s, max_characters=max_characters)
 
         host._store.watch = recorded  # type: ignore[method-assign]
 
