Refuse odd settings with a reason, whatever they contain

A settings file with a port such as "²" (str.isdigit() is true for it, int() raises ValueError) or with a field nested 5,000 deep (RecursionError of tomllib) ended the process with a traceback: with code 1 at the start, and with 1 or 120 when the file changed while the process served, since the settings are read each second in its task group. Values that were accepted failed later: with grace_s = nan or -1 the host ended at once on SIGTERM without the time for its callers; a host name as a listening address ended in a failed lookup. A field that hosts don't use (memory_mb, max_fds) or one odd seed made the whole file unusable.

read_settings now returns each failure to read or convert a file as its reason. Bounds and shares have ranges, which NaN is outside of, names are 1 to 128 printable bytes, and addresses are an IPv4 address and a port in ASCII digits, as the platform has no name lookups. Unused fields are not read, and odd seeds are dropped one by one. eelgrassyard-platform check reads files with the same function, and says when a role is no table.

Ruled out: an empty, half written or non-UTF-8 file and an integer of 5,000 digits were refused before too.

--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
+import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -13,6 +16,19 @@
 BYTES_PER_MBIT = 125_000
 BYTES_PER_MB = 1_048_576
 
+MAX_FILE_BYTES = 1_000_000
+"""Size of the largest file that is read; the platform's are a few kilobytes."""
+
+MAX_NAME_BYTES = 128
+"""Length of the longest host or domain name. Both are parts of keys, which have 200 bytes."""
+
+MAX_REASON_LENGTH = 300
+"""Length at which the reason for a refusal is cut off; it may quote the file."""
+
+_Time = Annotated[float, msgspec.Meta(ge=0.0, le=86_400_000.0)]
+_Factor = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+_Share = Annotated[float, msgspec.Meta(gt=0.0, le=1e6)]
+
 
 class _Listen(msgspec.Struct):
     front: str = ""
@@ -23,22 +39,20 @@
 
 
 class _Limits(msgspec.Struct):
-    cpu_share: float = 1.0
-    cores: float = 1.0
-    memory_mb: int = 256
-    max_fds: int = 1024
+    cpu_share: _Share = 1.0
+    cores: _Share = 1.0
     link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct):
-    stop_ms: float = 50.0
-    remote_slowdown: float = 1.5
-    grace_s: float = 6.0
+    stop_ms: _Time = 50.0
+    remote_slowdown: _Factor = 1.5
+    grace_s: _Time = 6.0
 
 
 class _Platform(msgspec.Struct):
     address: str
-    ttl_min_ms: int = 1000
+    ttl_min_ms: _Time = 1000.0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -46,7 +60,8 @@
     zone: str
     listen: _Listen
     platform: _Platform
-    seeds: list[str] = []
+    # Seeds are hints, so odd ones are dropped and don't make the file unusable.
+    seeds: Any = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -106,26 +121,38 @@
     descriptor_limit: int = 0
 
 
-def read_settings(path: str) -> Result[HostSettings, HostSettingsError]:
-    """Read and validate a settings file; seeds that are not addresses are dropped."""
+def load_toml(path: str) -> Result[dict[str, Any], str]:
+    """Read a TOML file; any failure is returned as its reason, whatever the file contains."""
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        with Path(path).open("rb") as file:
+            content = file.read(MAX_FILE_BYTES + 1)
+        if len(content) > MAX_FILE_BYTES:
+            return Err(f"larger than {MAX_FILE_BYTES} bytes")
+        return Ok(tomllib.loads(content.decode("utf-8")))
     except (OSError, ValueError) as error:
-        return Err(HostSettingsError(step="read", peer=path, reason=str(error)))
+        return Err(str(error)[:MAX_REASON_LENGTH])
+    except Exception as error:
+        # The parser recurses, and doesn't say which errors it raises for invalid documents.
+        return Err(f"{type(error).__name__}: {error}"[:MAX_REASON_LENGTH])
+
+
+def read_settings(path: str) -> Result[HostSettings, HostSettingsError]:
+    """Read and validate a settings file; seeds that are not addresses are dropped.
+
+    :returns: the settings, or why the file cannot be used; no content of the file raises an error.
+    """
+    loaded = load_toml(path)
+    if loaded.is_err():
+        return Err(HostSettingsError(step="read", peer=path, reason=loaded.unwrap_err()))
     try:
-        file = msgspec.convert(raw, _SettingsFile)
-    except msgspec.ValidationError as error:
-        return Err(HostSettingsError(step="check", peer=path, reason=str(error)))
-    for name, address in (
-        ("front", file.listen.front),
-        ("ready", file.listen.ready),
-        ("control", file.listen.control),
-        ("control_bind", file.listen.control_bind or file.listen.control),
-        ("platform", file.platform.address),
-    ):
-        if not _is_address(address):
-            reason = f"{name}: {address!r} is not an address of the form HOST:PORT"
-            return Err(HostSettingsError(step="check", peer=path, reason=reason))
+        file = msgspec.convert(loaded.unwrap(), _SettingsFile)
+    except Exception as error:
+        reason = str(error) if isinstance(error, msgspec.ValidationError) else repr(error)
+        return Err(HostSettingsError(step="check", peer=path, reason=reason[:MAX_REASON_LENGTH]))
+    reason = _invalid_value(file)
+    if reason:
+        return Err(HostSettingsError(step="check", peer=path, reason=reason[:MAX_REASON_LENGTH]))
+    seeds = file.seeds if isinstance(file.seeds, list) else []
     return Ok(
         HostSettings(
             name=file.node,
@@ -134,7 +161,7 @@
             ready_address=file.listen.ready,
             peer_address=file.listen.control,
             peer_bind_address=file.listen.control_bind or file.listen.control,
-            seeds=tuple(seed for seed in file.seeds if _is_address(seed)),
+            seeds=tuple(seed for seed in seeds if isinstance(seed, str) and _is_address(seed)),
             weight=file.limits.cpu_share * file.limits.cores,
             store_address=file.platform.address,
             stop_s=file.bounds.stop_ms / 1000.0,
@@ -148,6 +175,30 @@
     )
 
 
+def _invalid_value(file: _SettingsFile) -> str:
+    """Return what is wrong with a name or an address, or nothing."""
+    for name, text in (("node", file.node), ("zone", file.zone)):
+        if not (text.isprintable() and 0 < len(text.encode()) <= MAX_NAME_BYTES):
+            return f"{name}: {text!r} is not a name of 1 to {MAX_NAME_BYTES} printable bytes"
+    for name, address in (
+        ("front", file.listen.front),
+        ("ready", file.listen.ready),
+        ("control", file.listen.control),
+        ("control_bind", file.listen.control_bind or file.listen.control),
+        ("platform", file.platform.address),
+    ):
+        if not _is_address(address):
+            return f"{name}: {address!r} is not an address of the form IP:PORT"
+    return ""
+
+
 def _is_address(text: str) -> bool:
+    # A name would be looked up in a thread, and the exit of the process may have to wait for that.
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) < 65536:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/src/eelgrassyard/platform/_tool.py
+++ b/src/eelgrassyard/platform/_tool.py
@@ -5,14 +5,13 @@
 import http.client
 import json
 import sys
-import tomllib
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from absl import flags
 
 from ._documents import decode_config
-from ._settings import read_settings
+from ._settings import load_toml, read_settings
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -36,10 +35,10 @@
 
 
 def _check_file(path: str) -> list[str]:
-    try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        return [str(error)]
+    loaded = load_toml(path)
+    if loaded.is_err():
+        return [loaded.unwrap_err()]
+    raw = loaded.unwrap()
     if "roles" in raw:
         return _check_deploy_file(raw)
     result = read_settings(path)
@@ -53,14 +52,23 @@
     roles = raw["roles"]
     if not isinstance(roles, dict) or not roles:
         return [*problems, "roles: at least one role is required"]
+    served: list[object] = []
     for name, role in roles.items():
+        if not isinstance(role, dict):
+            problems.append(f"roles.{name}: must be a table")
+            continue
         for key in ("run", "on"):
             if not isinstance(role.get(key), str):
                 problems.append(f"roles.{name}.{key}: must be a string")
         share = role.get("share", 1.0)
         if not isinstance(share, int | float) or not 0.0 < share <= 1.0:
             problems.append(f"roles.{name}.share: {share!r} is not above 0 and at most 1")
-    if not any("front" in role.get("serves", []) for role in roles.values()):
+        serves = role.get("serves", [])
+        if isinstance(serves, list):
+            served += serves
+        else:
+            problems.append(f"roles.{name}.serves: must be a list")
+    if "front" not in served:
         problems.append("roles: no role serves front")
     return problems
 
