Bound the numbers in callers' jobs, headers and answers

Callers saw: a job whose `cpu`, `mem_mb`, `gpu` or `max_per_server` is beyond 64 bits is accepted, though a follower can't encode it for its leader: OverflowError in `Driver.perform_actions`, with which the other actions of the turn are lost, again at each retry. An `estimate_ms` of 1e308 gives an infinite objective. A deadline header "nan" or "-inf" counts as passed, so that the job is abandoned at once. A refusal whose `retry_after_s` is infinite or no number raises, and its caller waits for good; 1e308 gives a header of 309 digits.

Cause: only lower bounds were checked.

Evidence: before the change `(200, [(Job(...), 1.5)], []) == (400, [], [])`, `assert 0.0 == 1.5`, and TimeoutError at the client of the refusal. `after` and `count` were bounded before; lone surrogates in `spec` are refused by msgspec.

Sizes are limited to 10^9 and run times to 10^10 ms; beyond them the request is malformed (400). A deadline that isn't finite is invalid and stands for the route's timeout. Retry-After is between 1 and 60 s.

--- a/src/eelgrassyard/platform/_caller_api.py
+++ b/src/eelgrassyard/platform/_caller_api.py
@@ -25,6 +25,15 @@
 MAX_TASKS = 10_000
 """Tasks of one job; a job with more is rejected as a caller's mistake."""
 
+MAX_SIZE = 10**9
+"""Largest size of a task in one dimension, beyond any worker. Messages between hosts hold integers
+of 64 bits, and so must the sum over all tasks of a job."""
+
+MAX_ESTIMATE_MS = 1e10
+"""Longest declared run time, about four months; sums over all steps stay finite."""
+
+MAX_RETRY_AFTER_S = 60.0
+
 
 class _Phase(msgspec.Struct):
     count: int
@@ -110,7 +119,9 @@
         self, exchange: Exchange, job_id: str, reason: str, retry_after_s: float = RETRY_AFTER_S
     ) -> None:
         self._log("request_refused", {"job": job_id, "reason": reason}, False)
-        seconds = max(1, math.ceil(retry_after_s))
+        if not math.isfinite(retry_after_s):
+            retry_after_s = RETRY_AFTER_S
+        seconds = math.ceil(min(MAX_RETRY_AFTER_S, max(1.0, retry_after_s)))
         exchange.respond(
             503,
             headers=f"Retry-After: {seconds}\r\n",
@@ -191,8 +202,11 @@
     if len(body.spec.encode()) > MAX_SPEC_BYTES:
         return "the spec is too long"
     for number, phase in enumerate(body.phases):
-        if phase.count < 1 or min(phase.cpu, phase.mem_mb, phase.gpu, phase.estimate_ms) < 0:
+        sizes = (phase.cpu, phase.mem_mb, phase.gpu, phase.max_per_server)
+        if phase.count < 1 or min(*sizes, phase.estimate_ms) < 0:
             return f"phase {number}: count must be positive, and sizes must not be negative"
+        if max(sizes) > MAX_SIZE or phase.estimate_ms > MAX_ESTIMATE_MS:
+            return f"phase {number}: a size is out of range"
         if any(not 0 <= earlier < number for earlier in phase.after):
             return f"phase {number}: after may only list earlier phases"
     return ""
@@ -246,6 +260,7 @@
     :param header: milliseconds; an empty or invalid value stands for the timeout.
     """
     try:
-        return min(timeout_s, max(0.0, float(header) / 1000.0)) if header else timeout_s
+        wait_s = float(header) / 1000.0 if header else timeout_s
     except ValueError:
         return timeout_s
+    return min(timeout_s, max(0.0, wait_s)) if math.isfinite(wait_s) else timeout_s
