Answer a caller with 502 after an unforeseen error

Callers saw: an error while a job's answer is written (log, metrics, headers) reaches `Driver.perform_actions`: the caller has no answer, and the actions behind it are lost.

`CallerApi` contains the errors of one request, reports them with the path, and answers 502: the job may have been submitted, so 503 would promise too much. It tells `on_close` that the caller is gone, so that the job is stopped before the caller sends it again.

--- a/src/eelgrassyard/platform/_caller_api.py
+++ b/src/eelgrassyard/platform/_caller_api.py
@@ -14,6 +14,7 @@
 from ..dispatch._routes import Kind, RouteTable
 from ..net import Exchange
 from ..net._driver import Driver
+from ..net._errors import report_contained
 
 RETRY_AFTER_S = 1
 """Default of the Retry-After header of a refused request."""
@@ -87,7 +88,21 @@
         self._log = log
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a request, at once or when its job has ended."""
+        """Answer a request, at once or when its job has ended.
+
+        An unforeseen error is answered with 502, since the job may have been submitted.
+        """
+        try:
+            self._handle(exchange)
+        except Exception as error:
+            self._fail(exchange, error)
+
+    def _fail(self, exchange: Exchange, error: Exception) -> None:
+        report_contained(f"request {exchange.request.path!r:.200} failed", error)
+        exchange.client_left()
+        self._respond(exchange, 502)
+
+    def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         if not self.routes.version:
             self._refuse(exchange, "", "no configuration yet")
@@ -156,7 +171,10 @@
         started_at = self._driver.now()
 
         def on_answer(answer: AnswerCaller) -> None:
-            self._answer(exchange, job, answer, self._driver.now() - started_at)
+            try:
+                self._answer(exchange, job, answer, self._driver.now() - started_at)
+            except Exception as error:
+                self._fail(exchange, error)
 
         ticket = self._driver.submit(job, caller_waits_s=caller_waits_s, on_answer=on_answer)
         exchange.on_close = lambda: self._driver.caller_left(ticket)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -167,6 +167,26 @@
     assert b"Retry-After: " + header + b"\r\n" in received
 
 
+def test_an_unforeseen_error_is_answered_with_502() -> None:
+    """Guards against a caller without an answer, and against a 503, which promises that nothing
+    has run."""
+    driver = StandinDriver()
+    driver.error = RuntimeError("unforeseen")
+    status, _, reported = request(json.dumps(JOB).encode(), driver=driver)
+    assert (status, reported) == (502, [driver.error])
+
+
+def test_an_error_while_answering_still_answers_the_caller() -> None:
+    """Guards against a caller whose job has ended and who gets no answer."""
+    error = RuntimeError("unforeseen")
+
+    def fail(*_: object) -> None:
+        raise error
+
+    status, _, reported = request(json.dumps(JOB).encode(), on_answer=fail)
+    assert (status, reported) == (502, [error])
+
+
 NUMBERS = st.integers() | st.floats() | st.sampled_from([10**30, 2**64, -(2**63), 1e308])
 
 ODD = st.recursive(
