--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -215,20 +215,32 @@
 ).map(lambda lines: b"".join(b"%s: %s\r\n" % line for line in lines))
 
 
-@settings(derandomize=True, deadline=None, max_examples=150)
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(BODIES)
+def test_each_job_is_answered_and_can_be_sent_to_other_hosts(body: bytes) -> None:
+    """Guards against a job without an answer, or one that a follower can't encode for its
+    leader."""
+    driver = StandinDriver()
+    status, _, reported = request(body, driver=driver)
+    assert status in (200, 400, 503)
+    assert not reported
+    for job, _ in driver.jobs:
+        msgspec.msgpack.encode(job)
+        assert job.objective_s() < float("inf")
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
 @given(
-    BODIES,
     st.just(b"Host: nony24.example\r\n") | HEADERS,
     st.sampled_from([PATH, "/lohu930/", "/lohu930/x", "*", "//", "http://a/b", "/%00", "/"]),
-    st.sampled_from(["POST", "POST", "GET", "DELETE", "HEAD", "OPTIONS", "PUT"]),
+    st.sampled_from(["POST", "GET", "DELETE", "HEAD", "OPTIONS", "PUT"]),
 )
-def test_each_request_is_answered(body: bytes, headers: bytes, path: str, method: str) -> None:
-    """Guards against a request without an answer, and a job that can't be sent to the leader."""
+def test_each_request_is_answered(headers: bytes, path: str, method: str) -> None:
+    """Guards against a request without an answer because of its head."""
     driver = StandinDriver()
-    status, _, reported = request(body, driver=driver, headers=headers, path=path, method=method)
-    assert status in (200, 400, 404, 405, 410, 503)
+    status, _, reported = request(
+        json.dumps(JOB).encode(), driver=driver, headers=headers, path=path, method=method
+    )
+    assert status in (200, 400, 404, 405, 410)
     assert not reported
-    for job, waits_s in driver.jobs:
-        msgspec.msgpack.encode(job)
-        assert 0.0 <= waits_s <= 1.5
-        assert job.objective_s() < float("inf")
+    assert all(0.0 <= waits_s <= 1.5 for _, waits_s in driver.jobs)
