Answer a rejected request behind others, and close its connection

Callers saw: after a malformed request, or too many pipelined ones, behind a request in progress, the connection stays open and ignores all further data until it idles; the rejected request gets no answer, or a 408 after 15 s.

Cause: `_reject` wrote nothing while a request was in progress, and nothing came back to it afterwards.

Evidence: before the change TimeoutError at the client, and `At index 17 diff: b'408' != b'429'`.

The status of the rejection is kept, and sent with `Connection: close` after the responses to the earlier requests. A connection reports one rejection.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -193,7 +193,7 @@
         self._state_since = 0.0
         self._current_exchange: Exchange | None = None
         self._pipelined: deque[Exchange] = deque()
-        self._rejected = False
+        self._rejection: int | None = None
 
     # --- transport ---
 
@@ -213,7 +213,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._server.traffic.received += len(data)
-        if self._rejected:
+        if self._rejection is not None:
             return
         if self._in_headers:
             if self._header_bytes == 0:
@@ -230,13 +230,8 @@
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrade is not supported")
         except httptools.HttpParserError as error:
-            if not self._rejected:
-                self._reject(400, f"malformed request: {error}")
-        if (
-            self._in_headers
-            and not self._rejected
-            and self._header_bytes > self._server.limits.header_bytes
-        ):
+            self._reject(400, f"malformed request: {error}")
+        if self._in_headers and self._header_bytes > self._server.limits.header_bytes:
             self._reject(431, "headers too large")
 
     # --- parser callbacks ---
@@ -278,7 +273,7 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: end of the message."""
-        if self._rejected:
+        if self._rejection is not None:
             return
         self._in_headers = True
         self._state_since = asyncio.get_running_loop().time()
@@ -340,11 +335,20 @@
             return
         if self._pipelined:
             self._handle(self._pipelined.popleft())
+        elif self._rejection is not None:
+            self._close_rejected(self._rejection)
 
     def _reject(self, status: int, reason: str) -> None:
-        self._rejected = True
+        """Reject what the client sends; requests that it has sent before are answered first."""
+        if self._rejection is not None:
+            return
+        self._rejection = status
         self._server.report_error(status, reason)
-        if self._transport is not None and self._current_exchange is None:
+        if self._current_exchange is None:
+            self._close_rejected(status)
+
+    def _close_rejected(self, status: int) -> None:
+        if self._transport is not None:
             self._write(_encode_response(status, b"", headers="", keep_alive=False))
             self._transport.close()
 
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -562,3 +562,38 @@
         assert server.pending_requests() == 0
 
     serve(scenario, handler)
+
+
+@pytest.mark.parametrize(
+    ("data", "statuses"),
+    [
+        (GET + b"nonsense\r\n\r\n", [b"200", b"400"]),
+        (GET * 3 + b"nonsense\r\n\r\n", [b"200"] * 3 + [b"400"]),
+        (GET * 30, [b"200"] * 17 + [b"429"]),
+        (
+            GET + b"POST / HTTP/1.1\r\nContent-Length: 2001\r\n\r\n" + b"x" * 2001,
+            [b"200", b"413"],
+        ),
+    ],
+)
+def test_a_rejection_behind_other_requests_is_sent_once_and_closes_the_connection(
+    data: bytes, statuses: list[bytes]
+) -> None:
+    """Guards against a connection that stays open and ignores all that its client sends."""
+    rejected: list[int] = []
+
+    async def main() -> None:
+        server = HttpServer(
+            handler=lambda exchange: asyncio.get_running_loop().call_soon(exchange.respond, 200)
+            and None,
+            limits=ServerLimits(header_bytes=2000, body_bytes=2000),
+            on_error=lambda status, _: rejected.append(status),
+        )
+        address = free_address()
+        await server.listen(address)
+        received = await exchange_bytes(address, data, answers=len(statuses) + 1)
+        assert [part.split()[0] for part in received.split(b"HTTP/1.1 ")[1:]] == statuses
+        assert rejected == [int(statuses[-1])]
+        server.close()
+
+    asyncio.run(main())
