Stop handling requests of a client that does not read its responses

Callers saw nothing yet: a client that sends requests and never reads makes the responses pile up in the memory of the process. A trial with 2,000 requests and responses of 100 KB left 196 MB in the buffer of one connection, against a limit of 300 MB for the process. A connection that is closed while its buffer is full stays open for good.

Cause: the server did not implement `pause_writing`, and the check of timeouts left out connections that were closing.

Evidence: before the change `assert 14 < 14` (all requests were handled) and TimeoutError while waiting for the disconnect.

While the buffer is above asyncio's mark, requests wait as pipelined ones do, with the same limit. After `idle_s` without reading, the connection is aborted.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -194,6 +194,7 @@
         self._current_exchange: Exchange | None = None
         self._pipelined: deque[Exchange] = deque()
         self._rejection: int | None = None
+        self._write_paused = False
 
     # --- transport ---
 
@@ -211,6 +212,14 @@
         if exchange is not None:
             exchange.client_left()
 
+    def pause_writing(self) -> None:
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        self._write_paused = False
+        self._state_since = asyncio.get_running_loop().time()
+        self._handle_next()
+
     def data_received(self, data: bytes) -> None:
         self._server.traffic.received += len(data)
         if self._rejection is not None:
@@ -294,7 +303,7 @@
             ),
             keep_alive=incoming.keep_alive,
         )
-        if self._current_exchange is None:
+        if self._current_exchange is None and not self._write_paused:
             self._handle(exchange)
         elif len(self._pipelined) < MAX_PIPELINED:
             self._pipelined.append(exchange)
@@ -333,6 +342,14 @@
             if self._transport is not None:
                 self._transport.close()
             return
+        self._handle_next()
+
+    def _handle_next(self) -> None:
+        """Handle the next pipelined request, unless the client does not read its responses."""
+        if self._write_paused or self._current_exchange is not None:
+            return
+        if self._transport is None or self._transport.is_closing():
+            return
         if self._pipelined:
             self._handle(self._pipelined.popleft())
         elif self._rejection is not None:
@@ -344,8 +361,7 @@
             return
         self._rejection = status
         self._server.report_error(status, reason)
-        if self._current_exchange is None:
-            self._close_rejected(status)
+        self._handle_next()
 
     def _close_rejected(self, status: int) -> None:
         if self._transport is not None:
@@ -364,10 +380,16 @@
         return self._current_exchange is not None
 
     def close_if_timed_out(self, now: float) -> None:
-        """Close the connection if sending a request or idling has exceeded its time limit."""
+        """Close the connection if sending a request, reading the responses or idling has exceeded
+        its time limit."""
         if self._current_exchange is not None or self._transport is None:
             return
         limits = self._server.limits
+        if self._write_paused or self._transport.is_closing():
+            # Responses wait for a client that does not read them; closing would wait as well.
+            if now - self._state_since > limits.idle_s:
+                self._transport.abort()
+            return
         reading = self._header_bytes > 0 or not self._in_headers
         if reading and now - self._state_since > limits.header_s:
             self._reject(408, "request not sent in time")
@@ -376,7 +398,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is being received or handled."""
-        idle = self._current_exchange is None and self._header_bytes == 0 and self._in_headers
+        waiting = self._current_exchange is not None or self._pipelined
+        idle = not waiting and self._header_bytes == 0 and self._in_headers
         if idle and self._transport is not None:
             self._transport.close()
 
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -597,3 +597,56 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_a_client_that_does_not_read_its_responses_gets_no_further_ones() -> None:
+    """Guards against responses that pile up in memory for a client that only sends: 2,000 requests
+    left 196 MB in the buffer of one connection."""
+    handled: list[Exchange] = []
+
+    def handler(exchange: Exchange) -> None:
+        handled.append(exchange)
+        exchange.respond(200, b"x" * 1_000_000)
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        host, _, port = address.partition(":")
+        # The reader stops reading from the socket once its own buffer is full.
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1000)
+        requests = 14
+        for _ in range(requests):
+            writer.write(GET)
+        await writer.drain()
+        while not handled:
+            await asyncio.sleep(0)
+        for _ in range(1000):
+            await asyncio.sleep(0)
+        assert len(handled) < requests
+        # Whatever waited is answered once the client reads.
+        received = 0
+        while received < requests * 1_000_000:
+            received += len(await asyncio.wait_for(reader.read(65536), ANSWER_TIMEOUT_S))
+        assert len(handled) == requests
+        writer.close()
+
+    serve(scenario, handler)
+
+
+def test_a_client_that_never_reads_its_responses_is_disconnected() -> None:
+    """Guards against connections that stay for good, since closing them waits for their client."""
+
+    def handler(exchange: Exchange) -> None:
+        exchange.respond(200, b"x" * 10_000_000, close=exchange.request.path == "/close")
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        host, _, port = address.partition(":")
+        for path in (b"/", b"/close"):
+            _, writer = await asyncio.open_connection(host, int(port), limit=1000)
+            writer.write(GET.replace(b"/ ", path + b" ") * 2)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                while not server.connections:
+                    await asyncio.sleep(0)
+                while server.connections:
+                    await asyncio.sleep(0.01)
+            writer.close()
+
+    serve(scenario, handler, limits=ServerLimits(idle_s=0.1))
