Fuzz what workers answer through the real client and adapter

Arbitrary heads, bodies, parts and sequences of responses go through HttpClient and PlatformWorkerCalls on loopback; each poll, start and stop must have exactly one result, and the loop's exception handler must not be called.

--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import json
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from eelgrassyard.dispatch._actions import Answered, CallFailure, PollReport
+from eelgrassyard.dispatch._actions import (
+    Answered,
+    CallFailure,
+    PollReport,
+    PollWorker,
+    StartRun,
+    StopRun,
+)
+from eelgrassyard.dispatch._jobs import TaskId
 from eelgrassyard.net import Response
 from eelgrassyard.platform._documents import decode_config, decode_host, decode_worker
 from eelgrassyard.platform._worker_calls import PlatformWorkerCalls
+from eelgrassyard.standins import reserve_ports
 from platform_standin import config
 
 VALUES = st.recursive(
@@ -201,3 +212,104 @@
     response = Response(status=409, body=body)
     assert calls._decode_order_answer("w", response) is CallFailure.BROKEN
     assert reasons
+
+
+HEADS = st.sampled_from(
+    [
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 204 X\r\n\r\n",
+        b"HTTP/1.1 409 X\r\n",
+        b"HTTP/1.1 999 X\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n",
+    ]
+)
+
+
+@st.composite
+def responses(draw: st.DrawFn) -> bytes:
+    """What a worker writes for one request: a response, a part of one, several, or any bytes."""
+    data = b""
+    for _ in range(draw(st.integers(1, 2))):
+        body = draw(changed(POLL) | st.binary(max_size=20))
+        data += draw(HEADS)
+        if draw(st.integers(0, 3)):
+            data += b"Content-Length: %d\r\n\r\n" % len(body)
+        data += body
+    return draw(st.binary(max_size=10)) if draw(st.integers(0, 5)) == 5 else data
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(st.lists(responses(), min_size=1, max_size=3))
+def test_each_call_to_a_worker_has_one_result(answers: list[bytes]) -> None:
+    """Guards against a call without a result, or with two, and an error that reaches the event
+    loop, whatever listens at the address of a worker."""
+    reported: list[object] = []
+    results: list[list[object]] = []
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context))
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with (
+                contextlib.closing(writer),
+                contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+            ):
+                for data in answers:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(data)
+                    await writer.drain()
+
+        port = reserve_ports(1)[0]
+        server = await asyncio.start_server(answer, "127.0.0.1", port)
+        record = decode_worker(
+            "w", json.dumps({**WORKER, "address": f"127.0.0.1:{port}"}).encode()
+        ).unwrap()
+        calls = PlatformWorkerCalls(on_invalid_answer=lambda *_: None, is_in_use=lambda _: False)
+        calls.set_workers({"w": record})
+        task = TaskId("5c0e7a21d94b36f8", 0, 0)
+        for number in range(6):
+            result: list[object] = []
+            results.append(result)
+            match number % 3:
+                case 0:
+                    poll = PollWorker(
+                        worker_id="w",
+                        fence=1,
+                        deadline_s=1.0,
+                        ends_seen=0,
+                        wait_s=0.0,
+                        margin_s=0.05,
+                    )
+                    calls.poll(poll, result.append)
+                case 1:
+                    start = StartRun(
+                        worker_id="w",
+                        task=task,
+                        run=1,
+                        payload="x",
+                        deadline_s=1.0,
+                        fence=1,
+                        timeout_s=0.05,
+                    )
+                    calls.start(start, result.append)
+                case _:
+                    stop = StopRun(worker_id="w", task=task, run=1, fence=1, timeout_s=0.05)
+                    calls.stop(stop, result.append)
+        async with asyncio.timeout(5.0):
+            while not all(results):
+                await asyncio.sleep(0)
+        calls.set_workers({})
+        server.close()
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    asyncio.run(main())
+    assert [len(result) for result in results] == [1] * 6
+    assert not reported
