Use one parser of addresses, and keep limits that are only shown optional

The memory and descriptor limits are shown in metrics only, so a value of another type shows as 0 and doesn't make the settings unusable.

--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
 import math
-import re
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,12 +11,17 @@
 import msgspec
 from result import Err, Ok, Result
 
+from .._addresses import parse_address
+
 BYTES_PER_MBIT = 125_000
 BYTES_PER_MB = 1_048_576
 
 MAX_FILE_BYTES = 1_000_000
 """Size of the largest file that is read; the platform's are a few kilobytes."""
 
+MAX_SHOWN_LIMIT = 2**40
+"""Largest limit of memory in MB, or of descriptors, that is shown in metrics."""
+
 MAX_NAME_BYTES = 128
 """Length of the longest host or domain name. Both are parts of keys, which have 200 bytes."""
 
@@ -42,6 +45,9 @@
     cpu_share: _Share = 1.0
     cores: _Share = 1.0
     link_mbps: float = 0.0
+    # Only shown in metrics, so odd ones don't make the file unusable.
+    memory_mb: Any = 0
+    max_fds: Any = 0
 
 
 class _Bounds(msgspec.Struct):
@@ -161,7 +167,9 @@
             ready_address=file.listen.ready,
             peer_address=file.listen.control,
             peer_bind_address=file.listen.control_bind or file.listen.control,
-            seeds=tuple(seed for seed in seeds if isinstance(seed, str) and _is_address(seed)),
+            seeds=tuple(
+                seed for seed in seeds if isinstance(seed, str) and parse_address(seed).is_ok()
+            ),
             weight=file.limits.cpu_share * file.limits.cores,
             store_address=file.platform.address,
             stop_s=file.bounds.stop_ms / 1000.0,
@@ -169,8 +177,8 @@
             grace_s=file.bounds.grace_s,
             lease_least_s=file.platform.ttl_min_ms / 1000.0,
             link_bytes_per_s=(max(0.0, file.limits.link_mbps) or math.inf) * BYTES_PER_MBIT,
-            memory_limit_bytes=file.limits.memory_mb * BYTES_PER_MB,
-            descriptor_limit=file.limits.max_fds,
+            memory_limit_bytes=_shown_limit(file.limits.memory_mb) * BYTES_PER_MB,
+            descriptor_limit=_shown_limit(file.limits.max_fds),
         )
     )
 
@@ -187,18 +195,10 @@
         ("control_bind", file.listen.control_bind or file.listen.control),
         ("platform", file.platform.address),
     ):
-        if not _is_address(address):
+        if parse_address(address).is_err():
             return f"{name}: {address!r} is not an address of the form IP:PORT"
     return ""
 
 
-def _is_address(text: str) -> bool:
-    # A name would be looked up in a thread, and the exit of the process may have to wait for that.
-    host, _, port = text.rpartition(":")
-    if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) < 65536:
-        return False
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return True
+def _shown_limit(value: object) -> int:
+    return value if isinstance(value, int) and 0 <= value <= MAX_SHOWN_LIMIT else 0
