Contain an odd message between hosts to itself, and report strangers

What was seen: a message that is invalid (of another release, or with a value of another type) aborted the session, and with it the jobs of its host were stopped; one that raised lost those behind it in its frame, and asyncio closed the connection. None of it, nor a program that has connected to the wrong port, left a line in the log. A connection that never sent a whole message stayed open for good: the core closes silent sessions, but knows a session only from its first message.

The valid messages of a frame are handled one by one if the frame as a whole is invalid; each odd one is the line message_ignored, and one that raises is an unforeseen error. An aborted session is the line session_aborted with the peer and the reason. The first frame of an inbound session may have 64 KiB and must arrive within 5 s.

Not covered here: deep nesting, which raises RecursionError in the first decoding; that except line changes with the shared decode function.

Evidence, the 12 new tests before the fix: no message_ignored or session_aborted line, sessions closed after one odd message, and a connection without a message still open.

--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -24,9 +24,17 @@
 MAX_BUFFERED_BYTES = 8_000_000
 """Limit on unsent data, beyond which the connection to a peer that does not read is aborted."""
 
+FIRST_FRAME_BYTES = 65_536
+FIRST_FRAME_TIMEOUT_S = 5.0
+"""Limits on the first frame of an inbound session, which holds little more than the hello. Other
+programs may connect to the port."""
+
 _encoder = msgspec.msgpack.Encoder()
+_raw_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
 _server_decoder = msgspec.msgpack.Decoder(list[ToServer])
+_server_message_decoder = msgspec.msgpack.Decoder(ToServer)
 _client_decoder = msgspec.msgpack.Decoder(list[ToClient])
+_client_message_decoder = msgspec.msgpack.Decoder(ToClient)
 
 Unsent = tuple[Message, Exception]
 """A message that no frame can hold, and the reason."""
@@ -35,13 +43,27 @@
 class _FrameProtocol(asyncio.Protocol, abc.ABC):
     """Framing of a session: splits the stream into frames and decodes their messages.
 
-    A frame that is too large or invalid aborts the connection.
+    A frame that is too large or not a list of messages aborts the connection. A message that is
+    invalid, or that raises when it is handled, is reported and left out.
+
+    :param decoder: decodes all messages of a frame.
+    :param message_decoder: decodes a single one.
     """
 
-    def __init__(self, *, decoder: msgspec.msgpack.Decoder[Any], traffic: Traffic) -> None:
+    def __init__(
+        self,
+        *,
+        decoder: msgspec.msgpack.Decoder[Any],
+        message_decoder: msgspec.msgpack.Decoder[Any],
+        traffic: Traffic,
+        reports: SessionReports,
+    ) -> None:
         self._decoder = decoder
+        self._message_decoder = message_decoder
         self._traffic = traffic
+        self._reports = reports
         self._buffer = bytearray()
+        self._max_frame_bytes = MAX_FRAME_BYTES
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -53,19 +75,47 @@
         self._buffer += data
         while len(self._buffer) >= FRAME_HEADER_BYTES:
             size = int.from_bytes(self._buffer[:FRAME_HEADER_BYTES], "big")
-            if size > MAX_FRAME_BYTES:
-                self.abort()
+            if size > self._max_frame_bytes:
+                self.reject(f"frame of {size} bytes")
                 return
             if len(self._buffer) < FRAME_HEADER_BYTES + size:
                 return
             frame = bytes(self._buffer[FRAME_HEADER_BYTES : FRAME_HEADER_BYTES + size])
             del self._buffer[: FRAME_HEADER_BYTES + size]
             result = decode(self._decoder, frame)
-            if result.is_err():
-                self.abort()
+            messages = result.unwrap() if result.is_ok() else self._decode_singly(frame)
+            if messages is None:
                 return
-            for message in result.unwrap():
-                self.message_received(message)
+            self._max_frame_bytes = MAX_FRAME_BYTES
+            for message in messages:
+                self._handle(message)
+
+    def _decode_singly(self, frame: bytes) -> list[Message] | None:
+        """Decode the valid messages of a frame; None if it is not a list of messages."""
+        parts = decode(_raw_decoder, frame)
+        if parts.is_err():
+            self.reject(f"invalid frame: {parts.unwrap_err()}")
+            return None
+        messages: list[Message] = []
+        for part in parts.unwrap():
+            message = decode(self._message_decoder, bytes(part))
+            if message.is_err():
+                fields = {**self.peer(), "reason": message.unwrap_err()}
+                self._reports.log("message_ignored", fields)
+            else:
+                messages.append(message.unwrap())
+        return messages
+
+    def _handle(self, message: Message) -> None:
+        try:
+            self.message_received(message)
+        except Exception as error:
+            fields: dict[str, object] = {**self.peer(), "message": type(message).__name__}
+            self._reports.on_error("message_received", error, fields)
+
+    @abc.abstractmethod
+    def peer(self) -> dict[str, object]:
+        """Fields of a log line that identify the session."""
 
     @abc.abstractmethod
     def message_received(self, message: Message) -> None:
@@ -80,7 +130,7 @@
         if transport is None or transport.is_closing():
             return []
         if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
-            self.abort()
+            self.reject("the host does not read")
             return []
         frames: list[bytes] = []
         unsent: list[Unsent] = []
@@ -90,6 +140,14 @@
             transport.write(len(frame).to_bytes(FRAME_HEADER_BYTES, "big") + frame)
         return unsent
 
+    def reject(self, reason: str) -> None:
+        """Abort the connection for a fault of the other side, and report it."""
+        fields: dict[str, object] = {**self.peer(), "reason": reason}
+        if self.transport is not None:
+            fields["address"] = str(self.transport.get_extra_info("peername"))
+        self._reports.log("session_aborted", fields)
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection at once, without flushing buffered data."""
         if self.transport is not None:
@@ -130,7 +188,7 @@
         traffic: Traffic | None = None,
         reports: SessionReports | None = None,
     ) -> None:
-        self._reports = reports if reports is not None else SessionReports()
+        self.reports = reports if reports is not None else SessionReports()
         self.traffic = traffic if traffic is not None else Traffic()
         self.on_message = on_message
         self.on_close = on_close
@@ -171,16 +229,39 @@
 
 class _InboundSession(_FrameProtocol):
     def __init__(self, *, server: SessionServer) -> None:
-        super().__init__(decoder=_server_decoder, traffic=server.traffic)
+        super().__init__(
+            decoder=_server_decoder,
+            message_decoder=_server_message_decoder,
+            traffic=server.traffic,
+            reports=server.reports,
+        )
         self._server = server
         self._id = server.next_id()
+        self._max_frame_bytes = FIRST_FRAME_BYTES
+        self._opening_timer: asyncio.TimerHandle | None = None
         server.session_by_id[self._id] = self
 
+    def peer(self) -> dict[str, object]:
+        return {"session": self._id}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._opening_timer = asyncio.get_running_loop().call_later(
+            FIRST_FRAME_TIMEOUT_S, self.reject, "no message in time"
+        )
+
     def message_received(self, message: Message) -> None:
+        self._end_opening()
         self._server.on_message(self._id, message)
 
+    def _end_opening(self) -> None:
+        if self._opening_timer is not None:
+            self._opening_timer.cancel()
+            self._opening_timer = None
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self._end_opening()
         self._server.session_by_id.pop(self._id, None)
         self._server.on_close(self._id)
 
@@ -205,7 +286,7 @@
         traffic: Traffic | None = None,
         reports: SessionReports | None = None,
     ) -> None:
-        self._reports = reports if reports is not None else SessionReports()
+        self.reports = reports if reports is not None else SessionReports()
         self.traffic = traffic if traffic is not None else Traffic()
         self.on_open = on_open
         self.on_message = on_message
@@ -233,9 +314,7 @@
         session = _OutboundSession(client=self, name=name)
         result = parse_address(address)
         if result.is_err():
-            self._reports.log(
-                "host_address_unusable", {"peer": name, "reason": result.unwrap_err()}
-            )
+            self.reports.log("host_address_unusable", {"peer": name, "reason": result.unwrap_err()})
             self._connect_failed(name)
             return
         host, port = result.unwrap()
@@ -245,7 +324,7 @@
             self._connect_failed(name, refused=isinstance(error, ConnectionRefusedError))
             return
         except Exception as error:
-            self._reports.on_error("connect", error, {"peer": name, "address": address})
+            self.reports.on_error("connect", error, {"peer": name, "address": address})
             self._connect_failed(name)
             return
         self._task_by_name.pop(name, None)
@@ -280,11 +359,19 @@
 
 class _OutboundSession(_FrameProtocol):
     def __init__(self, *, client: SessionClient, name: str) -> None:
-        super().__init__(decoder=_client_decoder, traffic=client.traffic)
+        super().__init__(
+            decoder=_client_decoder,
+            message_decoder=_client_message_decoder,
+            traffic=client.traffic,
+            reports=client.reports,
+        )
         self._client = client
         self.name = name
         self.is_wanted = True
 
+    def peer(self) -> dict[str, object]:
+        return {"peer": self.name}
+
     def message_received(self, message: Message) -> None:
         if self.is_wanted:
             self._client.on_message(self.name, message)
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -9,6 +9,7 @@
 import socket
 from typing import cast
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,7 +18,7 @@
 from eelgrassyard._journal import BURST_LINES, Journal
 from eelgrassyard.dispatch._host import DispatchHost
 from eelgrassyard.dispatch._messages import ConfigDocument, HostRecord, Message, Ping, Pong
-from eelgrassyard.net import SessionClient, SessionServer
+from eelgrassyard.net import SessionClient, SessionServer, _sessions
 from eelgrassyard.net._driver import TICK_S, Driver, WorkerCalls
 from eelgrassyard.net._session_reports import SessionReports
 from eelgrassyard.standins import reserve_ports
@@ -248,6 +249,106 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    "part",
+    [["Ping", "x"], ["Ping"], ["Nothing", 1], 7, None, ["Hello", ["a"], 0]],
+    ids=["wrong type", "missing field", "unknown message", "number", "null", "odd host"],
+)
+def test_an_invalid_message_is_reported_and_leaves_the_others_of_its_frame(part: object) -> None:
+    """Guards against a message of another release, or one odd value, that ends the session and
+    with it all jobs of the host."""
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        await pair.server.listen(address)
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        frame = msgspec.msgpack.encode([["Ping", 1], part, ["Ping", 3]])
+        writer.write(len(frame).to_bytes(4, "big") + frame)
+        async with asyncio.timeout(1.0):
+            await until(lambda: len(pair.server_messages) == 2)
+        assert [message for _, message in pair.server_messages] == [Ping(number=1), Ping(number=3)]
+        assert [event for event, _ in pair.lines] == ["message_ignored"]
+        assert pair.closed == []
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_an_error_in_the_handling_of_a_message_leaves_the_others_of_its_frame() -> None:
+    """Guards against a message that raises and loses those behind it."""
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        handled: list[Message] = []
+
+        def handle(_: str, message: Message) -> None:
+            if message == Ping(number=1):
+                raise KeyError("odd")
+            handled.append(message)
+
+        pair.server.on_message = handle
+        await pair.server.listen(address)
+        pair.client.open("h", address)
+        await until(lambda: pair.opened)
+        pair.client.send("h", [Ping(number=1), Ping(number=2)])
+        async with asyncio.timeout(1.0):
+            await until(lambda: handled)
+        assert handled == [Ping(number=2)]
+        assert [event for event, _, _ in pair.errors] == ["message_received"]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"GET / HTTP/1.1\r\n\r\n", (100_000).to_bytes(4, "big"), b"\0\0\0\1\xc1", b"\0\0\0\1\x07"],
+    ids=["http", "large first frame", "no message pack", "no list"],
+)
+def test_a_stranger_is_disconnected_and_reported(data: bytes) -> None:
+    """Guards against a program that has connected to the wrong port, of which no line tells."""
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        await pair.server.listen(address)
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        async with asyncio.timeout(1.0):
+            await until(lambda: pair.closed)
+        ((event, fields),) = pair.lines
+        assert event == "session_aborted"
+        assert fields["reason"]
+        assert str(writer.get_extra_info("sockname")[1]) in str(fields["address"])
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_connection_without_a_message_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against descriptors of connections that never send a whole message: the core, which
+    closes silent sessions, does not know of them."""
+    monkeypatch.setattr(_sessions, "FIRST_FRAME_TIMEOUT_S", 0.05)
+
+    async def main() -> None:
+        pair, address = SessionPair(), free_address()
+        await pair.server.listen(address)
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"\0\0")
+        pair.client.open("h", address)
+        await until(lambda: pair.opened)
+        pair.client.send("h", [Ping(number=1)])
+        async with asyncio.timeout(2.0):
+            await until(lambda: pair.closed)
+        assert len(pair.server.session_by_id) == 1
+        assert [event for event, _ in pair.lines] == ["session_aborted"]
+        assert pair.lost == []
+        writer.close()
+
+    asyncio.run(main())
+
+
 @settings(max_examples=60)
 @given(data=st.binary(min_size=1, max_size=60))
 def test_no_bytes_break_the_server(data: bytes) -> None:
