Bound the lines of an error that repeats

A host without free descriptors wrote a line for each connection that it could not accept. asyncio tries to accept as often as the backlog is long and reports each failure: 22,527 in 3 s with 48 descriptors and 60 connections (a trial with a real process), of which 2,800 became lines until the rate limit dropped the rest, with the lines that say something else.

The same type of error in the same part now gets ten lines in 5 s, and the next line carries the number of the others; the metric counts all.

Before: test_an_error_that_repeats_thousands_of_times_is_counted_but_hardly_written failed with 'assert 416 == 10'.

--- a/src/eelgrassyard/_unhandled.py
+++ b/src/eelgrassyard/_unhandled.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import math
 import time
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Any
 
 from ._journal import Journal
@@ -28,9 +30,24 @@
 OTHER_PART = "other"
 """Part under which all further ones are counted."""
 
-TRACE_INTERVAL_S = 5.0
-"""Shortest interval between two traces of the same type of error in the same part. An error that
-occurs at each event would otherwise take more processor time than the work itself."""
+WINDOW_S = 5.0
+"""Interval in which the same type of error in the same part gets one line with a trace and at most
+:data:`LINES_PER_WINDOW` lines. The event loop reports each failed accept, thousands a second when
+no descriptor is left, and would spend the processor time of the host on lines."""
+
+LINES_PER_WINDOW = 10
+
+
+@dataclass(slots=True)
+class _Window:
+    """Lines of one type of error in one part since ``began_at``.
+
+    :param unwritten: errors that were only counted since the last line.
+    """
+
+    began_at: float = -math.inf
+    lines: int = 0
+    unwritten: int = 0
 
 
 def describe_error(error: BaseException) -> dict[str, object]:
@@ -56,12 +73,15 @@
     def __init__(self, *, journal: Journal) -> None:
         self._journal = journal
         self.count_by_part: Counter[str] = Counter()
-        self._traced_at: dict[tuple[str, str], float] = {}
+        self._window_by_error: dict[tuple[str, str], _Window] = {}
 
     def report(
         self, part: str, error: BaseException, *, event: str = "unhandled_error", **fields: object
     ) -> None:
-        """Write a line and count the error; it never raises.
+        """Count the error and write a line; it never raises.
+
+        Repetitions beyond :data:`LINES_PER_WINDOW` are only counted; the next line has their
+        number as ``unwritten``.
 
         :param part: name of the task, callback or protocol.
         :param fields: what the part was doing, such as the key of an entry.
@@ -70,14 +90,23 @@
             self.count_by_part[OTHER_PART] += 1
         else:
             self.count_by_part[part] += 1
-        line: dict[str, object] = {"part": part, **_name(error), **fields}
         now = time.monotonic()
         key = (part, type(error).__name__)
-        if now - self._traced_at.get(key, -TRACE_INTERVAL_S) >= TRACE_INTERVAL_S:
-            if len(self._traced_at) >= MAX_PARTS:
-                self._traced_at.clear()
-            self._traced_at[key] = now
+        if key not in self._window_by_error and len(self._window_by_error) >= MAX_PARTS:
+            self._window_by_error.clear()
+        window = self._window_by_error.setdefault(key, _Window())
+        is_first = now - window.began_at >= WINDOW_S
+        if is_first:
+            window.began_at, window.lines = now, 0
+        elif window.lines >= LINES_PER_WINDOW:
+            window.unwritten += 1
+            return
+        window.lines += 1
+        line: dict[str, object] = {"part": part, **_name(error), **fields}
+        if is_first:
             line["trace"] = _frames(error)
+        if window.unwritten:
+            line["unwritten"], window.unwritten = window.unwritten, 0
         self._journal.write(event, line)
 
     @contextlib.contextmanager
--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -9,6 +9,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -17,10 +18,12 @@
 from eelgrassyard._journal import MAX_EVENTS, OTHER_EVENT, Journal
 from eelgrassyard._unhandled import (
     INNER_FRAMES,
+    LINES_PER_WINDOW,
     MAX_MESSAGE_CHARACTERS,
     MAX_PARTS,
     OTHER_PART,
     OUTER_FRAMES,
+    WINDOW_S,
     UnhandledErrors,
     describe_error,
 )
@@ -135,6 +138,26 @@
     assert errors.count_by_part[OTHER_PART] == MAX_PARTS + 1
 
 
+def test_an_error_that_repeats_thousands_of_times_is_counted_but_hardly_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a host without free descriptors that spends its processor time on a line for
+    each connection that it cannot accept (22,527 in 3 s)."""
+    log = Log()
+    errors = UnhandledErrors(journal=log.journal)
+    now = time.monotonic()
+    monkeypatch.setattr("eelgrassyard._unhandled.time.monotonic", lambda: now)
+    for _ in range(1_000):
+        errors.report("listening socket", OSError(24, "Too many open files"))
+    assert errors.count_by_part["listening socket"] == 1_000
+    assert len(log.lines()) == LINES_PER_WINDOW
+    now += WINDOW_S
+    errors.report("listening socket", OSError(24, "Too many open files"))
+    (line,) = log.lines()
+    assert line["unwritten"] == 1_000 - LINES_PER_WINDOW
+    assert line["trace"] == []
+
+
 class FailingProtocol(asyncio.Protocol):
     """Raises when data arrives."""
 
@@ -219,6 +242,7 @@
 
 FAILING_PROCESS = """
 import sys
+import time
 from eelgrassyard.platform import __main__ as program, _host
 
 class FailingHost(_host.PlatformHost):
