--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -97,8 +97,9 @@
 EXIT_FAILED = 4
 """Exit code after an unforeseen error; a line ``process_failed`` names it."""
 
-LAST_LINES_S = 1.0
-"""Longest wait at the end of the process for a slow reader of its last lines."""
+LAST_LINES_S = 0.25
+"""Longest wait at the end of the process for a slow reader of its last lines; it is part of
+:data:`EXIT_MARGIN_S`."""
 
 MAX_CONFIG_BYTES = 4_000_000
 """Largest configuration that is accepted from another host; the store holds at most a megabyte."""
