Count the time of a suspension in timer_late_seconds

The clock of the event loop stands still while a machine is suspended, so the metric showed such a machine as one that ran on time. The host's own clock counts that time.

Before: test_a_suspension_shows_as_a_late_timer ended in TimeoutError.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -494,10 +494,11 @@
         received from other hosts, and read the registry when this host has taken the lead."""
         led = False
         while True:
-            due_at = anyio.current_time() + STATE_POLL_INTERVAL_S
+            due_at = self._clock.now() + STATE_POLL_INTERVAL_S
             await anyio.sleep(STATE_POLL_INTERVAL_S)
-            self._metrics.observe_lateness(anyio.current_time() - due_at)
             now = self._clock.now()
+            # On this clock the time of a suspension counts.
+            self._metrics.observe_lateness(now - due_at)
             self._report_store_traffic()
             leads = self._core.pool is not None
             if leads and not led:
--- a/tests/test_platform_supervision.py
+++ b/tests/test_platform_supervision.py
@@ -165,6 +165,24 @@
     run_scenario(scenario)
 
 
+def test_a_suspension_shows_as_a_late_timer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against metrics that show a suspended machine as one that ran on time, since the
+    clock of the event loop stands still with it."""
+
+    async def scenario(site: Site) -> None:
+        clock = site.host._clock
+        now = clock.now
+        monkeypatch.setattr(clock, "now", lambda: now() + 5.0)
+        with anyio.fail_after(10.0):
+            while True:
+                metrics = await read_metrics(site, site.settings.ready_address)
+                if metrics["timer_late_seconds_sum", ""] >= 4.0:
+                    return
+                await anyio.sleep(0.05)
+
+    run_scenario(scenario)
+
+
 async def wait_for_event(site: Site, event: str) -> None:
     """Wait until the host has written a line with an event."""
     with anyio.fail_after(10.0):
