Limit callers' connections, so that workers and hosts can be reached

Cause: nothing limited accepted connections; `max_fds` of the settings was not used. asyncio of Python 3.11 tries each place of the backlog again after EMFILE.

New connections beyond the limit are closed at once, before a request is read, so nothing has run and the caller sends again to any host. The first one after there was room is logged (`request_rejected`, 503), all are counted in `refused_connections`. Callers get half of the descriptors that are not reserved; polls, orders and sessions have the rest.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import http
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,12 +27,14 @@
 
     :param header_s: time for sending a request.
     :param idle_s: time without a request after which a keep-alive connection is closed.
+    :param connections: open connections, beyond which new ones are closed at once.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
     header_s: float = 3.0
     idle_s: float = 15.0
+    connections: float = math.inf
 
 
 @dataclass(slots=True, kw_only=True)
@@ -104,6 +107,7 @@
     :param on_error: called with the status and the reason of each request that is rejected
         before it reaches the handler.
     :param traffic: counts the bytes of all connections.
+    :ivar refused_connections: connections that were closed at once, beyond the limit.
     """
 
     def __init__(
@@ -119,6 +123,8 @@
         self.limits = limits if limits is not None else ServerLimits()
         self.connections: set[_ServerConnection] = set()
         self.closing = False
+        self.refused_connections = 0
+        self._was_full = False
         self._on_error = on_error
         self._server: asyncio.Server | None = None
         self._timeout_check_timer: asyncio.TimerHandle | None = None
@@ -138,6 +144,16 @@
             connection.close_if_timed_out(now)
         self._timeout_check_timer = loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
 
+    def is_full(self) -> bool:
+        """Tell whether a new connection is beyond the limit; count it, and report the first one."""
+        full = len(self.connections) >= self.limits.connections
+        if full:
+            self.refused_connections += 1
+            if not self._was_full:
+                self.report_error(503, f"over {self.limits.connections} connections")
+        self._was_full = full
+        return full
+
     def report_error(self, status: int, reason: str) -> None:
         """Report a request that could not be read."""
         if self._on_error is not None:
@@ -200,6 +216,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
+        if self._server.is_full():
+            transport.abort()
+            return
         self._transport = transport
         self._state_since = asyncio.get_running_loop().time()
         self._server.connections.add(self)
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -104,6 +104,15 @@
 MAX_CONFIG_BYTES = 4_000_000
 """Largest configuration that is accepted from another host; the store holds at most a megabyte."""
 
+RESERVED_FDS = 200
+"""Descriptors that are not available to sockets (users' page on deployment)."""
+
+CALLER_FDS_SHARE = 0.5
+"""Share of the others that callers' connections may take. Without the rest, workers could not be
+polled and other hosts not reached."""
+
+MIN_CALLER_CONNECTIONS = 64
+
 METRICS_HEADERS = "Content-Type: text/plain; version=0.0.4\r\n"
 
 
@@ -119,6 +128,11 @@
     return min(REGISTRY_PAUSE_S, max(REGISTRY_MIN_PAUSE_S, fitting_s))
 
 
+def max_caller_connections(max_fds: int) -> int:
+    """Number of callers' connections that a process with this many descriptors accepts."""
+    return max(MIN_CALLER_CONNECTIONS, int((max_fds - RESERVED_FDS) * CALLER_FDS_SHARE))
+
+
 class PlatformHost:
     """Runs one host: its servers, its driver, and its copy of the store's entries.
 
@@ -183,7 +197,7 @@
         )
         self._caller_server = HttpServer(
             handler=self._caller_api.handle,
-            limits=ServerLimits(),
+            limits=ServerLimits(connections=max_caller_connections(settings.descriptor_limit)),
             on_error=self._request_rejected,
             traffic=self._traffic.of("callers"),
         )
--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -19,8 +19,11 @@
 MAX_FILE_BYTES = 1_000_000
 """Size of the largest file that is read; the platform's are a few kilobytes."""
 
-MAX_SHOWN_LIMIT = 2**40
-"""Largest limit of memory in MB, or of descriptors, that is shown in metrics."""
+MAX_LIMIT = 2**40
+"""Largest limit of memory in MB, or of descriptors."""
+
+DEFAULT_DESCRIPTORS = 1024
+"""Limit of descriptors if the file names none, as usual for a process."""
 
 MAX_NAME_BYTES = 128
 """Length of the longest host or domain name. Both are parts of keys, which have 200 bytes."""
@@ -45,9 +48,9 @@
     cpu_share: _Share = 1.0
     cores: _Share = 1.0
     link_mbps: float = 0.0
-    # Only shown in metrics, so odd ones don't make the file unusable.
+    # Nothing that must start depends on these, so odd ones don't make the file unusable.
     memory_mb: Any = 0
-    max_fds: Any = 0
+    max_fds: Any = DEFAULT_DESCRIPTORS
 
 
 class _Bounds(msgspec.Struct):
@@ -124,7 +127,7 @@
     lease_least_s: float
     link_bytes_per_s: float = math.inf
     memory_limit_bytes: int = 0
-    descriptor_limit: int = 0
+    descriptor_limit: int = DEFAULT_DESCRIPTORS
 
 
 def load_toml(path: str) -> Result[dict[str, Any], str]:
@@ -177,8 +180,8 @@
             grace_s=file.bounds.grace_s,
             lease_least_s=file.platform.ttl_min_ms / 1000.0,
             link_bytes_per_s=(max(0.0, file.limits.link_mbps) or math.inf) * BYTES_PER_MBIT,
-            memory_limit_bytes=_shown_limit(file.limits.memory_mb) * BYTES_PER_MB,
-            descriptor_limit=_shown_limit(file.limits.max_fds),
+            memory_limit_bytes=_limit(file.limits.memory_mb, default=0) * BYTES_PER_MB,
+            descriptor_limit=_limit(file.limits.max_fds, default=DEFAULT_DESCRIPTORS),
         )
     )
 
@@ -200,5 +203,5 @@
     return ""
 
 
-def _shown_limit(value: object) -> int:
-    return value if isinstance(value, int) and 0 <= value <= MAX_SHOWN_LIMIT else 0
+def _limit(value: object, *, default: int) -> int:
+    return value if isinstance(value, int) and 0 <= value <= MAX_LIMIT else default
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -650,3 +650,33 @@
             writer.close()
 
     serve(scenario, handler, limits=ServerLimits(idle_s=0.1))
+
+
+def test_connections_beyond_the_limit_are_closed_and_the_others_served() -> None:
+    """Guards against callers' connections that take all descriptors of the process: no worker could
+    be polled any more, and asyncio wrote 1,023 lines in one turn."""
+    rejected: list[int] = []
+
+    async def main() -> None:
+        server = HttpServer(
+            handler=echo,
+            limits=ServerLimits(connections=3),
+            on_error=lambda status, _: rejected.append(status),
+        )
+        address = free_address()
+        await server.listen(address)
+        clients = [HttpClient(address=address, max_connections=1) for _ in range(6)]
+        results = [await call(client, "GET", "/") for client in clients]
+        assert [isinstance(result, Response) for result in results] == [True] * 3 + [False] * 3
+        assert set(results[3:]) == {CallError.BROKEN}
+        assert (server.refused_connections, rejected) == (3, [503])
+        assert isinstance(await call(clients[0], "GET", "/"), Response)
+        clients[0].close()
+        while len(server.connections) > 2:
+            await asyncio.sleep(0)
+        assert isinstance(await call(clients[5], "GET", "/"), Response)
+        for client in clients:
+            client.close()
+        server.close()
+
+    asyncio.run(main())
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -17,7 +17,12 @@
 
 from eelgrassyard.dispatch._messages import ConfigDocument, TakeOver
 from eelgrassyard.net import CallError, HttpClient, Response
-from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost, run_host
+from eelgrassyard.platform._host import (
+    EXIT_LISTEN_FAILED,
+    PlatformHost,
+    max_caller_connections,
+    run_host,
+)
 from eelgrassyard.platform._items import Item
 from eelgrassyard.platform._settings import HostSettings
 from eelgrassyard.standins import reserve_ports
@@ -486,3 +491,9 @@
         assert number > 0
 
     run_scenario(scenario, grace_s=3.0)
+
+
+@pytest.mark.parametrize(("max_fds", "connections"), [(4100, 1950), (1024, 412), (100, 64)])
+def test_callers_leave_descriptors_for_workers_and_hosts(max_fds: int, connections: int) -> None:
+    """Guards against callers' connections that take all descriptors of the process."""
+    assert max_caller_connections(max_fds) == connections
