--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import http
-import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +10,7 @@
 import httptools
 
 from ._errors import report_contained
+from ._http_messages import HttpRequest, ServerLimits, encode_response
 from ._traffic import Traffic
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -21,36 +20,6 @@
 """Pipelined requests of a connection that may wait behind the current one."""
 
 
-@dataclass(slots=True, kw_only=True)
-class ServerLimits:
-    """Limits on requests and connections.
-
-    :param header_s: time for sending a request.
-    :param idle_s: time without a request after which a keep-alive connection is closed.
-    :param connections: open connections, beyond which new ones are closed at once.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 262_144
-    header_s: float = 3.0
-    idle_s: float = 15.0
-    connections: float = math.inf
-
-
-@dataclass(slots=True, kw_only=True)
-class HttpRequest:
-    """A complete request.
-
-    :param headers: values by name in lower case.
-    """
-
-    method: str
-    path: str
-    query: str
-    headers: dict[str, str]
-    body: bytes
-
-
 class Exchange:
     """A request and the means to respond to it.
 
@@ -350,10 +319,10 @@
         """Write the response to the current request, and handle the next pipelined one."""
         keep_alive = keep_alive and not self._server.closing
         try:
-            data = _encode_response(status, body, headers=headers, keep_alive=keep_alive)
+            data = encode_response(status, body, headers=headers, keep_alive=keep_alive)
         except (KeyError, UnicodeEncodeError) as error:
             report_contained(f"response with status {status} could not be encoded", error)
-            data = _encode_response(500, b"", headers="", keep_alive=keep_alive)
+            data = encode_response(500, b"", headers="", keep_alive=keep_alive)
         self._write(data)
         self._current_exchange = None
         self._state_since = asyncio.get_running_loop().time()
@@ -384,7 +353,7 @@
 
     def _close_rejected(self, status: int) -> None:
         if self._transport is not None:
-            self._write(_encode_response(status, b"", headers="", keep_alive=False))
+            self._write(encode_response(status, b"", headers="", keep_alive=False))
             self._transport.close()
 
     # --- timeouts and shutdown ---
@@ -421,16 +390,3 @@
         idle = not waiting and self._header_bytes == 0 and self._in_headers
         if idle and self._transport is not None:
             self._transport.close()
-
-
-_STATUS_LINE_BY_STATUS = {
-    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n" for status in http.HTTPStatus
-}
-
-
-def _encode_response(status: int, body: bytes, *, headers: str, keep_alive: bool) -> bytes:
-    content = "Content-Type: application/json\r\n" if body and "Content-Type" not in headers else ""
-    connection = "" if keep_alive else "Connection: close\r\n"
-    lines = f"{headers}{content}{connection}Content-Length: {len(body)}\r\n\r\n"
-    head = _STATUS_LINE_BY_STATUS[status] + lines
-    return head.encode("latin-1") + body
