Don't send a worker id that is no header value

Callers saw nothing yet: the key of a worker entry is sent as the value of X-Expect-Instance. An entry of another writer whose key has a line break added headers, or a whole request, to each call to the address in that entry.

Evidence: before the change the server of the test received `X-Expect-Instance: w\r\nX-Odd: 1` and a second request line.

The adapter fails calls to such an id as BROKEN without a connection, and reports it as `worker_answer_not_understood`.

--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -217,6 +217,11 @@
             if record is None:
                 on_result(CallError.BROKEN)
                 return
+            if not worker_id.isprintable():
+                # A line break would add headers, or a request, of another writer's choice.
+                self._on_invalid_answer(worker_id, "the id cannot be sent in a header")
+                on_result(CallError.BROKEN)
+                return
             client = HttpClient(
                 address=record.address,
                 max_connections=max_connections,
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -313,3 +313,45 @@
     asyncio.run(main())
     assert [len(result) for result in results] == [1] * 6
     assert not reported
+
+
+@pytest.mark.parametrize(
+    "worker_id", ["w\r\nX-Odd: 1", "w\r\n\r\nPOST /api/run-stop HTTP/1.1", "w\x00"]
+)
+def test_a_worker_id_that_is_no_header_value_is_not_sent(worker_id: str) -> None:
+    """Guards against an entry of another writer whose key adds headers or requests to what this
+    host sends."""
+    reasons: list[str] = []
+    results: list[object] = []
+    received: list[bytes] = []
+
+    async def main() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.closing(writer):
+                received.append(await reader.read(1000))
+
+        port = reserve_ports(1)[0]
+        server = await asyncio.start_server(answer, "127.0.0.1", port)
+        entry = json.dumps({**WORKER, "address": f"127.0.0.1:{port}"}).encode()
+        record = decode_worker("w", entry).unwrap()
+        calls = PlatformWorkerCalls(
+            on_invalid_answer=lambda _, reason: reasons.append(reason), is_in_use=lambda _: False
+        )
+        calls.set_workers({worker_id: record})
+        stop = StopRun(
+            worker_id=worker_id,
+            task=TaskId("5c0e7a21d94b36f8", 0, 0),
+            run=1,
+            fence=1,
+            timeout_s=0.2,
+        )
+        calls.stop(stop, results.append)
+        async with asyncio.timeout(5.0):
+            while not results:
+                await asyncio.sleep(0)
+        server.close()
+
+    asyncio.run(main())
+    assert results == [CallFailure.BROKEN]
+    assert not received
+    assert len(reasons) == 1
