Pause between calls of a store whose answers don't move on

A store that has no history (410 for each watch), or that answers a watch at once with changes that the host has already, was called again without a pause: 5,942 and 6,583 calls in a second in the new test. The host spent its processor time on this, and the store's rate limit, which all hosts share.

A watch that neither moves the revision on nor waits, and a read after lost history, are now followed by the same growing pause as a failed call. The first read after lost history is still sent at once, and a host that only rereads keeps its interval.

--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -271,6 +271,7 @@
         self._reason_by_key: dict[str, str] = {}
         self._items: dict[str, Item] = {}
         self._revision: int | None = None
+        self._history_lost = False
         self.read_at = -math.inf
         # A watch may wait before it is answered; the copy has not missed a change meanwhile.
         self._answered_at = -math.inf
@@ -288,21 +289,29 @@
         pause_s = RETRY_MIN_S
         while True:
             try:
-                await self._read_or_watch()
+                moved_on = await self._read_or_watch()
                 self._on_availability(True, "")
-                pause_s = RETRY_MIN_S
-                await self._pause()
+                if moved_on:
+                    pause_s = RETRY_MIN_S
+                    await self._pause()
+                    continue
             except StoreError as error:
-                if error.status == 410:
+                if error.status == 410 and self._revision is not None:
                     # The store no longer has the history since the last revision, so all items are
                     # read again.
                     self._revision = None
+                    self._history_lost = True
                     continue
                 self._on_availability(False, str(error))
-                await anyio.sleep(pause_s)
-                pause_s = min(RETRY_MAX_S, pause_s * 2.0)
+            await anyio.sleep(pause_s)
+            pause_s = min(RETRY_MAX_S, pause_s * 2.0)
+
+    async def _read_or_watch(self) -> bool:
+        """Bring the copy up to date.
 
-    async def _read_or_watch(self) -> None:
+        :returns: whether the copy has moved on; the next call must wait if not, since a store that
+            loses its history at once or repeats an answer would be called without a pause.
+        """
         begun_at = self._now()
         mode = self._mode()
         match mode:
@@ -317,16 +326,18 @@
             self._report_odd_items(page)
             self._reason_by_key = page.reason_by_key
             self._report_change(begun_at)
-            return
+            return not self._history_lost or isinstance(mode, Reread)
         assert isinstance(mode, Watch)
         page = await self._store.watch(
             self.prefix, self._revision, mode.wait_s, max_characters=self._max_characters
         )
+        moved_on = page.revision > self._revision or self._now() - begun_at >= RETRY_MIN_S
+        self._history_lost = False
         if page.nameless:
             # One of the items that are held may have changed.
             self._report_odd_items(page)
             self._revision = None
-            return
+            return moved_on
         for item in page.items:
             if item.deleted:
                 self._items.pop(item.key, None)
@@ -341,6 +352,7 @@
             self._report_change(begun_at)
         else:
             self.read_at, self._answered_at = begun_at, self._now()
+        return moved_on
 
     def _report_change(self, begun_at: float) -> None:
         assert self._revision is not None
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -141,6 +141,40 @@
     assert odd == [""]
 
 
+@pytest.mark.parametrize(("path", "status"), [("watch", 200), ("watch", 410), ("range", 410)])
+def test_answers_that_do_not_move_on_are_not_asked_for_without_a_pause(
+    path: str, status: int
+) -> None:
+    """Guards against a host that spends its processor time and the store's rate limit on a store
+    that has no history, or that repeats a change."""
+    calls = 0
+
+    def answer(exchange: Exchange) -> None:
+        nonlocal calls
+        calls += 1
+        if not exchange.request.path.endswith(path):
+            exchange.respond(200, page_of(GOOD, revision=3))
+        elif status == 200:
+            exchange.respond(200, page_of(GOOD, revision=3, name="events"))
+        else:
+            exchange.respond(status)
+
+    async def act(store: StoreClient) -> None:
+        mirror = Mirror(
+            store=store,
+            prefix=PREFIX,
+            now=anyio.current_time,
+            on_change=lambda items, revision: None,
+            on_availability=lambda up, reason: None,
+            on_odd_item=lambda key, reason: None,
+        )
+        with anyio.move_on_after(1.0):
+            await mirror.run()
+
+    call_store(answer, act)
+    assert 0 < calls < 50
+
+
 def test_long_values_are_not_kept() -> None:
     """Guards against memory that other writers fill: 250 values of a megabyte took 1,037 MB."""
     value = "A" * (MAX_ENTRY_CHARACTERS + 4)
