Give a call to a worker that cannot be encoded a result

Callers saw nothing yet: a deadline that is infinite, or a payload that JSON can't hold, raised in `start` or `poll`. The other actions of the turn were lost, the task stayed ordered, and the worker was not polled again.

Evidence: before the change `OverflowError: cannot convert float infinity to integer`, `ValueError: cannot convert float NaN to integer` and `UnicodeEncodeError: surrogates not allowed` from the adapter.

Bodies are encoded in one place. A failure reaches the exception handler of the loop, and the call ends as REFUSED, the only failure that says that nothing was sent.

--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -25,6 +25,7 @@
 from ..dispatch._jobs import TaskEnd, TaskId
 from ..dispatch._workers import WorkerRecord
 from ..net import CallError, HttpClient, Response, TrafficByPurpose
+from ..net._errors import report_contained
 
 MAX_CONNECTIONS = 4
 """Connections to one worker: one for a long poll and three for orders. They are kept alive, since
@@ -203,13 +204,20 @@
         self,
         worker_id: str,
         path: str,
-        body: bytes,
+        encode_body: Callable[[], bytes],
         timeout_s: float,
         on_result: Callable[[Response | CallError], None],
         *,
         purpose: str,
         max_connections: int = MAX_CONNECTIONS,
     ) -> None:
+        try:
+            body = encode_body()
+        except (OverflowError, ValueError) as error:
+            report_contained(f"call of {path} at worker {worker_id!r} could not be encoded", error)
+            # Nothing was sent.
+            on_result(CallError.REFUSED)
+            return
         key = (worker_id, max_connections)
         client = self._client_by_key.get(key)
         if client is None:
@@ -241,25 +249,33 @@
 
     def start(self, order: StartRun, on_result: Callable[[OrderResult], None]) -> None:
         """Send an order to start a run."""
-        body = _StartBody(
-            task=task_name(order.task),
-            run=order.run,
-            spec=order.payload,
-            deadline_ms=int(order.deadline_s * 1000),
-            fence=order.fence,
-        )
-        self._send_order(order, "/api/run-start", _encoder.encode(body), on_result)
+
+        def encode_body() -> bytes:
+            body = _StartBody(
+                task=task_name(order.task),
+                run=order.run,
+                spec=order.payload,
+                deadline_ms=int(order.deadline_s * 1000),
+                fence=order.fence,
+            )
+            return _encoder.encode(body)
+
+        self._send_order(order, "/api/run-start", encode_body, on_result)
 
     def stop(self, order: StopRun, on_result: Callable[[OrderResult], None]) -> None:
         """Send an order to stop a run."""
-        body = _StopBody(task=task_name(order.task), run=order.run, fence=order.fence)
-        self._send_order(order, "/api/run-stop", _encoder.encode(body), on_result)
+
+        def encode_body() -> bytes:
+            body = _StopBody(task=task_name(order.task), run=order.run, fence=order.fence)
+            return _encoder.encode(body)
+
+        self._send_order(order, "/api/run-stop", encode_body, on_result)
 
     def _send_order(
         self,
         order: StartRun | StopRun,
         path: str,
-        body: bytes,
+        encode_body: Callable[[], bytes],
         on_result: Callable[[OrderResult], None],
     ) -> None:
         def on_response(response: Response | CallError) -> None:
@@ -272,7 +288,7 @@
         self._call(
             order.worker_id,
             path,
-            body,
+            encode_body,
             order.timeout_s,
             on_response,
             purpose="starts" if isinstance(order, StartRun) else "stops",
@@ -310,15 +326,17 @@
 
     def poll(self, order: PollWorker, on_result: Callable[[PollResult], None]) -> None:
         """Poll a worker: read its runs and renew their leases."""
-        wait_ms = int(order.wait_s * 1000)
-        body = _PollBody(
-            fence=order.fence,
-            acked_up_to=order.ends_seen,
-            deadline_ms=None if order.deadline_s is None else int(order.deadline_s * 1000),
-            wait_ms=wait_ms,
-        )
         worker_id = order.worker_id
 
+        def encode_body() -> bytes:
+            body = _PollBody(
+                fence=order.fence,
+                acked_up_to=order.ends_seen,
+                deadline_ms=None if order.deadline_s is None else int(order.deadline_s * 1000),
+                wait_ms=int(order.wait_s * 1000),
+            )
+            return _encoder.encode(body)
+
         def on_response(response: Response | CallError) -> None:
             if isinstance(response, CallError):
                 on_result(_FAILURE_BY_ERROR[response])
@@ -328,9 +346,7 @@
                 on_result(self._decode(worker_id, response, self._decode_order_answer))
 
         timeout_s = order.wait_s + order.margin_s
-        self._call(
-            worker_id, "/api/hold", _encoder.encode(body), timeout_s, on_response, purpose="polls"
-        )
+        self._call(worker_id, "/api/hold", encode_body, timeout_s, on_response, purpose="polls")
 
     def _decode_poll_answer(self, worker_id: str, response: Response) -> PollResult:
         result = decode(_poll_decoder, response.body)
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -355,3 +355,38 @@
     assert results == [CallFailure.BROKEN]
     assert not received
     assert len(reasons) == 1
+
+
+@pytest.mark.parametrize(
+    ("deadline_s", "payload", "failures"),
+    [
+        (float("inf"), "x", [CallFailure.REFUSED, CallFailure.REFUSED]),
+        (float("nan"), "x", [CallFailure.REFUSED, CallFailure.REFUSED]),
+        (1e308, "x", [CallFailure.REFUSED, CallFailure.REFUSED]),
+        # The poll has no payload; it fails as there is no entry of the worker.
+        (1.0, "\ud800", [CallFailure.REFUSED, CallFailure.BROKEN]),
+    ],
+)
+def test_an_order_that_cannot_be_encoded_has_a_result(
+    deadline_s: float, payload: str, failures: list[CallFailure]
+) -> None:
+    """Guards against a start, or a poll, that raises instead of ending: its task stayed ordered,
+    and the worker was not polled again."""
+    results: list[object] = []
+    reported: list[object] = []
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        calls = PlatformWorkerCalls(on_invalid_answer=lambda *_: None, is_in_use=lambda _: True)
+        task = TaskId("5c0e7a21d94b36f8", 0, 0)
+        start = StartRun(
+            worker_id="w", task=task, run=1, payload=payload, deadline_s=deadline_s, fence=1
+        )
+        calls.start(start, results.append)
+        poll = PollWorker(worker_id="w", fence=1, deadline_s=deadline_s, ends_seen=0, wait_s=0.0)
+        calls.poll(poll, results.append)
+
+    asyncio.run(main())
+    assert results == failures
+    assert len(reported) == failures.count(CallFailure.REFUSED)
