Fuzz host entries from a valid one

The host entry that the fuzz test changed was an object, which no version decoded, so the test never came past the decoder. It is now an entry as a host writes it, and a record that is used must fit into a message between hosts.

--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -46,7 +47,7 @@
     "labels": ["a", "r1"],
 }
 
-HOST = {"name": "h", "address": "a:1", "domain": "d", "incarnation": 1, "weight": 1.0}
+HOST = ["front-1", "10.0.0.1:1", "d", 1, 1.0]
 
 POLL = {
     "clock_ms": 5.0,
@@ -57,12 +58,13 @@
 
 
 @st.composite
-def changed(draw: st.DrawFn, document: dict[str, object]) -> bytes:
+def changed(draw: st.DrawFn, document: dict[str, object] | list[object]) -> bytes:
     """A document with some fields replaced, at the top or one level below, or cut off."""
     copy = json.loads(json.dumps(document))
     for _ in range(draw(st.integers(1, 3))):
         target = copy
-        key = draw(st.sampled_from(sorted(copy)))
+        keys = sorted(copy) if isinstance(copy, dict) else range(len(copy))
+        key = draw(st.sampled_from(keys))
         inner = copy[key]
         if isinstance(inner, dict) and inner and draw(st.booleans()):
             target, key = inner, draw(st.sampled_from(sorted(inner)))
@@ -96,8 +98,11 @@
 @settings(derandomize=True, deadline=None, max_examples=200)
 @given(changed(HOST) | st.binary(max_size=40))
 def test_no_host_entry_raises(value: bytes) -> None:
-    """Guards against a host entry that ends the process."""
-    decode_host("front-1", value)
+    """Guards against a host entry that ends the process, or a usable record that no message
+    between hosts can hold."""
+    result = decode_host("front-1", value)
+    if result.is_ok():
+        msgspec.msgpack.encode(result.unwrap())
 
 
 @settings(derandomize=True, deadline=None, max_examples=400)
