--- a/src/eelgrassyard/platform/__main__.py
+++ b/src/eelgrassyard/platform/__main__.py
@@ -27,7 +27,8 @@
             file=sys.stderr,
         )
         return 2
-    return run_host(path, metrics_port=os.environ.get(METRICS_PORT_VARIABLE, ""))
+    metrics_port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    return run_host(path, metrics_port=metrics_port, end=os._exit)
 
 
 if __name__ == "__main__":
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -6,7 +6,7 @@
 import dataclasses
 import signal
 import zlib
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import msgspec
@@ -91,6 +91,9 @@
 STATE_POLL_INTERVAL_S = 0.05
 """Interval at which the shutdown and the housekeeping check their conditions."""
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+"""Signals that the host handles: two that stop it, and one that reloads its settings."""
+
 EXIT_LISTEN_FAILED = 3
 """Exit code if an address in the settings is in use or does not belong to this machine."""
 
@@ -251,7 +254,15 @@
         self._registration_lost = anyio.Event()
 
     async def run(self) -> None:
-        """Serve until SIGTERM, then shut down gracefully."""
+        """Receive signals, and serve until the first that stops the host."""
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            await self.serve(signals)
+
+    async def serve(self, signals: AsyncIterator[signal.Signals]) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+        :param signals: signals that the process receives.
+        """
         asyncio.get_running_loop().set_exception_handler(self._errors.handle_loop_error)
         self._journal.write("start", {"domain": self._own.domain, "weight": self._own.weight})
         self._core.set_seeds(self._settings.seeds)
@@ -267,7 +278,7 @@
                 group.start_soon(run, "registration", self._maintain_registration)
                 group.start_soon(run, "settings", self._poll_settings)
                 group.start_soon(run, "housekeeping", self._run_housekeeping)
-                await self._serve_until_stopped()
+                await self._serve_until_stopped(signals)
                 group.cancel_scope.cancel()
         finally:
             self._driver.stop()
@@ -314,16 +325,14 @@
 
     # --- signals and settings ---
 
-    async def _serve_until_stopped(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                self._metrics.count_signal(number.name)
-                if number == signal.SIGHUP:
-                    with self._errors.contained("settings"):
-                        self._reload_settings()
-                    continue
+    async def _serve_until_stopped(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            self._metrics.count_signal(number.name)
+            if number != signal.SIGHUP:
                 await self._drain()
                 return
+            with self._errors.contained("settings"):
+                self._reload_settings()
 
     async def _drain(self) -> None:
         """Serve until the host is out of the load balancer's rotation and idle, or the grace period
@@ -575,15 +584,18 @@
         return msgspec.json.encode(state, enc_hook=str)
 
 
-def run_host(path: str, *, metrics_port: str = "") -> int:
+def run_host(
+    path: str, *, metrics_port: str = "", end: Callable[[int], object] = lambda code: None
+) -> int:
     """Run a host until it is stopped; return the exit code of the process.
 
     :param path: settings file.
     :param metrics_port: see :class:`PlatformHost`.
+    :param end: called with that code after a planned stop, while signals are still received.
     """
     journal = Journal(host="")
     try:
-        return _run_host(path, journal, metrics_port)
+        return _run_host(path, journal, metrics_port, end)
     except Exception as error:
         report_process_failure(journal, error)
         return EXIT_FAILED
@@ -591,7 +603,9 @@
         journal.close(LAST_LINES_S)
 
 
-def _run_host(path: str, journal: Journal, metrics_port: str) -> int:
+def _run_host(
+    path: str, journal: Journal, metrics_port: str, end: Callable[[int], object]
+) -> int:
     result = read_settings(path)
     if result.is_err():
         print(f"eelgrassyard: {result.unwrap_err()}", flush=True)
@@ -599,8 +613,17 @@
     settings = result.unwrap()
     journal.host = settings.name
     host = PlatformHost(settings=settings, path=path, journal=journal, metrics_port=metrics_port)
+
+    async def serve() -> None:
+        with anyio.open_signal_receiver(*SIGNALS) as signals:
+            await host.serve(signals)
+            journal.close(LAST_LINES_S)
+            # Past this block, signals have their default actions again, and the event loop and the
+            # interpreter wait for threads.
+            end(0)
+
     try:
-        anyio.run(host.run)
+        anyio.run(serve)
     except OSError as error:
         journal.close(LAST_LINES_S)
         print(f"eelgrassyard: {path}: listen: {error}", flush=True)
--- /dev/null
+++ b/tests/test_host_startup.py
@@ -0,0 +1,177 @@
+"""Tests of the start, the signals and the exit of real host processes, as the deploy file runs
+them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from soak._hosts import ROOT, HostProcess, free_addresses
+
+TIMEOUT_S = 30.0
+"""Time after which a condition that never becomes true fails the test."""
+
+POLL_S = 0.002
+"""Interval at which conditions are checked."""
+
+SIGNAL_INTERVAL_S = 0.0005
+"""Interval of the signals of a series that lasts until the process has ended."""
+
+WITH_A_BUSY_THREAD = """\
+import runpy, sys, threading, time
+threading.Thread(target=time.sleep, args=(3600.0,)).start()
+runpy.run_path(sys.argv[1], run_name="__main__")
+"""
+
+
+class Host(HostProcess):
+    """A host process with a short grace period.
+
+    :ivar command: words before the path of the program.
+    """
+
+    command: tuple[str, ...] = (sys.executable,)
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        HostProcess.write_settings(self)
+        text = self.settings_path.read_text()
+        self.settings_path.write_text(text.replace("grace_s = 6", "grace_s = 1"))
+
+    async def spawn(self) -> asyncio.subprocess.Process:
+        """Start the process with the settings file as it is."""
+        self.incarnation += 1
+        with self.log_path.open("wb") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command,
+                str(ROOT / "deploy" / "host.py"),
+                cwd=ROOT,
+                env={"PATH": os.environ["PATH"], "EELGRASSYARD_SETTINGS": str(self.settings_path)},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=asyncio.subprocess.STDOUT,
+            )
+        return self.process
+
+    def lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the complete lines of an event; fail if there is one that is not structured."""
+        text = self.log_path.read_text()
+        lines = [json.loads(line) for line in text.splitlines(keepends=True) if line[-1] == "\n"]
+        return [line for line in lines if line["event"] == event]
+
+    def has_mapped(self, name: str) -> bool:
+        """Tell whether the process has loaded a compiled module."""
+        assert self.process is not None
+        return name in pathlib.Path(f"/proc/{self.process.pid}/maps").read_text()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition; fail if the process ends before."""
+        assert self.process is not None
+        while not condition():
+            await asyncio.sleep(POLL_S)
+            if self.process.returncode is not None and not condition():
+                pytest.fail(f"ended with {self.process.returncode}: {self.log_path.read_text()}")
+
+    async def until_logged(self, event: str) -> None:
+        """Wait for a line of an event."""
+        await self.until(lambda: bool(self.lines(event)))
+
+    async def exit_code(self) -> int:
+        """Wait for the end of the process; return its exit code."""
+        assert self.process is not None
+        return await self.process.wait()
+
+
+def run_with_host(
+    scenario: Callable[[Host], Awaitable[None]], folder: pathlib.Path, **changes: str
+) -> None:
+    """Run a scenario with a host that is not started yet, and kill its process afterwards."""
+
+    async def run() -> None:
+        front, ready, peer, store = free_addresses(4)
+        host = Host(
+            name="h1",
+            domain="d1",
+            folder=folder,
+            front=front,
+            front_bind=front,
+            ready=ready,
+            peer=peer,
+            peer_bind=peer,
+            store=store,
+        )
+        for name, value in changes.items():
+            setattr(host, name, value)
+        host.write_settings()
+        try:
+            await asyncio.wait_for(scenario(host), TIMEOUT_S)
+        finally:
+            await host.kill()
+
+    asyncio.run(run())
+
+
+def test_a_signal_during_the_imports_is_handled(tmp_path: pathlib.Path) -> None:
+    """Guards against a SIGHUP that ends a starting process, and a SIGTERM that it reports as a
+    failure."""
+
+    async def scenario(host: Host) -> None:
+        process = await host.spawn()
+        await host.until(lambda: host.has_mapped("msgspec"))
+        process.send_signal(signal.SIGHUP)
+        await host.until_logged("start")
+        await host.kill()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            process = await host.spawn()
+            await host.until(lambda: host.has_mapped("msgspec"))
+            process.send_signal(number)
+            assert await host.exit_code() == 0
+
+    run_with_host(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signals_during_the_exit_do_not_change_it(
+    tmp_path: pathlib.Path, number: signal.Signals
+) -> None:
+    """Guards against a signal that ends the process after its handlers were removed, so that a
+    planned stop looks like a failure."""
+
+    async def scenario(host: Host) -> None:
+        process = await host.spawn()
+        await host.until_logged("start")
+        process.send_signal(signal.SIGTERM)
+        # Popen.send_signal would reap the process, and asyncio would not learn the exit code.
+        descriptor = os.pidfd_open(process.pid)
+        with contextlib.suppress(ProcessLookupError):
+            while True:
+                signal.pidfd_send_signal(descriptor, number)
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+        os.close(descriptor)
+        assert await host.exit_code() == 0
+        assert host.lines("stop")
+
+    run_with_host(scenario, tmp_path)
+
+
+def test_the_exit_does_not_wait_for_threads(tmp_path: pathlib.Path) -> None:
+    """Guards against a thread, such as one that looks up a name, that keeps the process running
+    after its last log line."""
+
+    async def scenario(host: Host) -> None:
+        host.command = (sys.executable, "-c", WITH_A_BUSY_THREAD)
+        process = await host.spawn()
+        await host.until_logged("start")
+        process.send_signal(signal.SIGTERM)
+        assert await host.exit_code() == 0
+        assert host.lines("stop")
+
+    run_with_host(scenario, tmp_path)
