Wait for an address that is taken at the start

A host whose predecessor still held one of its addresses ended at once with code 3, as did one whose address was not assigned yet; a supervisor that restarts quickly saw processes that ended by themselves. The driver listened and took part before the other two addresses were known to be free.

The host now listens at the ready and the front address, then for other hosts, and tries again each 50 ms for the grace period of the predecessor and 2 s more. Only then it starts its driver and its tasks. SIGTERM meanwhile ends it with 0.

An OSError after the start is no longer taken for a failure to listen.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -6,10 +6,11 @@
 import dataclasses
 import signal
 import zlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import msgspec
+from anyio.abc import TaskGroup
 
 from .._clock import Clock
 from .._journal import Journal
@@ -95,7 +96,13 @@
 """Signals that the host handles: two that stop it, and one that reloads its settings."""
 
 EXIT_LISTEN_FAILED = 3
-"""Exit code if an address in the settings is in use or does not belong to this machine."""
+"""Exit code if an address in the settings stays in use or does not belong to this machine."""
+
+LISTEN_MARGIN_S = 2.0
+"""Time beyond the grace period for which the start waits for an address."""
+
+LISTEN_RETRY_INTERVAL_S = 0.05
+"""Interval of the attempts to listen at an address."""
 
 EXIT_FAILED = 4
 """Exit code after an unforeseen error; a line ``process_failed`` names it."""
@@ -244,6 +251,8 @@
             mode=self._registry_mode,
         )
         self._mirrors = self._make_mirrors()
+        self._takes_part = False
+        self._exit_code = 0
         self._store_available: bool | None = None
         self._store_bytes = 0
         self._record_by_id: dict[str, WorkerRecord] = {}
@@ -253,31 +262,23 @@
         self._refused_host_values: dict[str, str] = {}
         self._registration_lost = anyio.Event()
 
-    async def run(self) -> None:
+    async def run(self) -> int:
         """Receive signals, and serve until the first that stops the host."""
         with anyio.open_signal_receiver(*SIGNALS) as signals:
-            await self.serve(signals)
+            return await self.serve(signals)
 
-    async def serve(self, signals: AsyncIterator[signal.Signals]) -> None:
+    async def serve(self, signals: AsyncIterator[signal.Signals]) -> int:
         """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
         :param signals: signals that the process receives.
+        :returns: exit code of the process.
         """
         asyncio.get_running_loop().set_exception_handler(self._errors.handle_loop_error)
         self._journal.write("start", {"domain": self._own.domain, "weight": self._own.weight})
         self._core.set_seeds(self._settings.seeds)
-        await self._driver.start()
-        await self._ready_server.listen(self._settings.ready_address)
-        await self._caller_server.listen(self._settings.front_address)
-        await self._listen_for_metrics()
         try:
             async with anyio.create_task_group() as group:
-                run = self._supervisor.run
-                for mirror in self._mirrors:
-                    group.start_soon(run, f"mirror {mirror.prefix}", mirror.run)
-                group.start_soon(run, "registration", self._maintain_registration)
-                group.start_soon(run, "settings", self._poll_settings)
-                group.start_soon(run, "housekeeping", self._run_housekeeping)
+                group.start_soon(self._take_part, group)
                 await self._serve_until_stopped(signals)
                 group.cancel_scope.cancel()
         finally:
@@ -287,6 +288,57 @@
         self._metrics_server.close()
         self._journal.write("stop", {"bytes": self._traffic.dump()})
         self._journal.flush()
+        return self._exit_code
+
+    async def _take_part(self, group: TaskGroup) -> None:
+        """Listen, then start the tasks of the host; end the group if an address stays taken."""
+        if not await self._listen():
+            self._exit_code = EXIT_LISTEN_FAILED
+            group.cancel_scope.cancel()
+            return
+        await self._listen_for_metrics()
+        self._takes_part = True
+        run = self._supervisor.run
+        for mirror in self._mirrors:
+            group.start_soon(run, f"mirror {mirror.prefix}", mirror.run)
+        group.start_soon(run, "registration", self._maintain_registration)
+        group.start_soon(run, "settings", self._poll_settings)
+        group.start_soon(run, "housekeeping", self._run_housekeeping)
+
+    async def _listen(self) -> bool:
+        """Listen at all addresses, retrying while one is taken; tell whether that succeeded."""
+        settings = self._settings
+        # Other hosts connect last, when callers can already be served.
+        steps: list[tuple[str, Callable[[], Awaitable[None]]]] = [
+            (
+                settings.ready_address,
+                lambda: self._ready_server.listen(settings.ready_address),
+            ),
+            (
+                settings.front_address,
+                lambda: self._caller_server.listen(settings.front_address),
+            ),
+            (settings.peer_bind_address, self._driver.start),
+        ]
+        # A predecessor may hold the addresses until the end of its grace period.
+        give_up_at = anyio.current_time() + settings.grace_s + LISTEN_MARGIN_S
+        for address, listen in steps:
+            waited = False
+            while True:
+                try:
+                    await listen()
+                    break
+                except OSError as error:
+                    fields = {"step": "listen", "peer": address, "reason": str(error)}
+                if anyio.current_time() >= give_up_at:
+                    self._journal.write("start_failed", fields)
+                    return False
+                if not waited:
+                    self._journal.write("address_awaited", fields)
+                    waited = True
+                await anyio.sleep(LISTEN_RETRY_INTERVAL_S)
+        self._journal.write("listening", {"addresses": [address for address, _ in steps]})
+        return True
 
     async def _listen_for_metrics(self) -> None:
         if not self._metrics_port:
@@ -329,7 +381,8 @@
         async for number in signals:
             self._metrics.count_signal(number.name)
             if number != signal.SIGHUP:
-                await self._drain()
+                if self._takes_part:
+                    await self._drain()
                 return
             with self._errors.contained("settings"):
                 self._reload_settings()
@@ -591,7 +644,7 @@
 
     :param path: settings file.
     :param metrics_port: see :class:`PlatformHost`.
-    :param end: called with that code after a planned stop, while signals are still received.
+    :param end: called with that code once nothing is left to do, while signals are still received.
     """
     journal = Journal(host="")
     try:
@@ -614,18 +667,13 @@
     journal.host = settings.name
     host = PlatformHost(settings=settings, path=path, journal=journal, metrics_port=metrics_port)
 
-    async def serve() -> None:
+    async def serve() -> int:
         with anyio.open_signal_receiver(*SIGNALS) as signals:
-            await host.serve(signals)
+            code = await host.serve(signals)
             journal.close(LAST_LINES_S)
             # Past this block, signals have their default actions again, and the event loop and the
             # interpreter wait for threads.
-            end(0)
+            end(code)
+            return code
 
-    try:
-        anyio.run(serve)
-    except OSError as error:
-        journal.close(LAST_LINES_S)
-        print(f"eelgrassyard: {path}: listen: {error}", flush=True)
-        return EXIT_LISTEN_FAILED
-    return 0
+    return anyio.run(serve)
