Wait for usable settings at the start, and say why a start fails

A host that read its settings file before the platform had written it, or while it was half written, ended at once with code 2. Why a start failed was a line of plain text, on standard error for a missing variable, and a traceback for libraries of another machine; none of them can be told apart from a fault while serving by reading structured lines.

The start now reads an unusable file again for 3 s (settings_awaited with each new reason). A start that fails ends with a start_failed line with step, peer and reason, and with one exit code for each step, 5 for imports.

Evidence: on a missing, an empty and a half written file ended the process with 2, and an empty compiled module with 1 and a traceback.

--- a/deploy/host.py
+++ b/deploy/host.py
@@ -3,6 +3,10 @@
 import os
 import signal
 import sys
+import time
+
+EXIT_IMPORT_FAILED = 5
+"""Exit code if the package or a dependency does not import, such as one of another machine."""
 
 
 def _end(number: int, frame: object) -> None:
@@ -17,6 +21,20 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "src"))
 
-from eelgrassyard.platform.__main__ import main  # noqa: E402
+try:
+    from eelgrassyard.platform.__main__ import main
+except Exception as error:
+    import json
+
+    fields = {
+        "at": round(time.time(), 4),
+        "host": "",
+        "event": "start_failed",
+        "step": "import",
+        "peer": f"{os.uname().machine}, Python {sys.version.split()[0]}",
+        "reason": f"{type(error).__name__}: {error}",
+    }
+    print(json.dumps(fields), flush=True)
+    sys.exit(EXIT_IMPORT_FAILED)
 
 sys.exit(main())
--- a/src/eelgrassyard/platform/__main__.py
+++ b/src/eelgrassyard/platform/__main__.py
@@ -6,7 +6,8 @@
 import os
 import sys
 
-from ._host import run_host
+from .._journal import Journal
+from ._host import EXIT_SETTINGS_UNUSABLE, run_host
 
 SETTINGS_VARIABLE = "EELGRASSYARD_SETTINGS"
 
@@ -22,11 +23,9 @@
         faulthandler.enable()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
-        print(
-            f"eelgrassyard: {SETTINGS_VARIABLE} is not set to the path of a settings file",
-            file=sys.stderr,
-        )
-        return 2
+        fields = {"step": "read", "peer": SETTINGS_VARIABLE, "reason": "not set to a path"}
+        Journal(host="").write("start_failed", fields, final=True)
+        return EXIT_SETTINGS_UNUSABLE
     metrics_port = os.environ.get(METRICS_PORT_VARIABLE, "")
     return run_host(path, metrics_port=metrics_port, end=os._exit)
 
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -36,7 +36,7 @@
 from ._items import MAX_CONFIG_CHARACTERS, Item
 from ._metrics import HostMetrics
 from ._process_metrics import ProcessMetrics
-from ._settings import HostSettings, read_settings
+from ._settings import HostSettings, await_settings, read_settings
 from ._store import Mirror, MirrorMode, Reread, StoreClient, StoreError, Watch
 from ._worker_calls import PlatformWorkerCalls
 
@@ -95,6 +95,9 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 """Signals that the host handles: two that stop it, and one that reloads its settings."""
 
+EXIT_SETTINGS_UNUSABLE = 2
+"""Exit code if the settings file stays unusable."""
+
 EXIT_LISTEN_FAILED = 3
 """Exit code if an address in the settings stays in use or does not belong to this machine."""
 
@@ -331,7 +334,7 @@
                 except OSError as error:
                     fields = {"step": "listen", "peer": address, "reason": str(error)}
                 if anyio.current_time() >= give_up_at:
-                    self._journal.write("start_failed", fields)
+                    self._journal.write("start_failed", fields, final=True)
                     return False
                 if not waited:
                     self._journal.write("address_awaited", fields)
@@ -656,13 +659,13 @@
         journal.close(LAST_LINES_S)
 
 
-def _run_host(
-    path: str, journal: Journal, metrics_port: str, end: Callable[[int], object]
-) -> int:
-    result = read_settings(path)
+def _run_host(path: str, journal: Journal, metrics_port: str, end: Callable[[int], object]) -> int:
+    result = await_settings(
+        path, on_unusable=lambda error: journal.write("settings_awaited", error.dump())
+    )
     if result.is_err():
-        print(f"eelgrassyard: {result.unwrap_err()}", flush=True)
-        return 2
+        journal.write("start_failed", result.unwrap_err().dump(), final=True)
+        return EXIT_SETTINGS_UNUSABLE
     settings = result.unwrap()
     journal.host = settings.name
     host = PlatformHost(settings=settings, path=path, journal=journal, metrics_port=metrics_port)
--- a/src/eelgrassyard/platform/_settings.py
+++ b/src/eelgrassyard/platform/_settings.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
@@ -25,6 +27,13 @@
 DEFAULT_DESCRIPTORS = 1024
 """Limit of descriptors if the file names none, as usual for a process."""
 
+SETTINGS_WAIT_S = 3.0
+"""Time for which the start waits for usable settings. The platform writes the file at each start
+and whenever the settings change, so it may be read while it is incomplete."""
+
+SETTINGS_RETRY_INTERVAL_S = 0.05
+"""Interval at which an unusable file is read again."""
+
 MAX_NAME_BYTES = 128
 """Length of the longest host or domain name. Both are parts of keys, which have 200 bytes."""
 
@@ -90,6 +99,10 @@
     def __str__(self) -> str:
         return f"{self.peer}: {self.step}: {self.reason}"
 
+    def dump(self) -> dict[str, object]:
+        """Return the fields of a log line."""
+        return {"step": self.step, "peer": self.peer, "reason": self.reason}
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HostSettings:
@@ -186,6 +199,25 @@
     )
 
 
+def await_settings(
+    path: str, *, on_unusable: Callable[[HostSettingsError], object]
+) -> Result[HostSettings, HostSettingsError]:
+    """Read a settings file, and wait for a while if it cannot be used.
+
+    :param on_unusable: called with each reason that differs from the one before.
+    """
+    give_up_at = time.monotonic() + SETTINGS_WAIT_S
+    reported: HostSettingsError | None = None
+    while True:
+        result = read_settings(path)
+        if result.is_ok() or time.monotonic() >= give_up_at:
+            return result
+        if result.unwrap_err() != reported:
+            reported = result.unwrap_err()
+            on_unusable(reported)
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+
+
 def _invalid_value(file: _SettingsFile) -> str:
     """Return what is wrong with a name or an address, or nothing."""
     for name, text in (("node", file.node), ("zone", file.zone)):
--- a/tests/test_host_startup.py
+++ b/tests/test_host_startup.py
@@ -17,7 +17,7 @@
 import pytest
 from soak._hosts import ROOT, HostProcess, free_addresses
 
-from eelgrassyard.platform._host import EXIT_LISTEN_FAILED
+from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, EXIT_SETTINGS_UNUSABLE
 
 TIMEOUT_S = 30.0
 """Time after which a condition that never becomes true fails the test."""
@@ -178,6 +178,67 @@
     run_with_host(scenario, tmp_path)
 
 
+def test_incomplete_settings_are_awaited(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends since the platform has not written its settings yet, or
+    only a part."""
+
+    async def scenario(host: Host) -> None:
+        text = host.settings_path.read_text()
+        host.settings_path.unlink()
+        await host.spawn()
+        for number, content in enumerate((None, "", text[: len(text) // 2]), start=1):
+            if content is not None:
+                host.settings_path.write_text(content)
+            await host.until(lambda number=number: len(host.lines("settings_awaited")) >= number)
+        host.settings_path.write_text(text)
+        await host.until_logged("listening")
+
+    run_with_host(scenario, tmp_path)
+
+
+def test_settings_that_stay_unusable_end_the_start(tmp_path: pathlib.Path) -> None:
+    """Guards against an end without a structured line that names the file and the reason."""
+
+    async def scenario(host: Host) -> None:
+        text = host.settings_path.read_text()
+        host.settings_path.write_text(text.replace(host.ready, "127.0.0.1:\u00b2"))
+        await host.spawn()
+        assert await host.exit_code() == EXIT_SETTINGS_UNUSABLE
+        (failed,) = host.lines("start_failed")
+        assert (failed["step"], failed["peer"]) == ("check", str(host.settings_path))
+        assert "ready" in failed["reason"]
+
+    run_with_host(scenario, tmp_path)
+
+
+def test_a_start_that_waits_for_its_settings_can_be_stopped(tmp_path: pathlib.Path) -> None:
+    """Guards against a planned stop that is reported as a failure."""
+
+    async def scenario(host: Host) -> None:
+        host.settings_path.unlink()
+        process = await host.spawn()
+        await host.until_logged("settings_awaited")
+        process.send_signal(signal.SIGTERM)
+        assert await host.exit_code() == 0
+
+    run_with_host(scenario, tmp_path)
+
+
+def test_dependencies_that_do_not_import_are_reported(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends with a traceback only, with libraries of another
+    machine."""
+
+    async def scenario(host: Host) -> None:
+        host.command = (sys.executable, "-S")
+        await host.spawn()
+        assert await host.exit_code() == 5
+        (failed,) = host.lines("start_failed")
+        assert failed["step"] == "import"
+        assert "ModuleNotFoundError" in failed["reason"]
+
+    run_with_host(scenario, tmp_path)
+
+
 def test_taken_addresses_are_awaited(tmp_path: pathlib.Path) -> None:
     """Guards against a process that ends since its predecessor, which is in its grace period, still
     holds an address."""
