Start a host whose standard streams are closed

A host that was started without a standard output ended with code 1: "AttributeError: 'NoneType' object has no attribute 'fileno'", since Python sets sys.stdout to None then. Its sockets would have had the descriptors 0 to 2, and the log would have been written to one of them.

The program opens the null device for each closed standard stream before anything else gets its descriptor.

Ruled out: a reader that goes away, and a full output device, did not end a host on; a test keeps that for the reader.

Evidence: on ">&-" ended the process with 1, with and without "2>&-". The test of the closed streams failed before: "assert 1 is None".

--- a/deploy/host.py
+++ b/deploy/host.py
@@ -19,6 +19,15 @@
 signal.signal(signal.SIGTERM, _end)
 signal.signal(signal.SIGINT, _end)
 
+# Else a socket gets the descriptor of a closed standard stream, and the log is written to it.
+for descriptor in range(3):
+    try:
+        os.fstat(descriptor)
+    except OSError:
+        os.open(os.devnull, os.O_RDWR)
+sys.stdout = sys.stdout or open(1, "w", closefd=False)  # noqa: SIM115
+sys.stderr = sys.stderr or open(2, "w", closefd=False)  # noqa: SIM115
+
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "src"))
 
 try:
--- a/tests/test_host_startup.py
+++ b/tests/test_host_startup.py
@@ -239,6 +239,45 @@
     run_with_host(scenario, tmp_path)
 
 
+def test_a_host_starts_without_standard_streams(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends since its output is closed, or that writes its log into a
+    socket."""
+
+    async def scenario(host: Host) -> None:
+        host.command = ("/bin/sh", "-c", 'exec "$@" <&- >&- 2>&-', "sh", sys.executable)
+        process = await host.spawn()
+        name, _, port = host.front.rpartition(":")
+        writer = None
+        while writer is None:
+            assert process.returncode is None
+            with contextlib.suppress(ConnectionError):
+                reader, writer = await asyncio.open_connection(name, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+        writer.close()
+        process.send_signal(signal.SIGTERM)
+        assert await host.exit_code() == 0
+
+    run_with_host(scenario, tmp_path)
+
+
+def test_a_host_outlives_the_reader_of_its_log(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that SIGPIPE or a failed write ends."""
+
+    async def scenario(host: Host) -> None:
+        host.settings_path.unlink()
+        log = host.folder / "first-line"
+        command = f'"$@" 2>&1 | head -n 1 > "{log}"; echo "$?"'
+        host.command = ("/bin/bash", "-c", f"set -o pipefail; {command}", "bash", sys.executable)
+        await host.spawn()
+        await host.until(lambda: log.exists() and b"settings_awaited" in log.read_bytes())
+        # The reader is gone now; the last line and the exit code are those of the failed start.
+        assert await host.exit_code() == 0
+        assert host.log_path.read_text() == f"{EXIT_SETTINGS_UNUSABLE}\n"
+
+    run_with_host(scenario, tmp_path)
+
+
 def test_taken_addresses_are_awaited(tmp_path: pathlib.Path) -> None:
     """Guards against a process that ends since its predecessor, which is in its grace period, still
     holds an address."""
