Say which changed settings need a new start, and report an odd file once

While its settings file was unusable, a host wrote settings_unusable each second, and with a port such as "²" or a deeply nested field it ended. A change of an address was reported as settings_changed, though only a new start uses it.

A reason is now written when it differs from the one before. Of a changed file, the line lists the fields in force apart from fields_of_next_start.

Evidence: the new test failed on the commit before with "['front_address', 'grace_s'] == ['grace_s']".

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -78,6 +78,9 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 """Interval at which the settings file is read, since it may change without a SIGHUP."""
 
+RELOADED_FIELDS = frozenset({"grace_s"})
+"""Settings whose changes take full effect at once; others, such as addresses, need a new start."""
+
 LONGEST_JOB_S = 1.6
 """Longest time that a job takes. After SIGTERM new requests are accepted only while a job of this
 length and :data:`EXIT_MARGIN_S` still fit into the grace period."""
@@ -254,6 +257,7 @@
             mode=self._registry_mode,
         )
         self._mirrors = self._make_mirrors()
+        self._settings_problem = ""
         self._takes_part = False
         self._exit_code = 0
         self._store_available: bool | None = None
@@ -426,18 +430,25 @@
 
     def _reload_settings(self) -> None:
         result = read_settings(self._path)
-        if result.is_err():
-            self._journal.write("settings_unusable", {"reason": str(result.unwrap_err())})
+        problem = str(result.unwrap_err()) if result.is_err() else ""
+        if problem and problem != self._settings_problem:
+            self._journal.write("settings_unusable", {"reason": problem})
+        self._settings_problem = problem
+        if result.is_err() or result.unwrap() == self._settings:
             return
         settings = result.unwrap()
-        if settings == self._settings:
-            return
-        changed = [
+        changed = {
             field.name
             for field in dataclasses.fields(settings)
             if getattr(settings, field.name) != getattr(self._settings, field.name)
-        ]
-        self._journal.write("settings_changed", {"fields": changed})
+        }
+        self._journal.write(
+            "settings_changed",
+            {
+                "fields": sorted(changed & RELOADED_FIELDS),
+                "fields_of_next_start": sorted(changed - RELOADED_FIELDS),
+            },
+        )
         self._settings = settings
 
     # --- store ---
--- a/tests/test_host_startup.py
+++ b/tests/test_host_startup.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -17,7 +18,11 @@
 import pytest
 from soak._hosts import ROOT, HostProcess, free_addresses
 
-from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, EXIT_SETTINGS_UNUSABLE
+from eelgrassyard.platform._host import (
+    EXIT_LISTEN_FAILED,
+    EXIT_SETTINGS_UNUSABLE,
+    SETTINGS_POLL_INTERVAL_S,
+)
 
 TIMEOUT_S = 30.0
 """Time after which a condition that never becomes true fails the test."""
@@ -154,6 +159,41 @@
     run_with_host(scenario, tmp_path)
 
 
+def test_an_odd_settings_file_does_not_end_a_serving_host(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that ends or goes silent when its settings file is odd for a while,
+    and against changes that seem to be in force but need a new start."""
+
+    async def scenario(host: Host) -> None:
+        text = host.settings_path.read_text()
+        host.settings_path.write_text(text.replace("grace_s = 1", "grace_s = 3600"))
+        process = await host.spawn()
+        await host.until_logged("listening")
+        deep = f"note = {'[' * 5000}{']' * 5000}\n{text}"
+        odd = [deep, "", text[: len(text) // 2], text.replace(host.front, "127.0.0.1:\u00b2")]
+        for number, content in enumerate(odd, start=1):
+            host.settings_path.write_text(content)
+            process.send_signal(signal.SIGHUP)
+            await host.until(lambda number=number: len(host.lines("settings_unusable")) >= number)
+        # The file is also read without a signal, and that must not repeat the line.
+        await asyncio.sleep(1.5 * SETTINGS_POLL_INTERVAL_S)
+        (other,) = free_addresses(1)
+        host.settings_path.write_text(text.replace(host.front, other))
+        await host.until_logged("settings_changed")
+        (changed,) = host.lines("settings_changed")
+        assert changed["fields"] == ["grace_s"]
+        assert changed["fields_of_next_start"] == ["front_address"]
+        # Writing a file truncates it first, so that it may also have been read while it was empty.
+        reasons = [line["reason"] for line in host.lines("settings_unusable")]
+        assert all(reason != later for reason, later in itertools.pairwise(reasons))
+        _, writer = await asyncio.open_connection(*host.front.split(":"))
+        writer.write(b"GET / HTTP/1.1\r\n")
+        process.send_signal(signal.SIGTERM)
+        assert await host.exit_code() == 0
+        writer.close()
+
+    run_with_host(scenario, tmp_path)
+
+
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 def test_signals_during_the_exit_do_not_change_it(
     tmp_path: pathlib.Path, number: signal.Signals
