--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -246,7 +246,7 @@
 from eelgrassyard.platform import __main__ as program, _host
 
 class FailingHost(_host.PlatformHost):
-    async def run(self):
+    async def serve(self, signals):
         for number in range(1000):
             self._journal.write("filler", {"text": "x" * 200})
         raise ExceptionGroup("tasks", [RecursionError("too deep"), ValueError("odd")])
@@ -291,4 +291,4 @@
     )
     assert ended.returncode == -signal.SIGSEGV
     assert b"Segmentation fault" in ended.stderr
-    assert b" in run" in ended.stderr
+    assert b" in serve" in ended.stderr
