Keep one poll of a worker in flight after an unforeseen error

Callers saw nothing yet. When the handling of a poll report raises after it has ordered the next poll, the containment took that poll for unanswered, and ordered another one 0.5 s later. The first one may take up to 0.7 s on a slow link. Its report could miss a run that has begun since, and the task of that run would be taken for lost and started again.

Evidence: before the change the test failed with: 2.819 d0-h0 has two polls in flight to d0-w0. The injection of random errors didn't find it, since answers are fast in the simulation: a poll in flight returns before the next one is due.

The poll that was ordered during the failed handling has not left the pool yet, and is dropped.

--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -143,6 +143,13 @@
             case PollWorker():
                 worker = self.worker_by_id.get(order.worker_id)
                 if worker is not None:
+                    # The handling may have ordered the next poll before it raised. Two polls in
+                    # flight would make reports ambiguous.
+                    self.actions[:] = [
+                        action
+                        for action in self.actions
+                        if not isinstance(action, PollWorker) or action.worker_id != order.worker_id
+                    ]
                     self.poller.poll_answered(now, worker, CallFailure.SILENT)
                     # The next answer may raise as well.
                     worker.next_poll_at = now + SILENT_POLL_INTERVAL_S
--- a/tests/test_dispatch_containment.py
+++ b/tests/test_dispatch_containment.py
@@ -18,7 +18,7 @@
 from eelgrassyard.dispatch._leadership import Leadership
 from eelgrassyard.dispatch._leases import WorkerClock
 from eelgrassyard.dispatch._links import Links
-from eelgrassyard.dispatch._order_timing import OrderTiming
+from eelgrassyard.dispatch._order_timing import MAX_POLL_MARGIN_S, OrderTiming
 from eelgrassyard.dispatch._peer_pools import PeerPools
 from eelgrassyard.dispatch._polling import WorkerPoller
 from eelgrassyard.dispatch._stops import PendingStops
@@ -235,3 +235,29 @@
     assert [caller.attempts for caller in odd_callers] == [2] * 3
     assert world.leaders("d0") == leaders
     assert world.violations == []
+
+
+def test_an_error_after_the_next_poll_was_sent_leaves_one_poll_in_flight(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against two polls of a worker at the same time: the older report could miss a run that
+    has begun since, whose task would be started a second time."""
+    world = World(seed=8, domains=1, hosts=1, workers=1)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    poll_answered = WorkerPool.poll_answered
+    raised: list[float] = []
+
+    def fail_once(pool: WorkerPool, now: float, worker_id: str, result: Any) -> None:
+        poll_answered(pool, now, worker_id, result)
+        if pool.worker_by_id[worker_id].run_by_task and not raised:
+            raised.append(now)
+            world.cut_paths.add(frozenset((leader, worker_id)))
+            raise InjectedError("poll_answered")
+
+    monkeypatch.setattr(WorkerPool, "poll_answered", fail_once)
+    monkeypatch.setattr(OrderTiming, "poll_margin_s", lambda _: MAX_POLL_MARGIN_S)
+    world.submit(leader, tasks=1, work_s=0.8)
+    world.run(1.5)
+    assert raised
+    assert world.violations == []
