Read all items when the changes don't fit into one answer

The answer to a watch holds all changes since a revision, with the values of other writers, and the client reads answers of up to 16 MB. A host that had missed more than that, for example while the store was cut off, asked for the same changes again and again, and followed the prefix no more. The leader's copy of the worker entries recovered, since it reads all items after a pause; those of the operator's keys and of the hosts did not.

When a watch fails after 4 MB, the mirror reads all items instead, which come in pages of about a megabyte. Before, the new test failed with: assert ['range', 'watch', 'watch'] == ['range', 'watch', 'range'].

--- a/src/eelgrassyard/platform/_store.py
+++ b/src/eelgrassyard/platform/_store.py
@@ -42,6 +42,10 @@
 """Limits of the exponential backoff while the store is unavailable. Entries must be read within 2 s
 of its return."""
 
+MAX_CHANGES_BYTES = 4_000_000
+"""Bytes of a failed answer to a watch from which all items are read instead: they come in pages of
+a megabyte, while the changes since a revision come in one answer, which would fail again."""
+
 MAX_CONNECTIONS = 6
 """Connections to the store. Each mirror may hold one with a long poll."""
 
@@ -63,12 +67,14 @@
     :param step: what the call was to do.
     :param peer: address of the store.
     :param status: HTTP status of the response if it was an error, else 0.
+    :param oversized: whether the call was a watch with more changes than could be received.
     """
 
     step: str
     peer: str
     reason: str
     status: int = 0
+    oversized: bool = False
 
     def __str__(self) -> str:
         return f"{self.step} at {self.peer}: {self.reason}"
@@ -119,7 +125,7 @@
             on_result=on_result,
             body=body,
             progress_s=CALL_TIMEOUT_S,
-            traffic=self._traffic.of(TRAFFIC_PURPOSE + prefix.strip("/")),
+            traffic=self._traffic.of(_purpose(prefix)),
         )
         result = await future
         if isinstance(result, CallError):
@@ -169,9 +175,15 @@
             to continue.
         """
         target = f"/api/kv-watch?prefix={_quote(prefix)}&after={after}&wait_ms={int(wait_s * 1000)}"
-        response = await self._call(
-            "watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2, prefix=prefix
-        )
+        traffic = self._traffic.of(_purpose(prefix))
+        received_before = traffic.received
+        try:
+            response = await self._call(
+                "watch", "GET", target, timeout_s=wait_s + CALL_TIMEOUT_S / 2, prefix=prefix
+            )
+        except StoreError as error:
+            error.oversized = traffic.received - received_before > MAX_CHANGES_BYTES
+            raise
         return self._page(response, "watch", prefix, max_characters)
 
     def _page(self, response: Response, step: str, prefix: str, max_characters: int) -> Page:
@@ -205,6 +217,10 @@
         await self._call("write", "POST", "/api/kv-txn", body)
 
 
+def _purpose(prefix: str) -> str:
+    return TRAFFIC_PURPOSE + prefix.strip("/")
+
+
 def _quote(text: str) -> str:
     return urllib.parse.quote(text, safe="")
 
@@ -302,6 +318,8 @@
                     self._revision = None
                     self._history_lost = True
                     continue
+                if error.oversized:
+                    self._revision = None
                 self._on_availability(False, str(error))
             await anyio.sleep(pause_s)
             pause_s = min(RETRY_MAX_S, pause_s * 2.0)
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from eelgrassyard.net import Exchange, HttpServer
+from eelgrassyard.net._http_client import MAX_RESPONSE_BYTES
 from eelgrassyard.platform._items import MAX_ENTRY_CHARACTERS, Page, decode_page
 from eelgrassyard.platform._store import Mirror, StoreClient, StoreError
 from eelgrassyard.standins import reserve_ports
@@ -96,15 +97,13 @@
     call_store(lambda exchange: exchange.respond(200, page_of(GOOD, truncated=True)), act)
 
 
-def test_a_change_without_a_key_is_followed_by_a_read_of_all_items() -> None:
-    """Guards against a copy that misses a change since its key can't be read."""
-    answers = [
-        page_of(GOOD, revision=3),
-        page_of({"key": 7, "revision": 4}, revision=4, name="events"),
-        page_of({**GOOD, "value": "eQ=="}, revision=4),
-    ]
-    paths: list[str] = []
+def follow(answers: list[bytes]) -> tuple[list[bytes], list[str], list[str]]:
+    """Run a mirror on answers in turn, until the entry "good" has changed.
+
+    :returns: contents of that entry, last parts of the paths called, and keys of odd items.
+    """
     contents: list[bytes] = []
+    paths: list[str] = []
     odd: list[str] = []
 
     def answer(exchange: Exchange) -> None:
@@ -136,11 +135,38 @@
             group.cancel_scope.cancel()
 
     call_store(answer, act)
+    return contents, paths, odd
+
+
+def test_a_change_without_a_key_is_followed_by_a_read_of_all_items() -> None:
+    """Guards against a copy that misses a change since its key can't be read."""
+    contents, paths, odd = follow(
+        [
+            page_of(GOOD, revision=3),
+            page_of({"key": 7, "revision": 4}, revision=4, name="events"),
+            page_of({**GOOD, "value": "eQ=="}, revision=4),
+        ]
+    )
     assert contents == [b"x", b"y"]
     assert paths[:3] == ["range", "watch", "range"]
     assert odd == [""]
 
 
+def test_changes_that_do_not_fit_into_an_answer_are_followed_by_a_read_of_all_items() -> None:
+    """Guards against a host that follows a prefix no more: the changes of other writers since its
+    revision were larger than the largest response that is read, and were asked for again."""
+    long = {"key": "servers/odd", "value": "A" * MAX_RESPONSE_BYTES, "revision": 4}
+    contents, paths, _ = follow(
+        [
+            page_of(GOOD, revision=3),
+            page_of(long, revision=4, name="events"),
+            page_of({**GOOD, "value": "eQ=="}, revision=4),
+        ]
+    )
+    assert contents == [b"x", b"y"]
+    assert paths[:3] == ["range", "watch", "range"]
+
+
 @pytest.mark.parametrize(("path", "status"), [("watch", 200), ("watch", 410), ("range", 410)])
 def test_answers_that_do_not_move_on_are_not_asked_for_without_a_pause(
     path: str, status: int
