Keep the timeouts of connections after an error in closing one

One error in closing a connection ended the timer that closes silent ones: they stayed open for good, until the limit on callers' connections was reached. The timer is now set before the connections are checked, and an error is reported and contained to its connection.

Before: test_an_error_in_closing_one_connection_leaves_the_timeouts_of_the_others failed with "TimeoutError" in waiting for the end of the other connection.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -108,10 +108,13 @@
 
     def _check_timeouts(self) -> None:
         loop = asyncio.get_running_loop()
+        self._timeout_check_timer = loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
         now = loop.time()
         for connection in list(self.connections):
-            connection.close_if_timed_out(now)
-        self._timeout_check_timer = loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
+            try:
+                connection.close_if_timed_out(now)
+            except Exception as error:
+                report_contained("timeout of a connection could not be handled", error)
 
     def is_full(self) -> bool:
         """Tell whether a new connection is beyond the limit; count it, and report the first one."""
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -11,7 +11,15 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from eelgrassyard.net import CallError, Exchange, HttpClient, HttpServer, Response, ServerLimits
+from eelgrassyard.net import (
+    CallError,
+    Exchange,
+    HttpClient,
+    HttpServer,
+    Response,
+    ServerLimits,
+    _http_server,
+)
 from eelgrassyard.standins import reserve_ports
 
 ANSWER_TIMEOUT_S = 5.0
@@ -680,3 +688,33 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_an_error_in_closing_one_connection_leaves_the_timeouts_of_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against connections that are never closed any more, since the timer has ended."""
+    reported: list[object] = []
+    monkeypatch.setattr(_http_server, "TIMEOUT_CHECK_INTERVAL_S", 0.01)
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["exception"]))
+        error = RuntimeError("unforeseen")
+
+        def fail(now: float) -> None:
+            raise error
+
+        host, _, port = address.partition(":")
+        odd = await asyncio.open_connection(host, int(port))
+        while not server.connections:
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        monkeypatch.setattr(connection, "close_if_timed_out", fail)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        assert await asyncio.wait_for(reader.read(), ANSWER_TIMEOUT_S) == b""
+        assert error in reported
+        odd[1].close()
+        writer.close()
+
+    serve(scenario, limits=ServerLimits(idle_s=0.05))
