--- a/src/eelgrassyard/net/__init__.py
+++ b/src/eelgrassyard/net/__init__.py
@@ -5,8 +5,9 @@
 """
 
 from ._http_client import CallError, HttpClient, Response
+from ._http_exchange import Exchange
 from ._http_messages import HttpRequest, ServerLimits
-from ._http_server import Exchange, HttpServer
+from ._http_server import HttpServer
 from ._sessions import SessionClient, SessionServer
 from ._traffic import Traffic, TrafficByPurpose
 
