Bound the memory of callers' requests

Short headers took far more memory than bytes on the wire.

The server counts the bytes of requests that are arriving or have no response yet, with an allowance for each header. Beyond a quarter of the memory limit a request that is still arriving is rejected with 503 and Retry-After, since nothing of it has run; it is logged and counted. Requests that have arrived are not touched. Large requests may take three quarters of that memory only, so that clients that send large bodies slowly leave room for ordinary jobs. Bodies are collected in one array; before, a body in chunks of a byte took many times its size.

--- a/src/eelgrassyard/net/_http_exchange.py
+++ b/src/eelgrassyard/net/_http_exchange.py
@@ -22,11 +22,15 @@
 class Exchange:
     """A request and the means to respond to it.
 
+    :param held_bytes: memory of the request, as counted by the server.
     :ivar on_close: called if the connection is closed before the response.
     """
 
-    def __init__(self, *, connection: Connection, request: HttpRequest, keep_alive: bool) -> None:
+    def __init__(
+        self, *, connection: Connection, request: HttpRequest, keep_alive: bool, held_bytes: int
+    ) -> None:
         self.request = request
+        self.held_bytes = held_bytes
         self.on_close: Callable[[], None] | None = None
         self._connection = connection
         self._keep_alive = keep_alive
--- a/src/eelgrassyard/net/_http_messages.py
+++ b/src/eelgrassyard/net/_http_messages.py
@@ -4,7 +4,12 @@
 
 import http
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+SMALL_REQUEST_BYTES = 16_384
+LARGE_REQUESTS_SHARE = 0.75
+"""Share of the memory for requests that larger ones may take, so that clients who send large bodies
+slowly leave room for ordinary requests."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -14,6 +19,8 @@
     :param header_s: time for sending a request.
     :param idle_s: time without a request after which a keep-alive connection is closed.
     :param connections: open connections, beyond which new ones are closed at once.
+    :param held_bytes: memory of all requests that are arriving or have no response yet, beyond
+        which those that are still arriving are rejected.
     """
 
     header_bytes: int = 16_384
@@ -21,6 +28,12 @@
     header_s: float = 3.0
     idle_s: float = 15.0
     connections: float = math.inf
+    held_bytes: float = math.inf
+
+    def allowance(self, request_bytes: int) -> float:
+        """Memory of all requests up to which one of this size may go on arriving."""
+        is_small = request_bytes <= SMALL_REQUEST_BYTES
+        return self.held_bytes if is_small else self.held_bytes * LARGE_REQUESTS_SHARE
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,6 +50,21 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class PartialRequest:
+    """A request of which the end has not arrived.
+
+    :ivar held_bytes: memory of the request, as counted by the server.
+    """
+
+    method: str = ""
+    url: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    held_bytes: int = 0
+    keep_alive: bool = True
+
+
 _STATUS_LINE_BY_STATUS = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n" for status in http.HTTPStatus
 }
--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -5,13 +5,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import httptools
 
 from ._errors import report_contained
 from ._http_exchange import Exchange
-from ._http_messages import HttpRequest, ServerLimits, encode_response
+from ._http_messages import HttpRequest, PartialRequest, ServerLimits, encode_response
 from ._traffic import Traffic
 
 TIMEOUT_CHECK_INTERVAL_S = 0.5
@@ -20,6 +19,12 @@
 MAX_PIPELINED = 16
 """Pipelined requests of a connection that may wait behind the current one."""
 
+HEADER_OVERHEAD_BYTES = 200
+"""Memory of a header besides its text; a header may have only a few bytes on the wire."""
+
+OVERLOAD_HEADERS = "Retry-After: 1\r\n"
+"""Headers of the response to a request for which there is no memory; nothing of it has run."""
+
 
 Handler = Callable[[Exchange], None]
 
@@ -33,6 +38,9 @@
         before it reaches the handler.
     :param traffic: counts the bytes of all connections.
     :ivar refused_connections: connections that were closed at once, beyond the limit.
+    :ivar held_bytes: memory of all requests that are arriving or have no response yet.
+    :ivar overload_rejections: requests that were rejected while they arrived, since there was no
+        memory for them.
     """
 
     def __init__(
@@ -49,6 +57,8 @@
         self.connections: set[_ServerConnection] = set()
         self.closing = False
         self.refused_connections = 0
+        self.held_bytes = 0
+        self.overload_rejections = 0
         self._was_full = False
         self._on_error = on_error
         self._server: asyncio.Server | None = None
@@ -114,16 +124,6 @@
         self.stop_listening()
 
 
-@dataclass(slots=True)
-class _PartialRequest:
-    method: str = ""
-    url: bytes = b""
-    headers: dict[str, str] = field(default_factory=dict)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
-    keep_alive: bool = True
-
-
 class _ServerConnection(asyncio.Protocol):
     """One client connection; pipelined requests are handled one at a time, in order."""
 
@@ -131,7 +131,7 @@
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._incoming = _PartialRequest()
+        self._incoming = PartialRequest()
         self._header_bytes = 0
         self._in_headers = True
         self._state_since = 0.0
@@ -155,6 +155,9 @@
         self._transport = None
         self._server.connections.discard(self)
         exchange, self._current_exchange = self._current_exchange, None
+        waiting = [*self._pipelined] if exchange is None else [exchange, *self._pipelined]
+        self._server.held_bytes -= sum(each.held_bytes for each in waiting)
+        self._release_incoming()
         self._pipelined.clear()
         if exchange is not None:
             exchange.client_left()
@@ -194,16 +197,18 @@
 
     def on_message_begin(self) -> None:
         """Parser callback: start of a request."""
-        self._incoming = _PartialRequest()
+        self._release_incoming()
         self._in_headers = True
 
     def on_url(self, url: bytes) -> None:
         """Parser callback: part of the target."""
-        self._incoming.url += url
+        if self._hold(len(url)):
+            self._incoming.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header."""
-        self._incoming.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
+        if self._hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES):
+            self._incoming.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         """Parser callback: end of the headers."""
@@ -221,11 +226,10 @@
     def on_body(self, body: bytes) -> None:
         """Parser callback: part of the body."""
         incoming = self._incoming
-        incoming.body_bytes += len(body)
-        if incoming.body_bytes > self._server.limits.body_bytes:
+        if len(incoming.body) + len(body) > self._server.limits.body_bytes:
             self._reject(413, "body too large")
-            return
-        incoming.body.append(body)
+        elif self._hold(len(body)):
+            incoming.body += body
 
     def on_message_complete(self) -> None:
         """Parser callback: end of the message."""
@@ -246,17 +250,36 @@
                 path=(url.path or b"/").decode("latin-1"),
                 query=(url.query or b"").decode("latin-1"),
                 headers=incoming.headers,
-                body=b"".join(incoming.body),
+                body=bytes(incoming.body),
             ),
             keep_alive=incoming.keep_alive,
+            held_bytes=incoming.held_bytes,
         )
+        self._incoming = PartialRequest()
         if self._current_exchange is None and not self._write_paused:
             self._handle(exchange)
         elif len(self._pipelined) < MAX_PIPELINED:
             self._pipelined.append(exchange)
         else:
+            self._server.held_bytes -= exchange.held_bytes
             self._reject(429, "too many pipelined requests")
 
+    def _hold(self, size: int) -> bool:
+        """Count memory of the incoming request; tell whether there is any for it."""
+        if self._rejection is not None:
+            return False
+        self._incoming.held_bytes += size
+        self._server.held_bytes += size
+        if self._server.held_bytes <= self._server.limits.allowance(self._incoming.held_bytes):
+            return True
+        self._server.overload_rejections += 1
+        self._reject(503, f"requests of {self._server.held_bytes} bytes are in progress")
+        return False
+
+    def _release_incoming(self) -> None:
+        self._server.held_bytes -= self._incoming.held_bytes
+        self._incoming = PartialRequest()
+
     def _handle(self, exchange: Exchange) -> None:
         self._current_exchange = exchange
         try:
@@ -283,7 +306,9 @@
             report_contained(f"response with status {status} could not be encoded", error)
             data = encode_response(500, b"", headers="", keep_alive=keep_alive)
         self._write(data)
-        self._current_exchange = None
+        if self._current_exchange is not None:
+            self._server.held_bytes -= self._current_exchange.held_bytes
+            self._current_exchange = None
         self._state_since = asyncio.get_running_loop().time()
         if not keep_alive:
             if self._transport is not None:
@@ -307,12 +332,14 @@
         if self._rejection is not None:
             return
         self._rejection = status
+        self._release_incoming()
         self._server.report_error(status, reason)
         self._handle_next()
 
     def _close_rejected(self, status: int) -> None:
         if self._transport is not None:
-            self._write(encode_response(status, b"", headers="", keep_alive=False))
+            headers = OVERLOAD_HEADERS if status == 503 else ""
+            self._write(encode_response(status, b"", headers=headers, keep_alive=False))
             self._transport.close()
 
     # --- timeouts and shutdown ---
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -129,6 +129,13 @@
 
 MIN_CALLER_CONNECTIONS = 64
 
+CALLER_MEMORY_SHARE = 0.25
+"""Share of the memory limit that the requests of callers may take. Their jobs and the messages
+about them hold most of a request's bytes again."""
+
+DEFAULT_MEMORY_LIMIT_BYTES = 300_000_000
+"""Memory limit that is assumed if the settings name none."""
+
 METRICS_HEADERS = "Content-Type: text/plain; version=0.0.4\r\n"
 
 
@@ -149,6 +156,11 @@
     return max(MIN_CALLER_CONNECTIONS, int((max_fds - RESERVED_FDS) * CALLER_FDS_SHARE))
 
 
+def max_caller_bytes(memory_limit_bytes: int) -> float:
+    """Memory that a process with this limit, or 0 if it is unknown, has for callers' requests."""
+    return (memory_limit_bytes or DEFAULT_MEMORY_LIMIT_BYTES) * CALLER_MEMORY_SHARE
+
+
 class PlatformHost:
     """Runs one host: its servers, its driver, and its copy of the store's entries.
 
@@ -213,7 +225,10 @@
         )
         self._caller_server = HttpServer(
             handler=self._caller_api.handle,
-            limits=ServerLimits(connections=max_caller_connections(settings.descriptor_limit)),
+            limits=ServerLimits(
+                connections=max_caller_connections(settings.descriptor_limit),
+                held_bytes=max_caller_bytes(settings.memory_limit_bytes),
+            ),
             on_error=self._request_rejected,
             traffic=self._traffic.of("callers"),
         )
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -690,6 +690,108 @@
     asyncio.run(main())
 
 
+def test_requests_beyond_the_memory_for_them_are_refused_and_the_others_served() -> None:
+    """Guards against a process that is killed for its memory: 600 half-sent bodies of 261 kB took
+    189 MB."""
+    rejected: list[int] = []
+    waiting: list[Exchange] = []
+    head = b"POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+
+    def handler(exchange: Exchange) -> None:
+        if len(exchange.request.body) == 100_000:
+            waiting.append(exchange)
+        else:
+            echo(exchange)
+
+    async def main() -> None:
+        server = HttpServer(
+            handler=handler,
+            limits=ServerLimits(held_bytes=1_000_000),
+            on_error=lambda status, _: rejected.append(status),
+        )
+        address = free_address()
+        await server.listen(address)
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b"x" * 100_000)
+        while not waiting:
+            await asyncio.sleep(0)
+        slow = [await asyncio.open_connection(host, int(port)) for _ in range(30)]
+        for _, each in slow:
+            each.write(head + b"x" * 99_000)
+        held = 0
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while len(rejected) < 24:
+                held = max(held, server.held_bytes)
+                await asyncio.sleep(0)
+        assert set(rejected) == {503}
+        assert held <= 1_000_000
+        assert len(rejected) == server.overload_rejections == 24
+        answer = await exchange_bytes(address, head + b"x" * 60_000)
+        assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1\r\n" in answer
+        # Ordinary requests are still served, and the complete one gets its answer.
+        assert b" 200 " in await exchange_bytes(address, GET)
+        waiting[0].respond(200, b"done")
+        assert (await asyncio.wait_for(reader.readuntil(b"done"), ANSWER_TIMEOUT_S))[9:12] == b"200"
+        for _, each in [*slow, (reader, writer)]:
+            each.close()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while server.connections:
+                await asyncio.sleep(0)
+        assert server.held_bytes == 0
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        GET,
+        GET * 30,
+        GET + b"nonsense\r\n\r\n",
+        b"GET http://[ HTTP/1.1\r\n\r\n",
+        b"POST / HTTP/1.1\r\nContent-Length: 3000\r\n\r\n" + b"x" * 3000,
+        b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n",
+        b"GET / HTTP/1.1\r\nA: b\r\nB",
+        b"GET / HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    ],
+)
+@pytest.mark.parametrize("leaves", [False, True])
+def test_no_memory_stays_counted_once_requests_have_ended(data: bytes, leaves: bool) -> None:
+    """Guards against a counter that grows until every request is refused."""
+
+    def handler(exchange: Exchange) -> None:
+        asyncio.get_running_loop().call_soon(echo, exchange)
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        host, _, port = address.partition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        await writer.drain()
+        while not server.connections:
+            await asyncio.sleep(0)
+        for _ in range(0 if leaves else 100):
+            await asyncio.sleep(0)
+        writer.close()
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while server.connections:
+                await asyncio.sleep(0)
+        assert server.held_bytes == 0
+
+    serve(scenario, handler, limits=ServerLimits(header_bytes=2000, body_bytes=2000))
+
+
+def test_many_short_headers_count_with_the_memory_that_they_take() -> None:
+    """Guards against headers of a few bytes that take 50 times as much memory."""
+    data = b"GET / HTTP/1.1\r\n" + b"".join(b"%x:\r\n" % n for n in range(2000))
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        assert b" 503 " in await exchange_bytes(address, data)
+
+    serve(scenario, limits=ServerLimits(held_bytes=100_000))
+
+
 def test_an_error_in_closing_one_connection_leaves_the_timeouts_of_the_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 import os
 import signal
@@ -20,6 +21,7 @@
 from eelgrassyard.platform._host import (
     EXIT_LISTEN_FAILED,
     PlatformHost,
+    max_caller_bytes,
     max_caller_connections,
     run_host,
 )
@@ -498,3 +500,17 @@
 def test_callers_leave_descriptors_for_workers_and_hosts(max_fds: int, connections: int) -> None:
     """Guards against callers' connections that take all descriptors of the process."""
     assert max_caller_connections(max_fds) == connections
+
+
+@pytest.mark.parametrize(
+    ("memory_limit_bytes", "held_bytes"), [(0, 75_000_000), (400_000_000, 100_000_000)]
+)
+def test_callers_leave_memory_for_the_rest_of_the_process(
+    memory_limit_bytes: int, held_bytes: float
+) -> None:
+    """Guards against a process that is killed for its memory: bodies of callers had no bound in
+    total."""
+    assert max_caller_bytes(memory_limit_bytes) == held_bytes
+    settings = dataclasses.replace(Site().settings, memory_limit_bytes=memory_limit_bytes)
+    host = PlatformHost(settings=settings, path="/nonexistent")
+    assert host._caller_server.limits.held_bytes == held_bytes
