--- a/src/eelgrassyard/platform/__main__.py
+++ b/src/eelgrassyard/platform/__main__.py
@@ -7,7 +7,7 @@
 import sys
 
 from .._journal import Journal
-from ._host import EXIT_SETTINGS_UNUSABLE, run_host
+from ._start import EXIT_SETTINGS_UNUSABLE, run_host
 
 SETTINGS_VARIABLE = "EELGRASSYARD_SETTINGS"
 
--- a/tests/test_host_startup.py
+++ b/tests/test_host_startup.py
@@ -18,11 +18,8 @@
 import pytest
 from soak._hosts import ROOT, HostProcess, free_addresses
 
-from eelgrassyard.platform._host import (
-    EXIT_LISTEN_FAILED,
-    EXIT_SETTINGS_UNUSABLE,
-    SETTINGS_POLL_INTERVAL_S,
-)
+from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, SETTINGS_POLL_INTERVAL_S
+from eelgrassyard.platform._start import EXIT_SETTINGS_UNUSABLE
 
 TIMEOUT_S = 30.0
 """Time after which a condition that never becomes true fails the test."""
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -5,7 +5,7 @@
 import re
 from pathlib import Path
 
-from eelgrassyard.platform import _host
+from eelgrassyard.platform import _host, _start
 from test_platform_host import Site, run_scenario
 
 ROOT = Path(__file__).parents[1]
@@ -49,8 +49,9 @@
     """Guards against a process that ends with a code that the page does not have."""
     codes = {
         value
-        for name, value in vars(_host).items()
+        for module in (_host, _start)
+        for name, value in vars(module).items()
         if name.startswith("EXIT_") and type(value) is int
     }
-    assert codes >= {_host.EXIT_FAILED, _host.EXIT_LISTEN_FAILED}
+    assert codes >= {_start.EXIT_FAILED, _host.EXIT_LISTEN_FAILED}
     assert not {code for code in codes if f"\n| {code} | " not in PAGE}
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -18,15 +18,11 @@
 
 from eelgrassyard.dispatch._messages import ConfigDocument, TakeOver
 from eelgrassyard.net import CallError, HttpClient, Response
-from eelgrassyard.platform._host import (
-    EXIT_LISTEN_FAILED,
-    PlatformHost,
-    max_caller_bytes,
-    max_caller_connections,
-    run_host,
-)
+from eelgrassyard.platform._caller_limits import max_caller_bytes, max_caller_connections
+from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost
 from eelgrassyard.platform._items import Item
 from eelgrassyard.platform._settings import HostSettings
+from eelgrassyard.platform._start import run_host
 from eelgrassyard.standins import reserve_ports
 from platform_standin import StandinWorker, config
 
@@ -325,18 +321,18 @@
         host, core = site.host, site.host._core
         entry = site.worker.entry(site.worker_address, "patan", "svc")
         item = Item(key="servers/i-1", value=base64.b64encode(entry).decode())
-        host._worker_mirror.read_at = host._clock.now()
-        host._workers_changed({item.key: item}, 1)
+        host._follower._worker_mirror.read_at = host._clock.now()
+        host._follower._workers_changed({item.key: item}, 1)
         later = host._clock.now() + 5.0
         monkeypatch.setattr(host._clock, "now", lambda: later)
-        host._apply_config(config(version=8), "host")
+        host._follower._apply_config(config(version=8), "host")
         core.link_received(later, "front-2", TakeOver(epoch=1))
         assert core.pool is not None
         assert core.pool.starts_after > later
-        host._apply_config(config(version=9), "host")
+        host._follower._apply_config(config(version=9), "host")
         assert core.pool.starts_after > later
-        host._worker_mirror.read_at = later
-        host._workers_changed({item.key: item}, 2)
+        host._follower._worker_mirror.read_at = later
+        host._follower._workers_changed({item.key: item}, 2)
         assert not core.pool.starts_after
 
     anyio.run(main)
@@ -353,21 +349,21 @@
         host, core = site.host, site.host._core
         now = host._clock.now()
         monkeypatch.setattr(host._clock, "now", lambda: now)
-        host._store_availability_changed(True, "")
-        host._apply_config(config(version=8), "host")
+        host._follower._store_availability_changed(True, "")
+        host._follower._apply_config(config(version=8), "host")
         core.link_received(now, "front-2", TakeOver(epoch=1))
         assert core.pool is not None
         until = core.pool.starts_after
         now += 0.1
-        host._report_store_traffic()
+        host._follower._report_store_traffic()
         assert core.pool.starts_after == until
         host._traffic.of("store_servers").received += 1000
-        host._report_store_traffic()
+        host._follower._report_store_traffic()
         assert core.pool.starts_after == pytest.approx(until + 0.1)
         now += 0.1
-        host._store_availability_changed(False, "busy")
+        host._follower._store_availability_changed(False, "busy")
         host._traffic.of("store_servers").received += 1000
-        host._report_store_traffic()
+        host._follower._report_store_traffic()
         assert core.pool.starts_after == pytest.approx(until + 0.1)
 
     anyio.run(main)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,13 +9,10 @@
 import anyio
 import pytest
 
-from eelgrassyard.platform._host import (
-    REGISTRY_PAUSE_S,
-    PlatformHost,
-    registry_pause_s,
-)
+from eelgrassyard.platform._host import PlatformHost
 from eelgrassyard.platform._items import Item, Page
 from eelgrassyard.platform._store import STALE_AFTER_S, Mirror, MirrorMode, Reread, Watch
+from eelgrassyard.platform._store_follower import REGISTRY_PAUSE_S, registry_pause_s
 from eelgrassyard.standins import reserve_ports
 from test_platform_host import Site, run_scenario
 
--- a/tests/test_platform_supervision.py
+++ b/tests/test_platform_supervision.py
@@ -9,7 +9,9 @@
 import pytest
 
 from eelgrassyard.platform._host import PlatformHost
-from eelgrassyard.platform._store import Item
+from eelgrassyard.platform._items import Item
+from eelgrassyard.platform._registration import Registration
+from eelgrassyard.platform._store_follower import StoreFollower
 from platform_standin import config
 from test_platform_host import JOB, Site, free_address, run_scenario
 
@@ -74,30 +76,32 @@
 
 
 FAILURES = [
-    ("mirror op/", "_operator_keys_changed"),
-    ("mirror servers/", "_workers_changed"),
-    ("mirror hosts/", "_hosts_changed"),
-    ("registration", "_maintain_registration"),
-    ("settings", "_reload_settings"),
-    ("housekeeping", "_report_store_traffic"),
+    ("mirror op/", StoreFollower, "_operator_keys_changed"),
+    ("mirror servers/", StoreFollower, "_workers_changed"),
+    ("mirror hosts/", StoreFollower, "_hosts_changed"),
+    ("registration", Registration, "maintain"),
+    ("settings", PlatformHost, "_reload_settings"),
+    ("housekeeping", StoreFollower, "_report_store_traffic"),
 ]
 
 
-@pytest.mark.parametrize(("task", "method"), FAILURES, ids=[task for task, _ in FAILURES])
+@pytest.mark.parametrize(
+    ("task", "part", "method"), FAILURES, ids=[task for task, _, _ in FAILURES]
+)
 def test_an_error_in_a_background_task_does_not_end_the_host(
-    task: str, method: str, monkeypatch: pytest.MonkeyPatch
+    task: str, part: type, method: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against one odd entry that ends the process, and against a task that stays dead."""
-    original = getattr(PlatformHost, method)
+    original = getattr(part, method)
     failures: list[str] = []
 
-    def fail_once(self: PlatformHost, *arguments: object) -> object:
+    def fail_once(self: object, *arguments: object) -> object:
         if not failures:
             failures.append(method)
             raise RecursionError("maximum recursion depth exceeded")
         return original(self, *arguments)
 
-    monkeypatch.setattr(PlatformHost, method, fail_once)
+    monkeypatch.setattr(part, method, fail_once)
 
     async def scenario(site: Site) -> None:
         with anyio.fail_after(10.0):
@@ -123,7 +127,7 @@
 
     async def scenario(site: Site) -> None:
         host, failures = site.host, list[str]()
-        mirror = host._worker_mirror
+        mirror = host._follower._worker_mirror
         apply_change = mirror._on_change
 
         def fail_once(items: dict[str, Item], revision: int) -> None:
@@ -135,7 +139,7 @@
         mirror._on_change = fail_once
         site.store.put("servers/i-2", site.worker.entry(site.worker_address, "patan", "svc"))
         with anyio.fail_after(10.0):
-            while "i-2" not in host._record_by_id:
+            while "i-2" not in host._follower._record_by_id:
                 await anyio.sleep(0.02)
         assert failures
 
--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -243,7 +243,7 @@
 FAILING_PROCESS = """
 import sys
 import time
-from eelgrassyard.platform import __main__ as program, _host
+from eelgrassyard.platform import __main__ as program, _host, _start
 
 class FailingHost(_host.PlatformHost):
     async def serve(self, signals):
@@ -251,7 +251,7 @@
             self._journal.write("filler", {"text": "x" * 200})
         raise ExceptionGroup("tasks", [RecursionError("too deep"), ValueError("odd")])
 
-_host.PlatformHost = FailingHost
+_start.PlatformHost = FailingHost
 sys.exit(program.main())
 """
 
