Refuse messages between hosts that the core has no answer to

What was seen: a message with fields of the right types but odd values raised in the core: a lent task of a step that its job doesn't have (IndexError in WorkerPool.lend), the number of a task beyond any list, a speed class whose speed is no float. A very large count of tasks occupied the host for minutes. An epoch near 2**64 would have made the next one, and with it all pongs of the leader, unencodable. A host's record with an odd address, weight (NaN breaks the choice of the leader) or start time was taken over.

The fields of messages now have ranges, which decoding checks, and check_message checks what relates several fields: steps, tasks, and records of hosts. One unusable record among several is left out. The ranges include all that a host sends (remaining times may be slightly negative).

test_messages_pass_both_ways_and_a_close_is_seen sent a host with the address 'b', which is refused now; it sends one with an IP address and a port instead, and checks the same.

--- a/src/eelgrassyard/dispatch/_jobs.py
+++ b/src/eelgrassyard/dispatch/_jobs.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+Number = Annotated[int, msgspec.Meta(ge=0)]
+PositiveNumber = Annotated[int, msgspec.Meta(ge=1)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+"""Ranges of fields that other processes send; decoding refuses other values. They include all that
+a host sends and exclude what the core cannot calculate with."""
+
 
 class Step(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Tasks of one kind and size within a job.
@@ -22,16 +29,16 @@
     :param max_per_worker: maximum number of tasks of the step on one worker; 0 means no limit.
     """
 
-    count: int
-    cpu: int
-    memory_mb: int = 0
-    gpu: int = 0
-    estimate_s: float = 0.1
-    after: tuple[int, ...] = ()
+    count: PositiveNumber
+    cpu: Number
+    memory_mb: Number = 0
+    gpu: Number = 0
+    estimate_s: Seconds = 0.1
+    after: tuple[Number, ...] = ()
     label: str = ""
     rack: str = ""
     same_rack: bool = False
-    max_per_worker: int = 0
+    max_per_worker: Number = 0
 
 
 class Job(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -51,9 +58,9 @@
     payload: str
     steps: tuple[Step, ...]
     priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_s: float = 0.1
+    max_attempts: PositiveNumber = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0.0, le=1e6)] = 1.0
+    target_s: Seconds = 0.1
 
     def critical_path_s(self) -> float:
         """Estimated seconds of the longest chain of steps on a worker of speed 1."""
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
-from ._jobs import Job, Outcome, TaskEnd
+from ._jobs import Job, Number, Outcome, Seconds, TaskEnd
+
+Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Epoch of a leader in milliseconds. The next leader's is higher and must still be encodable."""
+
+SpeedClass = Annotated[int, msgspec.Meta(ge=-100, le=100)]
+RunNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+RemainingSeconds = Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)]
+"""Time until a deadline, which may just have passed."""
 
 
 class HostRecord(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -38,8 +47,8 @@
     """A crash of a worker while a task may have been running on it."""
 
     job_id: str
-    step: int
-    index: int
+    step: Number
+    index: Number
     worker_id: str
     state: CrashState
 
@@ -55,7 +64,7 @@
     """
 
     host: HostRecord
-    leads_epoch: int = 0
+    leads_epoch: Epoch = 0
 
 
 class Ping(_Message, frozen=True):
@@ -70,11 +79,11 @@
         do not send this field.
     """
 
-    number: int
-    config_version: int = 0
-    leads_epoch: int = 0
+    number: Number
+    config_version: Number = 0
+    leads_epoch: Epoch = 0
     ready: bool = True
-    evacuation_revision: int = 0
+    evacuation_revision: Number = 0
     carries_starts: bool = False
 
 
@@ -92,13 +101,13 @@
         pong before.
     """
 
-    number: int
-    config_version: int = 0
+    number: Number
+    config_version: Number = 0
     leader: HostRecord | None = None
-    epoch: int = 0
+    epoch: Epoch = 0
     draining: bool = False
-    room_by_service: dict[str, dict[int, tuple[int, ...]]] = {}
-    evacuation_revision: int = 0
+    room_by_service: dict[str, dict[SpeedClass, tuple[Number, ...]]] = {}
+    evacuation_revision: Number = 0
     crashes: tuple[CrashReport, ...] = ()
 
 
@@ -115,7 +124,7 @@
         hold up the pings on a slow link for longer than their timeout.
     """
 
-    version: int
+    version: Number
     document: bytes
 
 
@@ -125,7 +134,7 @@
     :param revision: revision of the store at which the domains changed.
     """
 
-    revision: int
+    revision: Number
     domains: tuple[str, ...]
 
 
@@ -153,9 +162,9 @@
     """
 
     job: Job
-    waited_s: float
-    caller_waits_s: float
-    round: int = 0
+    waited_s: Seconds
+    caller_waits_s: RemainingSeconds
+    round: Annotated[int, msgspec.Meta(ge=0, le=10**6)] = 0
     progress: Progress | None = None
 
 
@@ -174,7 +183,7 @@
     job_id: str
     outcome: Outcome
     reason: str = ""
-    retry_after_s: float = 0.0
+    retry_after_s: Seconds = 0.0
 
 
 class JobReturned(_Message, frozen=True):
@@ -197,10 +206,10 @@
     """
 
     job: Job
-    step: int
-    tasks: tuple[tuple[int, int], ...]
-    waited_s: float
-    caller_waits_s: float
+    step: Number
+    tasks: tuple[tuple[Number, RunNumber], ...]
+    waited_s: Seconds
+    caller_waits_s: RemainingSeconds
     begun: bool = False
 
 
@@ -211,9 +220,9 @@
     """
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: Number
+    index: Number
+    run: RunNumber
     end: TaskEnd
     crashes: tuple[CrashReport, ...] = ()
 
@@ -227,13 +236,13 @@
     """
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: Number
+    index: Number
+    run: RunNumber
     worker_id: str
-    deadline_s: float
-    fence: int
-    timeout_s: float
+    deadline_s: Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+    fence: Epoch
+    timeout_s: Seconds
 
 
 class StartCarried(_Message, frozen=True):
@@ -245,11 +254,11 @@
     """
 
     job_id: str
-    step: int
-    index: int
-    run: int
+    step: Number
+    index: Number
+    run: RunNumber
     worker_id: str
-    fence: int
+    fence: Epoch
     refusal: str = ""
     failure: str = ""
 
@@ -257,14 +266,14 @@
 class Resigned(_Message, frozen=True):
     """The leader has resigned; without a successor its followers search for a new leader."""
 
-    epoch: int
+    epoch: Epoch
     successor: HostRecord | None = None
 
 
 class TakeOver(_Message, frozen=True):
     """A resigning leader asks a host of its domain to take over."""
 
-    epoch: int
+    epoch: Epoch
 
 
 ToServer = Hello | Ping | Submit | Cancel | Lend | StartCarried | ConfigDocument | Evacuations
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -11,6 +11,7 @@
 
 from .._addresses import parse_address
 from .._decoding import decode
+from ..dispatch._message_checks import check_message
 from ..dispatch._messages import Message, ToClient, ToServer
 from ._session_reports import SessionReports
 from ._traffic import Traffic
@@ -107,8 +108,15 @@
         return messages
 
     def _handle(self, message: Message) -> None:
+        result = check_message(message)
+        if result.is_err():
+            name = type(message).__name__
+            self._reports.log(
+                "message_ignored", {**self.peer(), "message": name, "reason": result.unwrap_err()}
+            )
+            return
         try:
-            self.message_received(message)
+            self.message_received(result.unwrap())
         except Exception as error:
             fields: dict[str, object] = {**self.peer(), "message": type(message).__name__}
             self._reports.on_error("message_received", error, fields)
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -108,7 +108,7 @@
         pair.client.send("h", [Ping(number=1), Ping(number=2)])
         await until(lambda: len(pair.server_messages) == 2)
         session = pair.server_messages[0][0]
-        host = HostRecord(name="a", address="b", domain="c", incarnation=1)
+        host = HostRecord(name="a", address="10.0.0.1:1", domain="c", incarnation=1)
         pair.server.send(
             session,
             [Pong(number=2, leader=host, room_by_service={"s": {-3: (64000, 32000), 0: (96000,)}})],
