Limit the trailers of a request, and ignore their content

No limit counted trailers: one connection sent a trailer of 55 MB, which took 50 MB of memory, before the time for its request was over (trial on loopback). A trailer also replaced the header of its name, such as the caller's deadline.

The bytes that carry a body are limited in relation to the body, beyond the size allowed for headers; trailers are ignored.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -22,6 +22,9 @@
 HEADER_OVERHEAD_BYTES = 200
 """Memory of a header besides its text; a header may have only a few bytes on the wire."""
 
+MAX_WIRE_FACTOR = 9
+"""Largest ratio of the bytes that carry a body to the body. A chunk of one byte takes six."""
+
 OVERLOAD_HEADERS = "Retry-After: 1\r\n"
 """Headers of the response to a request for which there is no memory; nothing of it has run."""
 
@@ -133,6 +136,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._incoming = PartialRequest()
         self._header_bytes = 0
+        self._body_wire_bytes = 0
         self._in_headers = True
         self._state_since = 0.0
         self._current_exchange: Exchange | None = None
@@ -184,6 +188,8 @@
             ):
                 self._reject(431, "headers too large")
                 return
+        else:
+            self._body_wire_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -192,6 +198,10 @@
             self._reject(400, f"malformed request: {error}")
         if self._in_headers and self._header_bytes > self._server.limits.header_bytes:
             self._reject(431, "headers too large")
+        if not self._in_headers and self._body_wire_bytes > (
+            self._server.limits.header_bytes + MAX_WIRE_FACTOR * len(self._incoming.body)
+        ):
+            self._reject(431, "chunk headers or trailers too large")
 
     # --- parser callbacks ---
 
@@ -206,14 +216,14 @@
             self._incoming.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: a header."""
-        if self._hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES):
+        """Parser callback: a header, or a trailer, which is ignored."""
+        if self._in_headers and self._hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES):
             self._incoming.headers[name.decode("latin-1").lower()] = value.decode("latin-1").strip()
 
     def on_headers_complete(self) -> None:
         """Parser callback: end of the headers."""
         self._in_headers = False
-        self._header_bytes = 0
+        self._header_bytes = self._body_wire_bytes = 0
         incoming = self._incoming
         incoming.method = self._parser.get_method().decode("latin-1")
         incoming.keep_alive = self._parser.should_keep_alive()
--- a/tests/test_net_http.py
+++ b/tests/test_net_http.py
@@ -820,3 +820,38 @@
         writer.close()
 
     serve(scenario, limits=ServerLimits(idle_s=0.05))
+
+
+def test_trailers_are_limited_and_change_no_header() -> None:
+    """Guards against memory that no limit on headers, bodies or all requests counts: the trailer of
+    one request took 50 MB before its time was over."""
+    head = b"POST / HTTP/1.1\r\nA: head\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"
+    headers: list[str] = []
+
+    def handler(exchange: Exchange) -> None:
+        headers.append(exchange.request.headers["a"])
+        exchange.respond(200)
+
+    async def scenario(address: str, server: HttpServer) -> None:
+        assert b" 200 " in await exchange_bytes(address, head + b"0\r\nA: trailer\r\n\r\n")
+        assert headers == ["head"]
+        # Each byte of this body has a chunk of its own.
+        assert b" 200 " in await exchange_bytes(address, head + b"1\r\nx\r\n" * 1999 + b"0\r\n\r\n")
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(head + b"0\r\nB: ")
+        while not server.held_bytes:
+            await asyncio.sleep(0)
+        answer = asyncio.ensure_future(reader.readuntil(b"\r\n"))
+        sent = 0
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while not answer.done():
+                writer.write(b"b" * 100)
+                sent += 100
+                await writer.drain()
+                await asyncio.sleep(0.001)
+        assert answer.result().startswith(b"HTTP/1.1 431 ")
+        writer.close()
+
+    limits = ServerLimits(header_bytes=12_000, body_bytes=2000, header_s=ANSWER_TIMEOUT_S)
+    serve(scenario, handler, limits=limits)
