Read a string without an end once in the daemon

Callers saw nothing yet. An answer of the host list, the store or a worker's usage report with more than 64 brackets, in which a string with escaped quotes has no end, stalls the event loop of the daemon: the search for strings began again at each quote.

The new test did not end within 60 s before the change.

The expression matches a string up to the end of the document as well, without backtracking.

--- a/src/eelgrassyard/daemon/_json.py
+++ b/src/eelgrassyard/daemon/_json.py
@@ -11,7 +11,9 @@
 MAX_NESTING = 64
 """Levels of arrays and objects that are kept. No document of the platform services has ten."""
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{\]}]', re.DOTALL)
+# Without backtracking, and with strings that the document does not end: reading these again from
+# each of their quotes would take time that grows with the square of their length.
+_TOKEN = re.compile(rb'"(?:[^"\\]++|\\.)*+(?:"|\\?\Z)|[\[{\]}]', re.DOTALL)
 
 
 def read_json(body: bytes) -> Result[Any, str]:
--- a/tests/test_daemon_odd_input.py
+++ b/tests/test_daemon_odd_input.py
@@ -68,6 +68,14 @@
     assert parse_host_list(body, Metrics()) is None
 
 
+@pytest.mark.parametrize("end", [b"", b"\\", b"\\\\"])
+def test_a_long_string_without_an_end_does_not_stall_the_daemon(end: bytes) -> None:
+    """Guards against a daemon that serves nothing for hours, because it looks for the end of such a
+    string from each of the quotes in it."""
+    body = b"[" * 70 + b'"' + b'\\"' * 2_000_000 + end
+    assert parse_host_list(body, Metrics()) is None
+
+
 @pytest.mark.parametrize(
     "body",
     [
