Limit callers' connections by the descriptor limit of the system as well

Callers saw nothing yet. The limit on callers' connections followed max_fds of the settings. On a machine that allows a process fewer descriptors (1,024 is a usual default, the settings say 1,638 to 10,250), callers' connections still take all of them.

Both limits count now, whichever is lower.

--- a/src/eelgrassyard/platform/_caller_limits.py
+++ b/src/eelgrassyard/platform/_caller_limits.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import resource
+
 RESERVED_FDS = 200
 """Descriptors that are not available to sockets (users' page on deployment)."""
 
@@ -27,3 +30,14 @@
 def max_caller_bytes(memory_limit_bytes: int) -> float:
     """Memory that a process with this limit, or 0 if it is unknown, has for callers' requests."""
     return (memory_limit_bytes or DEFAULT_MEMORY_LIMIT_BYTES) * CALLER_MEMORY_SHARE
+
+
+def available_descriptors(max_fds: int) -> int:
+    """Descriptors that this process may have open: as many as its settings or the system allow,
+    whichever are fewer."""
+    # Without an answer of the system the settings hold.
+    with contextlib.suppress(OSError, ValueError):
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft != resource.RLIM_INFINITY:
+            return min(max_fds, soft)
+    return max_fds
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -20,7 +20,11 @@
 from ..net import Exchange, HttpServer, ServerLimits, TrafficByPurpose
 from ..net._driver import Driver
 from ._caller_api import CallerApi
-from ._caller_limits import max_caller_bytes, max_caller_connections
+from ._caller_limits import (
+    available_descriptors,
+    max_caller_bytes,
+    max_caller_connections,
+)
 from ._listening import listen_when_free
 from ._metrics import HostMetrics
 from ._process_metrics import ProcessMetrics
@@ -124,7 +128,9 @@
         self._caller_server = HttpServer(
             handler=self._caller_api.handle,
             limits=ServerLimits(
-                connections=max_caller_connections(settings.descriptor_limit),
+                connections=max_caller_connections(
+                    available_descriptors(settings.descriptor_limit)
+                ),
                 held_bytes=max_caller_bytes(settings.memory_limit_bytes),
             ),
             on_error=self._request_rejected,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import os
+import resource
 import signal
 import socket
 import zlib
@@ -18,7 +19,11 @@
 
 from eelgrassyard.dispatch._messages import ConfigDocument, TakeOver
 from eelgrassyard.net import CallError, HttpClient, Response
-from eelgrassyard.platform._caller_limits import max_caller_bytes, max_caller_connections
+from eelgrassyard.platform._caller_limits import (
+    available_descriptors,
+    max_caller_bytes,
+    max_caller_connections,
+)
 from eelgrassyard.platform._host import EXIT_LISTEN_FAILED, PlatformHost
 from eelgrassyard.platform._items import Item
 from eelgrassyard.platform._settings import HostSettings
@@ -510,3 +515,23 @@
     settings = dataclasses.replace(Site().settings, memory_limit_bytes=memory_limit_bytes)
     host = PlatformHost(settings=settings, path="/nonexistent")
     assert host._caller_server.limits.held_bytes == held_bytes
+
+
+@pytest.mark.parametrize(
+    ("soft", "available"), [(1024, 1024), (20_000, 4100), (resource.RLIM_INFINITY, 4100)]
+)
+def test_the_descriptor_limit_of_the_system_counts_as_well(
+    soft: int, available: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host on a machine with a lower limit than that of its settings, whose store
+    and workers can't be reached once callers' connections have taken all descriptors."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (soft, resource.RLIM_INFINITY))
+    assert available_descriptors(4100) == available
+
+
+def test_a_host_limits_callers_by_the_descriptor_limit_of_the_system(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against the same where the host doesn't ask the system."""
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (600, 600))
+    assert Site().host._caller_server.limits.connections == 200
