Encode the frames of a burst one at a time

After a failover all jobs go to the next leader in one turn. The messages were encoded into one frame first, which was split in halves if it was too large: 300 jobs of 260 kB (78 MB) took 231 MB besides the jobs, so that such a burst could pass the memory limit and the process was killed (trial).

Each message is encoded on its own and added to a frame that is sent when it is full. No frame exceeds the limit, and a message that cannot be encoded does not make the others be encoded again. A legal message stays below the limit: a job of 10,000 steps has 210 kB, and a configuration at most a megabyte.

Before: test_a_burst_of_large_messages_takes_the_memory_of_single_frames failed with "assert < (3 * 4000000)".

--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -4,7 +4,7 @@
 
 import abc
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import msgspec
@@ -22,6 +22,9 @@
 MAX_FRAME_BYTES = 4_000_000
 """Largest frame that is accepted; a configuration has at most a megabyte."""
 
+MAX_LIST_HEADER_BYTES = 5
+"""Longest header of the list of messages in a frame."""
+
 MAX_BUFFERED_BYTES = 8_000_000
 """Limit on unsent data, beyond which the connection to a peer that does not read is aborted."""
 
@@ -130,7 +133,7 @@
         """Handle a received message."""
 
     def send(self, messages: list[Message]) -> list[Unsent]:
-        """Send messages in one frame, unless the connection is closed.
+        """Send messages in as few frames as can hold them, unless the connection is closed.
 
         :returns: messages that could not be encoded or are too large for a frame.
         """
@@ -140,12 +143,12 @@
         if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.reject("the host does not read")
             return []
-        frames: list[bytes] = []
         unsent: list[Unsent] = []
-        _encode(messages, frames, unsent)
-        for frame in frames:
-            self._traffic.sent += FRAME_HEADER_BYTES + len(frame)
-            transport.write(len(frame).to_bytes(FRAME_HEADER_BYTES, "big") + frame)
+        for frame in _encode_frames(messages, unsent):
+            self._traffic.sent += len(frame)
+            transport.write(frame)
+            # Otherwise it would be in memory while the next one is encoded.
+            del frame
         return unsent
 
     def reject(self, reason: str) -> None:
@@ -162,21 +165,34 @@
             self.transport.abort()
 
 
-def _encode(messages: list[Message], frames: list[bytes], unsent: list[Unsent]) -> None:
-    """Encode messages into one frame, or into several if one cannot hold them."""
-    try:
-        frame = _encoder.encode(messages)
-        if len(frame) > MAX_FRAME_BYTES:
-            raise ValueError(f"frame of {len(frame)} bytes")
-    except Exception as error:
-        if len(messages) == 1:
-            unsent.append((messages[0], error))
-            return
-        middle = len(messages) // 2
-        _encode(messages[:middle], frames, unsent)
-        _encode(messages[middle:], frames, unsent)
-    else:
-        frames.append(frame)
+def _encode_frames(messages: list[Message], unsent: list[Unsent]) -> Iterator[bytes]:
+    """Encode messages into frames, one at a time: all of a large burst may not fit into memory."""
+    parts: list[bytes] = []
+    size = 0
+    for message in messages:
+        try:
+            part = _encoder.encode(message)
+            if len(part) > MAX_FRAME_BYTES - MAX_LIST_HEADER_BYTES:
+                raise ValueError(f"message of {len(part)} bytes")
+        except Exception as error:
+            unsent.append((message, error))
+            continue
+        if size + len(part) > MAX_FRAME_BYTES - MAX_LIST_HEADER_BYTES:
+            yield _join(parts, size)
+            parts, size = [], 0
+        parts.append(part)
+        size += len(part)
+    if parts:
+        yield _join(parts, size)
+
+
+def _join(parts: list[bytes], size: int) -> bytes:
+    """A frame with a list of encoded messages, which have ``size`` bytes in total."""
+    count = len(parts)
+    # Formats fixarray and array 32 of MessagePack.
+    header = bytes([0x90 | count]) if count < 16 else b"\xdd" + count.to_bytes(4, "big")
+    prefix = (len(header) + size).to_bytes(FRAME_HEADER_BYTES, "big")
+    return b"".join((prefix, header, *parts))
 
 
 class SessionServer:
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -7,6 +7,7 @@
 import json
 import os
 import socket
+import tracemalloc
 from typing import cast
 
 import msgspec
@@ -249,6 +250,37 @@
     asyncio.run(main())
 
 
+def test_a_burst_of_large_messages_takes_the_memory_of_single_frames() -> None:
+    """Guards against a process that is killed for its memory after a failover, when all jobs go to
+    the next leader in one turn: encoding 78 MB took 230 MB."""
+    sent: list[int] = []
+
+    class Transport(asyncio.Transport):
+        def is_closing(self) -> bool:
+            return False
+
+        def get_write_buffer_size(self) -> int:
+            return 0
+
+        def write(self, data: object) -> None:
+            sent.append(len(memoryview(data)))  # type: ignore[arg-type]
+
+    pair = SessionPair()
+    session = _sessions._InboundSession(server=pair.server)
+    session.transport = Transport()
+    document = b"x" * 260_000
+    messages: list[Message] = [ConfigDocument(version=n, document=document) for n in range(100)]
+    tracemalloc.start()
+    try:
+        assert session.send(messages) == []
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert sum(sent) > 26_000_000
+    assert max(sent) <= _sessions.MAX_FRAME_BYTES + 4
+    assert peak < 3 * _sessions.MAX_FRAME_BYTES
+
+
 @pytest.mark.parametrize(
     "part",
     [["Ping", "x"], ["Ping"], ["Nothing", 1], 7, None, ["Hello", ["a"], 0]],
