Withdraw a request that the core could not accept

If the core raised while a job arrived, the driver returned no ticket: the caller was answered with 502, but the job stayed with the core and went on, and nobody could cancel it. The driver now reports to the core that the caller has left, which cancels the job unless other callers wait for it, and forgets the callback. The core contains the errors of its own handling already; this covers those of the containment.

Before: test_nothing_runs_on_for_a_request_that_the_core_could_not_accept failed with "assert [1] == []".

--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -136,13 +136,20 @@
     ) -> int:
         """Submit a caller's job to the core.
 
+        If it raises, the request is withdrawn, and ``on_answer`` is not called.
+
         :returns: ticket for :meth:`caller_left`.
         """
         self._last_ticket += 1
-        self._answer_by_ticket[self._last_ticket] = on_answer
-        self.core.job_arrived(self.now(), self._last_ticket, job, caller_waits_s=caller_waits_s)
-        self.schedule_actions()
-        return self._last_ticket
+        ticket = self._last_ticket
+        self._answer_by_ticket[ticket] = on_answer
+        try:
+            self.core.job_arrived(self.now(), ticket, job, caller_waits_s=caller_waits_s)
+            self.schedule_actions()
+        except Exception:
+            self.caller_left(ticket)
+            raise
+        return ticket
 
     def caller_left(self, ticket: int) -> None:
         """Report a caller's disconnect to the core, unless the caller has been answered."""
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -6,6 +6,7 @@
 import json
 import os
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import cast
 
 import pytest
@@ -227,3 +228,32 @@
     bench.perform()
     assert sent == [other]
     assert [answer.outcome for answer in bench.answers] == [Outcome.ABANDONED]
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_nothing_runs_on_for_a_request_that_the_core_could_not_accept(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch, others: int
+) -> None:
+    """Guards against a job that goes on although its caller was answered after an error and holds
+    no ticket to cancel it, and against the end of the same job of another caller."""
+    accept = bench.core.job_arrived
+
+    def fail(now: float, ticket: int, job: Job, *, caller_waits_s: float) -> None:
+        accept(now, ticket, job, caller_waits_s=caller_waits_s)
+        raise RuntimeError("odd")
+
+    async def main() -> None:
+        submit = partial(
+            bench.driver.submit, JOB, caller_waits_s=1.0, on_answer=bench.answers.append
+        )
+        for _ in range(others):
+            submit()
+        monkeypatch.setattr(bench.core, "job_arrived", fail)
+        with pytest.raises(RuntimeError, match="odd"):
+            submit()
+        bench.driver.perform_actions()
+
+    asyncio.run(main())
+    assert [len(job.tickets) for job in bench.core.entry.job_by_id.values()] == [1] * others
+    assert len(bench.driver._answer_by_ticket) == others
+    assert not bench.answers
