Restart a background task whose awaited call was cancelled

Callers saw nothing yet, and no cancelled future is known in the host. The supervisor passed each CancelledError on. One that a task gets from something that it awaits, while nobody cancels the task, cancels the task group without an error: the process would write "stop" and end with code 0, and no line would say why.

Evidence: a trial with a task that awaits a cancelled future printed "group ended" after 0.03 s, and the new test failed with: asyncio.exceptions.CancelledError.

The task's own count of cancellation requests tells the two cases apart. A cancellation of the group still ends the supervisor, also while the task leaves scopes of its own (the second test, which passed before as well).

--- a/src/eelgrassyard/_supervision.py
+++ b/src/eelgrassyard/_supervision.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -60,6 +61,11 @@
             started_at = self._now()
             try:
                 await task()
+            except asyncio.CancelledError as error:
+                if _is_cancelled():
+                    raise
+                # Raised on, it would cancel the task group, and end the process without an error.
+                self._errors.report(name, error, event="task_failed", restart_s=delay_s)
             except Exception as error:
                 for leaf in leaf_errors(error):
                     self._errors.report(name, leaf, event="task_failed", restart_s=delay_s)
@@ -74,3 +80,10 @@
             await self._sleep(delay_s * self._variation())
             delay_s = min(RESTART_MAX_S, delay_s * 2.0)
             self.restarts_by_task[name] += 1
+
+
+def _is_cancelled() -> bool:
+    """Tell whether the current task was asked to end, and has not only awaited something that was
+    cancelled."""
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -150,3 +151,50 @@
 
     anyio.run(main)
     assert log.lines() == []
+
+
+def test_the_cancellation_of_what_a_task_awaits_starts_it_again() -> None:
+    """Guards against a process that ends with code 0 and without a line about it: the error of a
+    cancelled future cancels the task group like a cancellation of the task itself."""
+    log = Log()
+    timeline = make_timeline(log)
+    runs: list[float] = []
+
+    async def task() -> None:
+        if len(runs) == 2:
+            raise StopTest
+        runs.append(timeline.now)
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        future.cancel()
+        await future
+
+    timeline.run(task)
+    assert [(line["event"], line["error"]) for line in log.lines()] == [
+        ("task_failed", "CancelledError")
+    ] * 2
+    assert timeline.delays == [RESTART_MIN_S, 2 * RESTART_MIN_S]
+
+
+def test_cancellation_during_nested_scopes_ends_the_supervisor() -> None:
+    """Guards against a task that ignores its cancellation, because a scope of its own has ended
+    before."""
+    log = Log()
+    passed: list[int] = []
+
+    async def task() -> None:
+        while True:
+            with anyio.move_on_after(0.0):
+                await anyio.sleep_forever()
+            passed.append(1)
+            await anyio.sleep(0)
+
+    async def main() -> None:
+        supervisor = Supervisor(errors=UnhandledErrors(journal=log.journal), now=anyio.current_time)
+        async with anyio.create_task_group() as group:
+            group.start_soon(supervisor.run, "mirror", task)
+            while len(passed) < 20:
+                await anyio.sleep(0)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    assert log.lines() == []
