Accept all jobs that a caller's host accepts at its leader as well

Callers saw nothing yet. Callers may declare run times of up to 1e10 ms; since the messages between hosts are checked, a leader refuses run times beyond 1e6 s. The follower's Submit became a line message_ignored at the leader, and the caller waited until its deadline for a 502, at each attempt. The same holds for a start that a follower carries to a worker whose clock is beyond 1e12 s; clocks may have up to 2^53 ms.

The ranges of messages include the largest values that the borders of a host let in.

--- a/src/eelgrassyard/dispatch/_jobs.py
+++ b/src/eelgrassyard/dispatch/_jobs.py
@@ -9,7 +9,7 @@
 
 Number = Annotated[int, msgspec.Meta(ge=0)]
 PositiveNumber = Annotated[int, msgspec.Meta(ge=1)]
-Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=1e7)]
 """Ranges of fields that other processes send; decoding refuses other values. They include all that
 a host sends and exclude what the core cannot calculate with."""
 
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -240,7 +240,7 @@
     index: Number
     run: RunNumber
     worker_id: str
-    deadline_s: Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+    deadline_s: Annotated[float, msgspec.Meta(ge=-1e13, le=1e13)]
     fence: Epoch
     timeout_s: Seconds
 
