Describe unhandled errors in one way, and count them in one metric

Contained errors of the dispatch core and its driver were lines "unforeseen_error" with the field "in" and were in no metric; those of callbacks and tasks were lines "unhandled_error" with "part". Operators who watched unhandled_errors_total missed the first kind. Their description used the module traceback, which reads and parses source files: it needed 16 free frames of the stack, and raised in turn where a stack overflow had left fewer.

The description is a module of its own without an event loop, which the core may import; it needs 4 frames. The event is unhandled_error with part everywhere, and the metric is the sum of both. The kind of the message between hosts is the field message_type now, since message is that of the error. A message with a lone surrogate is escaped in both.

Tests that looked for the old event look for the new one, and check part, message and trace as well.

--- a/src/eelgrassyard/_supervision.py
+++ b/src/eelgrassyard/_supervision.py
@@ -9,7 +9,8 @@
 
 import anyio
 
-from ._unhandled import UnhandledErrors, leaf_errors
+from ._error_description import leaf_errors
+from ._unhandled import UnhandledErrors
 
 RESTART_MIN_S = 0.1
 RESTART_MAX_S = 5.0
--- a/src/eelgrassyard/_unhandled.py
+++ b/src/eelgrassyard/_unhandled.py
@@ -11,16 +11,16 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ._error_description import (
+    MAX_MESSAGE_CHARACTERS,
+    UNHANDLED_ERROR,
+    describe_error,
+    frames_of,
+    leaf_errors,
+    name_error,
+)
 from ._journal import Journal
 
-MAX_MESSAGE_CHARACTERS = 400
-"""Longest message of an error in a line; messages may quote the input that caused the error."""
-
-OUTER_FRAMES = 4
-INNER_FRAMES = 12
-"""Outermost and innermost frames of a traceback in a line. A stack overflow has about a
-thousand."""
-
 MAX_GROUP_ERRORS = 4
 """Errors of an exception group that are reported."""
 
@@ -50,20 +50,6 @@
     unwritten: int = 0
 
 
-def describe_error(error: BaseException) -> dict[str, object]:
-    """Type, message and frames of an error as fields of a line; it never raises."""
-    return {**_name(error), "trace": _frames(error)}
-
-
-def leaf_errors(error: BaseException) -> Iterator[BaseException]:
-    """The errors in an exception group at any depth, or the error itself."""
-    if isinstance(error, BaseExceptionGroup):
-        for member in error.exceptions:
-            yield from leaf_errors(member)
-    else:
-        yield error
-
-
 class UnhandledErrors:
     """Writes a line for each unhandled error and counts them by the part they occurred in.
 
@@ -76,7 +62,7 @@
         self._window_by_error: dict[tuple[str, str], _Window] = {}
 
     def report(
-        self, part: str, error: BaseException, *, event: str = "unhandled_error", **fields: object
+        self, part: str, error: BaseException, *, event: str = UNHANDLED_ERROR, **fields: object
     ) -> None:
         """Count the error and write a line; it never raises.
 
@@ -102,9 +88,9 @@
             window.unwritten += 1
             return
         window.lines += 1
-        line: dict[str, object] = {"part": part, **_name(error), **fields}
+        line: dict[str, object] = {"part": part, **name_error(error), **fields}
         if is_first:
-            line["trace"] = _frames(error)
+            line["trace"] = frames_of(error)
         if window.unwritten:
             line["unwritten"], window.unwritten = window.unwritten, 0
         self._journal.write(event, line)
@@ -141,36 +127,6 @@
         journal.write("process_failed", {"more_errors": len(errors) - MAX_GROUP_ERRORS}, final=True)
 
 
-def _name(error: BaseException) -> dict[str, object]:
-    try:
-        message = str(error)
-    except Exception as unprintable:
-        message = f"message not available: {type(unprintable).__name__}"
-    fields: dict[str, object] = {
-        "error": type(error).__name__,
-        "message": message[:MAX_MESSAGE_CHARACTERS],
-    }
-    if error.__cause__ is not None:
-        fields["cause"] = type(error.__cause__).__name__
-    return fields
-
-
-def _frames(error: BaseException) -> list[str]:
-    """The frames of a traceback, outermost first, without the middle of a long one. Source lines
-    are left out: reading them parses files, which fails in turn when the stack is exhausted."""
-    frames: list[str] = []
-    trace = error.__traceback__
-    while trace is not None:
-        code = trace.tb_frame.f_code
-        file = "/".join(code.co_filename.rsplit("/", 2)[-2:])
-        frames.append(f"{file}:{trace.tb_lineno} {code.co_name}")
-        trace = trace.tb_next
-    left_out = len(frames) - OUTER_FRAMES - INNER_FRAMES
-    if left_out <= 0:
-        return frames
-    return [*frames[:OUTER_FRAMES], f"{left_out} frames left out", *frames[-INNER_FRAMES:]]
-
-
 def _part(context: dict[str, Any]) -> str:
     """Name of what failed: the coroutine of a task, or the function of a callback."""
     task = context.get("task") or context.get("future")
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -174,7 +174,7 @@
         peer: str,
         message: Message,
     ) -> None:
-        self._contain(now, event, error, recover, peer=peer, message=type(message).__name__)
+        self._contain(now, event, error, recover, peer=peer, message_type=type(message).__name__)
 
     # --- timers ---
 
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from .._unforeseen import UNFORESEEN_ERROR, describe_error
+from .._error_description import UNHANDLED_ERROR, describe_error
 from ._actions import Action, Note
 from ._crashes import CrashHistory
 from ._entry import AnswerCaller, Entry
@@ -208,7 +208,7 @@
 
     def _record_error(self, event: str, error: Exception, fields: dict[str, object]) -> None:
         self.unforeseen_errors[event] += 1
-        self._note(UNFORESEEN_ERROR, **{"in": event, **fields, **describe_error(error)})
+        self._note(UNHANDLED_ERROR, **{"part": event, **fields, **describe_error(error)})
 
     def _start_over(self, now: float) -> None:
         """Discard the pool and the state of sessions after an unforeseen error that may have left
--- a/src/eelgrassyard/net/_driver.py
+++ b/src/eelgrassyard/net/_driver.py
@@ -8,8 +8,8 @@
 from typing import Protocol, TypeVar
 
 from .._clock import Clock
+from .._error_description import UNHANDLED_ERROR, describe_error
 from .._journal import Journal
-from .._unforeseen import UNFORESEEN_ERROR, describe_error
 from ..dispatch._actions import (
     CallFailure,
     Note,
@@ -233,21 +233,21 @@
             unsent = send(to, messages)
         except Exception as error:
             names = [type(message).__name__ for message in messages]
-            self._record_error("send", error, {"to": to, "messages": names})
+            self._record_error("send", error, {"to": to, "message_types": names})
             return
         for message, reason in unsent:
-            self._record_error("send", reason, {"to": to, "message": type(message).__name__})
+            self._record_error("send", reason, {"to": to, "message_type": type(message).__name__})
             self.core.message_unsent(self.now(), message)
             self.schedule_actions()
 
     def _record_error(self, event: str, error: Exception, fields: dict[str, object]) -> None:
         self.core.unforeseen_errors[event] += 1
-        line: dict[str, object] = {"in": event, **describe_error(error)}
+        line: dict[str, object] = {"part": event, **describe_error(error)}
         try:
-            self._journal.write(UNFORESEEN_ERROR, {**line, **fields})
+            self._journal.write(UNHANDLED_ERROR, {**line, **fields})
         except Exception:
             # The fields may be what no line can hold.
-            self._journal.write(UNFORESEEN_ERROR, line)
+            self._journal.write(UNHANDLED_ERROR, line)
 
     def _start_run(self, order: StartRun) -> None:
         def on_result(result: OrderResult) -> None:
--- a/src/eelgrassyard/net/_sessions.py
+++ b/src/eelgrassyard/net/_sessions.py
@@ -121,7 +121,7 @@
         try:
             self.message_received(result.unwrap())
         except Exception as error:
-            fields: dict[str, object] = {**self.peer(), "message": type(message).__name__}
+            fields: dict[str, object] = {**self.peer(), "message_type": type(message).__name__}
             self._reports.on_error("message_received", error, fields)
 
     @abc.abstractmethod
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -154,6 +154,7 @@
             process=ProcessMetrics(
                 journal=self._journal,
                 errors=self._errors,
+                core_errors=self._core.unforeseen_errors,
                 supervisor=self._supervisor,
                 now=self._clock.now,
                 read_at_by_prefix=lambda: {
--- a/src/eelgrassyard/platform/_process_metrics.py
+++ b/src/eelgrassyard/platform/_process_metrics.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from prometheus_client import Metric, ProcessCollector
@@ -19,6 +20,7 @@
     """Reads the counts of lines and errors, the age of the copies of the store, and what the
     process uses, at each scrape.
 
+    :param core_errors: number of errors that the dispatch core and its driver contained, by part.
     :param read_at_by_prefix: when each copy of a prefix of the store was last brought up to date,
         on the clock of ``now``.
     :param limits: ``memory_limit_bytes`` and ``descriptor_limit`` of the process; 0 if unknown.
@@ -29,6 +31,7 @@
         *,
         journal: Journal,
         errors: UnhandledErrors,
+        core_errors: Mapping[str, int],
         supervisor: Supervisor,
         now: Callable[[], float],
         read_at_by_prefix: Callable[[], Mapping[str, float]],
@@ -36,6 +39,7 @@
     ) -> None:
         self._journal = journal
         self._errors = errors
+        self._core_errors = core_errors
         self._supervisor = supervisor
         self._now = now
         self._read_at_by_prefix = read_at_by_prefix
@@ -57,9 +61,9 @@
         )
         yield _counter(
             "unhandled_errors",
-            "Errors that no code handled, by task, callback or protocol",
+            "Errors that no code handled, by task, callback, protocol or event of the core",
             "part",
-            self._errors.count_by_part,
+            self._errors.count_by_part + Counter(self._core_errors),
         )
         yield _counter(
             "task_restarts",
--- a/tests/test_dispatch_containment.py
+++ b/tests/test_dispatch_containment.py
@@ -129,7 +129,7 @@
     assert world.violations == []
     assert sent > 0
     assert completed >= 0.9 * sent
-    errors = [fields for _, _, event, fields in world.notes if event == "unforeseen_error"]
+    errors = [fields for _, _, event, fields in world.notes if event == "unhandled_error"]
     assert bool(errors) == bool(injector.raised)
 
 
@@ -196,8 +196,11 @@
     assert world.leaders("d0") == leaders
     assert [caller.answers for caller in callers] == [[Outcome.COMPLETE]] * 3
     assert world.violations == []
-    errors = [fields for _, _, event, fields in world.notes if event == "unforeseen_error"]
+    errors = [fields for _, _, event, fields in world.notes if event == "unhandled_error"]
     assert {fields["worker"] for fields in errors} == {"d0-w0"}
+    assert {(fields["part"], fields["message"]) for fields in errors} == {
+        ("poll_answered", "report")
+    }
     assert len(errors) <= 16
 
 
--- a/tests/test_net_driver.py
+++ b/tests/test_net_driver.py
@@ -116,8 +116,11 @@
     bench.perform(PONG, order, AnswerCaller(ticket=7, outcome=Outcome.COMPLETE))
     assert [answer.outcome for answer in bench.answers] == [Outcome.COMPLETE]
     assert bench.sent == [("s1", [PONG.message])]
-    line = next(line for line in lines(bench) if line["event"] == "unforeseen_error")
+    line = next(line for line in lines(bench) if line["event"] == "unhandled_error")
     assert (line["error"], line["worker"]) == ("OverflowError", "w")
+    assert line["part"] == type(order).__name__
+    assert line["message"] == "cannot convert float infinity to integer"
+    assert isinstance(line["trace"], list)
     assert sum(bench.core.unforeseen_errors.values()) == 1
 
 
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -408,10 +408,19 @@
         assert 3 * 200 < traffic["starts"]["sent"] < 3 * 400
         assert len(json.dumps(JOB)) < traffic["callers"]["received"] < 1000
         assert b'eelgrassyard_bytes{direction="sent",purpose="starts"}' in metrics.body
+        site.host._core.unforeseen_errors["settings"] += 2
+        site.host._core.unforeseen_errors["job_arrived"] += 1
+        site.host._errors.report("settings", ValueError("odd"))
         server = site.host._caller_server
         server.refused_connections, server.held_bytes, server.overload_rejections = 3, 4, 5
         metrics = await site.call(site.settings.ready_address, "GET", "/metrics")
-        for line in (b"refused_connections 3.0", b"request_bytes 4.0", b"overload_rejections 5.0"):
+        for line in (
+            b"refused_connections 3.0",
+            b"request_bytes 4.0",
+            b"overload_rejections 5.0",
+            b'unhandled_errors_total{part="settings"} 3.0',
+            b'unhandled_errors_total{part="job_arrived"} 1.0',
+        ):
             assert b"\neelgrassyard_" + line + b"\n" in metrics.body
 
     run_scenario(scenario)
--- a/tests/test_unhandled.py
+++ b/tests/test_unhandled.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import linecache
 import os
 import pathlib
 import signal
@@ -15,17 +16,19 @@
 
 import pytest
 
+from eelgrassyard._error_description import (
+    INNER_FRAMES,
+    MAX_MESSAGE_CHARACTERS,
+    OUTER_FRAMES,
+    describe_error,
+)
 from eelgrassyard._journal import MAX_EVENTS, OTHER_EVENT, Journal
 from eelgrassyard._unhandled import (
-    INNER_FRAMES,
     LINES_PER_WINDOW,
-    MAX_MESSAGE_CHARACTERS,
     MAX_PARTS,
     OTHER_PART,
-    OUTER_FRAMES,
     WINDOW_S,
     UnhandledErrors,
-    describe_error,
 )
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -121,6 +124,44 @@
     assert describe_error(KeyError(Unprintable()))["message"].startswith("message not")  # type: ignore[attr-defined]
 
 
+def set_stack_left(frames: int) -> None:
+    """Set the recursion limit to this number of frames above the caller."""
+    depth = 1
+    while True:
+        try:
+            # Refused below the current depth.
+            sys.setrecursionlimit(depth)
+        except RecursionError:
+            depth += 1
+        else:
+            break
+    sys.setrecursionlimit(depth + frames)
+
+
+def test_an_error_is_described_where_little_of_the_stack_is_left() -> None:
+    """Guards against a second error in the containment of a stack overflow: reading the source
+    lines of a traceback parses files."""
+    try:
+        overflow()
+    except RecursionError as error:
+        caught = error
+    limit = sys.getrecursionlimit()
+    linecache.clearcache()
+    set_stack_left(8)
+    try:
+        fields = describe_error(caught)
+    finally:
+        sys.setrecursionlimit(limit)
+    assert fields["error"] == "RecursionError"
+
+
+def test_a_message_with_a_lone_surrogate_is_kept() -> None:
+    """Guards against a line without the message of the error, because no line can hold it as it
+    is."""
+    fields = describe_error(ValueError("odd \ud800 id"))
+    assert fields["message"] == "odd \\ud800 id"
+
+
 def test_parts_are_counted_within_a_bound_and_repeated_traces_left_out() -> None:
     """Guards against labels without a bound, and against traces at each event of a busy part."""
     log = Log()
