Give pages of a megabyte in the stand-in of the store

The platform's store ends a page at about 500 items or a megabyte; the stand-in only counted items. So no run of the soak or of the tests read large entries of other writers as the platform gives them: fourteen values of a megabyte came in one answer of 19 MB, beyond the 16 MB that a host reads, and the hosts of a trial found no new worker until the entries were gone.

With pages as on the users' page the same trial finds the worker, with no change in src/. The new test fails with the former stand-in (TimeoutError after 30 s).

--- a/soak/_store.py
+++ b/soak/_store.py
@@ -19,6 +19,9 @@
 LATE_WRITE_S = (1.0, 6.0)
 """Range of the delay of a write that gets no response, from the platform's page of faults."""
 
+PAGE_BYTES = 1_000_000
+"""Size of the values from which a page has no further item (users' page on the store)."""
+
 
 class StoreFault(enum.Enum):
     """Fault that the store injects into the calls of some or all of its clients."""
@@ -245,8 +248,15 @@
     def _range(self, exchange: Exchange, client: str, query: dict[str, str]) -> None:
         after = query.get("after", "")
         keys = [k for k in sorted(self.items) if k.startswith(query["prefix"]) and k > after]
-        page = [self._seen_by(client, self.items[key]) for key in keys[: self.page]]
-        truncated = len(keys) > self.page
+        page: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[: self.page]:
+            item = self._seen_by(client, self.items[key])
+            size += len(item["value"])
+            if page and size > PAGE_BYTES:
+                break
+            page.append(item)
+        truncated = len(keys) > len(page)
         _respond(
             exchange,
             200,
--- a/tests/test_platform_host.py
+++ b/tests/test_platform_host.py
@@ -549,3 +549,22 @@
     """Guards against the same where the host doesn't ask the system."""
     monkeypatch.setattr(resource, "getrlimit", lambda _: (600, 600))
     assert Site().host._caller_server.limits.connections == 200
+
+
+def test_workers_behind_megabytes_of_other_writers_are_found() -> None:
+    """Guards against a host that reads no worker at all, because all entries of another writer
+    together are more than one answer may have: the store gives them in pages of a megabyte."""
+
+    async def scenario(site: Site) -> None:
+        for number in range(14):
+            site.store.put(f"servers/a-{number}", bytes(1_000_000))
+        # The host reads all entries again, as changes that have been forgotten can't be followed.
+        site.store.forget_history()
+        site.store.delete("servers/i-1")
+        entry = site.worker.entry(site.worker_address, "patan", "svc")
+        site.store.put("servers/i-2", entry)
+        with anyio.fail_after(30.0):
+            while "i-2" not in site.host._core._record_by_id:
+                await anyio.sleep(0.05)
+
+    run_scenario(scenario)
