Answer a request before its job is withdrawn after an error

After an unforeseen error the entry withdrew the request's job and then added the answer. If the withdrawal raised as well, the caller got none and waited until its deadline. Found by reading; the test failed before with "not enough values to unpack (expected 1, got 0)".

--- a/src/eelgrassyard/dispatch/_entry.py
+++ b/src/eelgrassyard/dispatch/_entry.py
@@ -186,10 +186,10 @@
 
     def fail_request(self, ticket: int) -> None:
         """Answer one request after an unforeseen error; its job may have run."""
-        self.caller_left(0.0, ticket)
         self.actions.append(
             AnswerCaller(ticket=ticket, outcome=Outcome.ABANDONED, reason=UNFORESEEN_REASON)
         )
+        self.caller_left(0.0, ticket)
 
     def advance(self, now: float) -> None:
         """Advance all jobs."""
--- a/tests/test_dispatch_entry.py
+++ b/tests/test_dispatch_entry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from eelgrassyard.dispatch._entry import AnswerCaller, Entry, SendLeader
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step
 from eelgrassyard.dispatch._messages import Cancel, JobEnded, JobReturned, Progress, Submit
@@ -114,3 +116,20 @@
     entry.submit(1.1, 2, JOB, caller_waits_s=1.5)
     entry.job_ended(1.2, JobEnded(job_id=JOB.id, outcome=Outcome.COMPLETE))
     assert [answer.ticket for answer in take(entry, AnswerCaller)] == [1, 2]
+
+
+def test_a_request_is_answered_even_if_its_withdrawal_raises(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller without an answer after two errors in the handling of its job."""
+    entry = Entry()
+    entry.submit(1.0, 1, JOB, caller_waits_s=1.5)
+
+    def fail(now: float, ticket: int) -> None:
+        raise RecursionError
+
+    monkeypatch.setattr(entry, "caller_left", fail)
+    with pytest.raises(RecursionError):
+        entry.fail_request(1)
+    (answer,) = take(entry, AnswerCaller)
+    assert answer.outcome is Outcome.ABANDONED
