Apply an evacuation again that the pool could not apply

Callers saw nothing yet. The host noted an evacuation as known before its pool had applied it. If the pool raised, the copy of the operator's keys read all of them again, found the evacuation known, and the leader went on starting tasks in the domain.

Evidence: the new test failed before: the pool's evacuated was False after the second reading.

The evacuation is noted after the pool has applied it.

--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -173,9 +173,10 @@
         """
         if revision <= self.evacuations.revision:
             return
-        self.evacuations = Evacuations(revision=revision, domains=tuple(sorted(domains)))
         if self.pool is not None:
             self.pool.set_evacuated(now, self.own.domain in domains)
+        # Last, so that the change is applied again after an error.
+        self.evacuations = Evacuations(revision=revision, domains=tuple(sorted(domains)))
 
     def _send_session(self, session_id: str, message: ToClient) -> None:
         self._actions.append(SendSession(session=session_id, message=message))
--- a/tests/test_dispatch_containment.py
+++ b/tests/test_dispatch_containment.py
@@ -264,3 +264,30 @@
     world.run(1.5)
     assert raised
     assert world.violations == []
+
+
+def test_an_evacuation_that_the_pool_could_not_apply_is_applied_when_it_is_read_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a leader that goes on starting tasks in an evacuated domain: the copy of the
+    store reads all keys again after an error, but the evacuation counted as known."""
+    world = World(seed=9, domains=1, hosts=1, workers=1)
+    world.run(2.0)
+    (leader,) = world.leaders("d0")
+    core = world.host_by_name[leader].core
+    assert core is not None and core.pool is not None
+    set_evacuated = WorkerPool.set_evacuated
+    raised: list[float] = []
+
+    def fail_once(pool: WorkerPool, now: float, evacuated: bool) -> None:
+        if not raised:
+            raised.append(now)
+            raise InjectedError("set_evacuated")
+        set_evacuated(pool, now, evacuated)
+
+    monkeypatch.setattr(WorkerPool, "set_evacuated", fail_once)
+    with pytest.raises(InjectedError):
+        core.set_evacuations(world.now, revision=5, domains=["d0"])
+    core.set_evacuations(world.now, revision=5, domains=["d0"])
+    assert core.pool.evacuated
+    assert core.evacuations.domains == ("d0",)
