Close idle connections of callers before new ones are refused

The limit on callers' connections counted kept connections of clients that were done: with a limit of 3 and three served clients that idle, a fourth got no answer, where it would have been served before the limit (found in review, by a trial). A kept connection may be closed at any time; a client that sends on it at that moment sees no answer and sends again.

The connection that has been idle for the longest time is closed for a new one, and a new one is refused only if none is idle.

--- a/src/eelgrassyard/net/_http_server.py
+++ b/src/eelgrassyard/net/_http_server.py
@@ -40,6 +40,7 @@
     :param on_error: called with the status and the reason of each request that is rejected
         before it reaches the handler.
     :param traffic: counts the bytes of all connections.
+    :ivar idle_connections: kept connections without a request, longest idle first.
     :ivar refused_connections: connections that were closed at once, beyond the limit.
     :ivar held_bytes: memory of all requests that are arriving or have no response yet.
     :ivar overload_rejections: requests that were rejected while they arrived, since there was no
@@ -58,6 +59,7 @@
         self.traffic = traffic if traffic is not None else Traffic()
         self.limits = limits if limits is not None else ServerLimits()
         self.connections: set[_ServerConnection] = set()
+        self.idle_connections: dict[_ServerConnection, None] = {}
         self.closing = False
         self.refused_connections = 0
         self.held_bytes = 0
@@ -86,8 +88,18 @@
                 report_contained("timeout of a connection could not be handled", error)
 
     def is_full(self) -> bool:
-        """Tell whether a new connection is beyond the limit; count it, and report the first one."""
+        """Tell whether a new connection is beyond the limit; count it, and report the first one.
+
+        The kept connection that has been idle for the longest time is closed for a new one.
+        """
         full = len(self.connections) >= self.limits.connections
+        if full and self.idle_connections:
+            connection = next(iter(self.idle_connections))
+            del self.idle_connections[connection]
+            # It leaves the set when its transport has closed, which is later.
+            self.connections.discard(connection)
+            connection.close_if_idle()
+            full = False
         if full:
             self.refused_connections += 1
             if not self._was_full:
@@ -158,6 +170,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._server.connections.discard(self)
+        self._server.idle_connections.pop(self, None)
         exchange, self._current_exchange = self._current_exchange, None
         waiting = [*self._pipelined] if exchange is None else [exchange, *self._pipelined]
         self._server.held_bytes -= sum(each.held_bytes for each in waiting)
@@ -176,6 +189,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._server.traffic.received += len(data)
+        self._server.idle_connections.pop(self, None)
         if self._rejection is not None:
             return
         if self._in_headers:
@@ -336,6 +350,8 @@
             self._handle(self._pipelined.popleft())
         elif self._rejection is not None:
             self._close_rejected(self._rejection)
+        elif self._in_headers and self._header_bytes == 0:
+            self._server.idle_connections[self] = None
 
     def _reject(self, status: int, reason: str) -> None:
         """Reject what the client sends; requests that it has sent before are answered first."""
