--- a/soak/_site.py
+++ b/soak/_site.py
@@ -187,6 +187,8 @@
         name = found[1].decode(errors="replace") if found is not None else ""
         address = self._address_by_worker.get((client, name))
         if found is None or address is None:
+            known = {worker.id for worker in self.workers}
+            assert key.removeprefix(WORKERS_KEY) not in known, f"{key} names no worker"
             return value
         return value[: found.start(1)] + address.encode() + value[found.end(1) :]
 
