Keep a complete target/deps of an earlier release

The build took a folder without its own copy of the requirements for incomplete. Earlier releases made no such copy, so that a machine without a registry could not build any more, where the former command passed (found in review). A folder that has all required versions and with which the host imports is kept. The new test failed before with "assert 1 == 0".

The docstring of DispatchHost says which events don't raise.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -35,13 +35,21 @@
 def why_unusable() -> str:
     """Return why the present folder has to be replaced, or nothing."""
     installed = DEPENDENCIES / INSTALLED
-    if not installed.is_file():
+    if installed.is_file():
+        if installed.read_bytes() != REQUIREMENTS.read_bytes():
+            return "installed from other requirements"
+    elif not has_required_versions():
         return "not installed completely"
-    if installed.read_bytes() != REQUIREMENTS.read_bytes():
-        return "installed from other requirements"
     return import_error(DEPENDENCIES)
 
 
+def has_required_versions() -> bool:
+    """Tell whether all requirements are there, also if an earlier release installed them, which
+    kept no copy of them."""
+    lines = REQUIREMENTS.read_text(encoding="utf-8").split()
+    return all((DEPENDENCIES / f"{line.replace('==', '-')}.dist-info").is_dir() for line in lines)
+
+
 def install() -> str:
     """Install into a new folder and put it into place if the host imports with it.
 
--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -19,9 +19,11 @@
     The driver reports each event by calling a method, calls :meth:`advance` at least every 20 ms,
     and carries out the actions that :meth:`take_actions` returns.
 
-    No event raises: an unforeseen error is logged, counted in :attr:`unforeseen_errors`, and
-    contained to the job, worker, session or link that the event concerns. One that cannot be
-    contained to it discards the pool, as after a suspension of the process.
+    No event of a caller, a worker or another host raises, nor does the timer; setting workers,
+    hosts or the configuration may, and can be repeated. An unforeseen error is logged, counted in
+    :attr:`unforeseen_errors`, and contained to the job, worker, session or link that the event
+    concerns. One that cannot be contained to it discards the pool, as after a suspension of the
+    process.
 
     :param now: start of the process, in seconds.
     :param stop_s: longest time that a worker takes to stop a run.
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -161,3 +161,14 @@
     builds = [checkout.start(), checkout.start()]
     assert [(build.communicate()[0], build.returncode)[1] for build in builds] == [0, 0]
     assert checkout.host_imports()
+
+
+def test_a_complete_folder_of_an_earlier_release_is_kept(checkout: Checkout) -> None:
+    """Guards against a build that needs the registry though nothing is missing."""
+    checkout.carry_over()
+    (checkout.deps / "installed-requirements.txt").unlink()
+    checkout.requirements.write_text("leaf==1\n")
+    assert checkout.build() == 0
+    checkout.requirements.write_text("--no-index\nleaf==2\n")
+    assert checkout.build() != 0
+    assert checkout.host_imports()
