Say in two docstrings what the split host still does

Read as a newcomer: the module's first line named the store's mirrors and the registration, which have files of their own since the split, and the interval of the shutdown was said to be that of the housekeeping too. No code changes.

--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -1,4 +1,4 @@
-"""The host process on the platform: store mirrors, registration, graceful shutdown and status."""
+"""The host process on the platform: its parts, signals, settings, graceful shutdown and status."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
 readiness once a second and removes a host from rotation after two failed polls."""
 
 STATE_POLL_INTERVAL_S = 0.05
-"""Interval at which the shutdown and the housekeeping check their conditions."""
+"""Interval at which the shutdown checks its conditions."""
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 """Signals that the host handles: two that stop it, and one that reloads its settings."""
