Simulate steps, resets and slow paths in the world of the dispatch tests

Cause: the simulated sites had jobs of one step and tasks of under 1.5 s, and their sessions ended only with a host or a cut path. Messages of a pipe also overtook each other once a cut path was back, which TCP doesn't allow.

Change: submit_steps, reset_sessions (told to both hosts or to one), delay_by_path, and messages in the order in which they were sent.

--- a/tests/dispatch_workers.py
+++ b/tests/dispatch_workers.py
@@ -42,6 +42,7 @@
     :param clock_rate: rate of its clock; 0.98 is 2% slow.
     :param speed: at 1.0 a task takes its work time.
     :param work_by_job: work time of the tasks of a job, which a start does not carry.
+    :param work_by_step: the same for jobs whose steps differ, by job and step.
     :param cpu_by_job: CPU demand of the tasks of a job, which a start does not carry.
     """
 
@@ -50,6 +51,7 @@
     speed: float = 1.0
     clock_offset: float = 1000.0
     work_by_job: dict[str, float] = field(default_factory=dict)
+    work_by_step: dict[tuple[str, int], float] = field(default_factory=dict)
     cpu_by_job: dict[str, int] = field(default_factory=dict)
     fails: bool = False
     up: bool = True
@@ -122,7 +124,10 @@
         cpu = self.cpu_by_job[order.task.job]
         if sum(run.cpu for run in self.run_by_task.values()) + cpu > self.record.cpu:
             return Answered(clock_s=clock_s, refusal=Refusal.NO_ROOM, life=self.life)
-        took_s = 0.005 if self.fails else self.work_by_job[order.task.job] / self.speed
+        work_s = self.work_by_step.get((order.task.job, order.task.step))
+        if work_s is None:
+            work_s = self.work_by_job[order.task.job]
+        took_s = 0.005 if self.fails else work_s / self.speed
         self.run_by_task[order.task] = FakeRun(
             task=order.task,
             run=order.run,
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -41,6 +41,9 @@
     server_life: int
     open: bool = True
     arrival: dict[bool, float] = field(default_factory=dict)
+    in_transit: dict[bool, deque[object]] = field(
+        default_factory=lambda: {False: deque(), True: deque()}
+    )
 
 
 @dataclass(kw_only=True)
@@ -63,6 +66,7 @@
     job: Job
     domain: str
     until: float
+    waits_s: float = CALLER_WAITS_S
     answers: list[Outcome] = field(default_factory=list)
     attempts: int = 0
     refused: int = 0
@@ -90,6 +94,7 @@
         self.host_by_name: dict[str, SimHost] = {}
         self.worker_by_id: dict[str, FakeWorker] = {}
         self.cut_paths: set[frozenset[str]] = set()
+        self.delay_by_path: dict[frozenset[str], float] = {}
         self.late_share = 0.0
         self.lost_share = 0.0
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
@@ -98,6 +103,7 @@
         self._tickets = itertools.count(1)
         self._all_pipes: list[Pipe] = []
         self._work: dict[str, float] = {}
+        self._work_by_step: dict[tuple[str, int], float] = {}
         self._cpu: dict[str, int] = {}
         self.deadly_jobs: set[str] = set()
         self.crashes_by_task: Counter[TaskId] = Counter()
@@ -122,6 +128,7 @@
                     clock_rate=self.random.choice([0.98, 0.99, 1.0]),
                     speed=self.random.choice([0.6, 1.0, 1.6]),
                     work_by_job=self._work,
+                    work_by_step=self._work_by_step,
                     cpu_by_job=self._cpu,
                 )
                 self.worker_by_id[worker_id] = worker
@@ -301,6 +308,9 @@
     def _send(self, pipe: Pipe, *, to_server: bool, message: object) -> None:
         a, b = (pipe.opener, pipe.server) if to_server else (pipe.server, pipe.opener)
 
+        in_transit = pipe.in_transit[to_server]
+        in_transit.append(message)
+
         def arrive() -> None:
             if not pipe.open:
                 return
@@ -308,6 +318,7 @@
                 # TCP buffers the bytes and retransmits them.
                 self.at(0.2, arrive)
                 return
+            message = in_transit.popleft()
             if to_server:
                 self._on_host(
                     b,
@@ -317,7 +328,8 @@
             else:
                 self._on_host(b, pipe.opener_life, lambda c: self._link_message(c, pipe, message))
 
-        arrives = max(self.now + self._delay(a, b), pipe.arrival.get(to_server, 0.0))
+        delay_s = self._delay(a, b) + self.delay_by_path.get(frozenset((a, b)), 0.0)
+        arrives = max(self.now + delay_s, pipe.arrival.get(to_server, 0.0))
         pipe.arrival[to_server] = arrives
         self.at(arrives - self.now, arrive)
 
@@ -325,10 +337,22 @@
         if self.host_by_name[pipe.opener].pipe_by_name.get(pipe.server) is pipe:
             core.link_received(self.now, pipe.server, message)
 
+    def reset_sessions(self, a: str, b: str, *, told: tuple[str, ...]) -> None:
+        """Reset the connections between two hosts.
+
+        :param told: the hosts that learn of it at once; another one only by silence.
+        """
+        for pipe in [p for p in self._all_pipes if p.open and {p.opener, p.server} == {a, b}]:
+            pipe.open = False
+            for name in told:
+                self._tell_closed(pipe, name)
+
     def _close_pipe(self, pipe: Pipe, *, notify: str) -> None:
-        if not pipe.open:
-            return
-        pipe.open = False
+        if pipe.open:
+            pipe.open = False
+            self._tell_closed(pipe, notify)
+
+    def _tell_closed(self, pipe: Pipe, notify: str) -> None:
         other = pipe.server if notify == pipe.opener else pipe.opener
 
         def tell() -> None:
@@ -512,19 +536,37 @@
         """Send a new job to a host."""
         job_id = f"{len(self.callers):016x}"
         self._work[job_id] = work_s
-        self._cpu[job_id] = cpu
         step = Step(
             count=tasks,
             cpu=cpu,
             memory_mb=10,
             estimate_s=work_s if estimate_s is None else estimate_s,
         )
+        return self._submit(name, job_id, (step,), cpu=cpu, waits_s=CALLER_WAITS_S)
+
+    def submit_steps(
+        self, name: str, steps: tuple[Step, ...], works_s: tuple[float, ...], *, waits_s: float
+    ) -> SimCaller:
+        """Send a new job of several steps to a host; all of its tasks take the same CPU.
+
+        :param works_s: work time of the tasks of each step.
+        :param waits_s: time for which the caller waits.
+        """
+        job_id = f"{len(self.callers):016x}"
+        for number, work_s in enumerate(works_s):
+            self._work_by_step[job_id, number] = work_s
+        return self._submit(name, job_id, steps, cpu=steps[0].cpu, waits_s=waits_s)
+
+    def _submit(
+        self, name: str, job_id: str, steps: tuple[Step, ...], *, cpu: int, waits_s: float
+    ) -> SimCaller:
+        self._cpu[job_id] = cpu
         job = Job(
             id=job_id,
             kind="k",
             service="s",
             payload="p",
-            steps=(step,),
+            steps=steps,
             max_attempts=3,
             stretch=1.6,
             target_s=0.06,
@@ -532,7 +574,8 @@
         caller = SimCaller(
             job=job,
             domain=self.host_by_name[name].record.domain,
-            until=self.now + 2 * CALLER_WAITS_S + RESEND_S,
+            until=self.now + 2 * waits_s + RESEND_S,
+            waits_s=waits_s,
         )
         self.callers.append(caller)
         self._submit_attempt(caller, name)
@@ -550,7 +593,7 @@
         self._on_host(
             name,
             life,
-            lambda c: c.job_arrived(self.now, ticket, caller.job, caller_waits_s=CALLER_WAITS_S),
+            lambda c: c.job_arrived(self.now, ticket, caller.job, caller_waits_s=caller.waits_s),
         )
 
         def expire() -> None:
@@ -558,7 +601,7 @@
                 self._on_host(name, life, lambda c: c.caller_left(self.now, ticket))
                 self._schedule_retry(caller)
 
-        self.at(CALLER_WAITS_S, expire)
+        self.at(caller.waits_s, expire)
 
     def send_again(self, caller: SimCaller, name: str) -> None:
         """Send a job to a host again, as a caller that got no answer."""
@@ -602,12 +645,12 @@
                 )
         if action.outcome is Outcome.COMPLETE:
             done = {
-                task.index
+                (task.step, task.index)
                 for worker in self.worker_by_id.values()
                 for _, task, _ in worker.starts
                 if task.job == caller.job.id
             }
-            if len(done) < caller.job.steps[0].count:
+            if len(done) < sum(step.count for step in caller.job.steps):
                 self.violations.append(
                     f"{self.now:.3f} {caller.job.id} complete although not every task started"
                 )
