Let a lent run belong to the session on which it was lent

Cause: the borrower kept lent jobs by job id. When the lender's next session lent a further task of the job, its entry replaced the one of the earlier session. From then on nobody owned the earlier run: neither the end of its session nor a cancel found it, while polls renewed its lease. The lender started the task again after a second, as if the run had lapsed.

More of the same cause, found by asking for each run who may still renew it: - the end of a run depended on a confirmed stop; without an answer its lease was renewed for the other runs of the worker; - a message of the lender that was held up in the network counted from its arrival; - a new leader of the borrowing domain kept lent runs for 0.35 s for hosts that can't claim them, and renewed their leases as soon as it started something on the same worker; - a task was started beside another run of it in the same pool, if that one was lent on another session, or if the job was started late.

A lent run belongs to one session until its end is proved. Messages of the lender name the last pong that it has received, which proves that it held the session after that pong was sent; all leases of a lent run end within 1.05 s of the latest proof. The lender starts the task again after a confirmed end, or 1.07 s after the last pong on that session on its own clock. Lent runs have even numbers, by which a new leader knows them and stops them at once. Leases on a worker with an unconfirmed stop end 0.8 s after the stop was first sent. No run starts while another one of its task may be in progress in the pool.

Ruled out: two tables of ends at the lender; late orders (the fence and the deadline refuse them).

HANDOVER_S goes from 0.95 to 1.1 s, since a task may have been lent by the last leader.

--- a/src/eelgrassyard/dispatch/_delivery.py
+++ b/src/eelgrassyard/dispatch/_delivery.py
@@ -4,6 +4,8 @@
 
 from functools import partial
 
+import msgspec
+
 from ._actions import Action, Note, Reply, SendPeerLeader
 from ._entry import AnswerCaller, SendLeader
 from ._host_state import LOCAL_REQUESTER, HostAction, HostState
@@ -11,6 +13,7 @@
 from ._messages import (
     Cancel,
     JobEnded,
+    Lend,
     Submit,
 )
 from ._worker_pool import WorkerPool
@@ -43,6 +46,9 @@
             case SendPeerLeader(domain=domain, message=message):
                 host = self._peer_host_by_domain.get(domain)
                 if host is not None:
+                    if isinstance(message, Lend):
+                        heard = self.links.heard(host.name)
+                        message = msgspec.structs.replace(message, heard=heard)
                     self._actions.append(SendLink(name=host.name, message=message))
             case _:
                 self._actions.append(action)
--- a/src/eelgrassyard/dispatch/_handover.py
+++ b/src/eelgrassyard/dispatch/_handover.py
@@ -84,7 +84,7 @@
             task.ordered_at = task.started_at = now
             task.pool_job.started_runs += 1
             worker.reserve(task.step, task.id, run)
-            self._task_by_run[(worker.record.id, task.id, run)] = task
+            self._add_run(task)
             self.note("run_adopted", task=str(task.id), run=run, worker=worker.record.id)
             self.poller.poll_now(now, worker)
             return True
@@ -92,15 +92,8 @@
 
     def has_lent_tasks(self) -> bool:
         """Tell whether tasks are lent to other pools or borrowed from them."""
-        return bool(self.lent_job_by_id) or any(
+        return bool(self.lent_job_by_owner) or any(
             task.phase is Phase.LENT
             for pool_job in self.job_by_id.values()
             for task in pool_job.task_by_id.values()
         )
-
-    def stop_lent_runs(self, now: float) -> None:
-        """Stop the runs of other pools' tasks and report them, before this host resigns."""
-        for pool_job in list(self.lent_job_by_id.values()):
-            for task in list(pool_job.task_by_id.values()):
-                self.stop_run(now, task, "the leader of this pool resigns")
-                self.requeue(now, task)
--- a/src/eelgrassyard/dispatch/_host_events.py
+++ b/src/eelgrassyard/dispatch/_host_events.py
@@ -156,4 +156,5 @@
                     self._peer_attempts_by_domain.get(domain, 0) + 1
                 )
                 if self.pool is not None:
-                    self.pool.peer_pool_lost(now, domain)
+                    answered_at = self.links.answered_at(name)
+                    self.pool.peer_pool_lost(now, domain, answered_at=answered_at)
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -6,7 +6,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 
 from .._error_description import UNHANDLED_ERROR, describe_error
@@ -32,6 +32,9 @@
 """Pause after an unforeseen error before this host may lead again. It doubles with each further
 one: another host may lead meanwhile, which the error does not concern."""
 
+MAX_UNHEARD_PONGS = 64
+"""Pongs of a session whose times are kept. A message that names an earlier one proves nothing."""
+
 START_OVER_MEMORY_S = 30.0
 """Time without such an error after which the pause is as short as at first."""
 
@@ -60,6 +63,7 @@
     :param ready: whether the other host can serve new callers.
     :param last_heard: when the last message arrived.
     :param crashes_reported: latest change of the crash history that was reported to it.
+    :param pong_sent_at_by_number: times of the latest pongs.
     """
 
     host: HostRecord | None = None
@@ -67,6 +71,23 @@
     ready: bool = False
     last_heard: float = 0.0
     crashes_reported: int = 0
+    pong_sent_at_by_number: dict[int, float] = field(default_factory=dict)
+
+    def proved_at(self, now: float, heard: int) -> float:
+        """Time at which the other host certainly held the session, by a message that has just
+        arrived: the message was sent after the pong that it names.
+
+        :param heard: number of that pong. It is 0 before the first one, and in messages of earlier
+            releases, which are taken for ones without a delay.
+        """
+        if not heard:
+            return now
+        return self.pong_sent_at_by_number.get(heard, -math.inf)
+
+    def pong_sent(self, now: float, number: int) -> None:
+        """Record the time of a pong."""
+        self.pong_sent_at_by_number[number] = now
+        self.pong_sent_at_by_number.pop(number - MAX_UNHEARD_PONGS, None)
 
 
 HostAction = Action | AnswerCaller | OpenLink | CloseLink | SendLink | SendSession | CloseSession
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -4,7 +4,7 @@
 
 from ._actions import Answered, CallFailure, OrderResult, Refusal
 from ._delivery import forward_to_pool
-from ._host_state import Session
+from ._host_state import CloseSession, Session
 from ._jobs import TaskEnd, TaskId
 from ._leadership import Role
 from ._messages import (
@@ -13,6 +13,7 @@
     CrashReport,
     Evacuations,
     Hello,
+    HostRecord,
     JobReturned,
     KnownHosts,
     Lend,
@@ -36,6 +37,7 @@
         session.last_heard = now
         match message:
             case Hello():
+                self._close_earlier_sessions(now, session_id, message.host)
                 session.host = message.host
                 session.leads_epoch = message.leads_epoch
                 self._add_host(message.host)
@@ -48,11 +50,26 @@
             case Evacuations():
                 self.set_evacuations(now, revision=message.revision, domains=message.domains)
             case Submit() | Cancel() | Lend():
-                self._request(now, session_id, message)
+                self._request(now, session_id, session, message)
             case StartCarried():
                 self._start_carried(now, message)
 
-    def _request(self, now: float, session_id: str, message: Submit | Cancel | Lend) -> None:
+    def _close_earlier_sessions(self, now: float, session_id: str, host: HostRecord) -> None:
+        """Close the sessions that a host has replaced by a new one. Their lent tasks end, since a
+        session owns only what was lent on it; jobs may be submitted again on the new one."""
+        for other_id, other in list(self._session_by_id.items()):
+            if (
+                other_id != session_id
+                and other.host is not None
+                and other.host.name == host.name
+                and other.host.incarnation <= host.incarnation
+            ):
+                self._actions.append(CloseSession(session=other_id))
+                self.session_closed(now, other_id)
+
+    def _request(
+        self, now: float, session_id: str, session: Session, message: Submit | Cancel | Lend
+    ) -> None:
         pool = self.pool
         if pool is None:
             self._return_request(session_id, message)
@@ -69,6 +86,7 @@
                     message.tasks,
                     waited_s=message.waited_s,
                     caller_waits_s=message.caller_waits_s,
+                    proved_at=session.proved_at(now, message.heard),
                     begun=message.begun,
                 )
 
@@ -129,6 +147,9 @@
             and self.leadership.leader_announced(now, session.host, ping.leads_epoch)
         ):
             self.links.reopen(now, session.host.name)
+        session.pong_sent(now, ping.number)
+        if self.pool is not None and ping.leads_epoch:
+            self.pool.lender_proved(session_id, session.proved_at(now, ping.heard))
         leader = self.leadership.leader
         if self.leadership.role is Role.FOLLOWING and not self._confirmed_epoch():
             leader = None
--- a/src/eelgrassyard/dispatch/_leases.py
+++ b/src/eelgrassyard/dispatch/_leases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 LEASE_S = 0.8
@@ -15,9 +16,17 @@
 MAX_READING_AGE_S = 4.0
 """Greatest age of a clock reading that a start may rely on; drift adds up to 80 ms by then."""
 
-HANDOVER_S = 0.95
-"""Time after a failover for which runs that no worker has listed may still be alive: the lease, the
-clock error, and the time in which another domain detects that its requester is gone."""
+HANDOVER_S = 1.1
+"""Time after a failover for which runs that no worker has listed may still be alive: the lease and
+the clock error, or the leases of a run that was lent to another domain."""
+
+STOP_LEASE_S = 0.8
+"""Time after the first request to stop a run by which its leases have ended, also if no stop was
+confirmed and the worker has other runs. A caller may submit again 1.3 s after an answer that its
+job was given up."""
+
+MIN_START_LEASE_S = 0.3
+"""Shortest lease with which a run is started; its first renewal may be that late."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -43,10 +52,16 @@
         """Tell whether the reading is recent enough for a start."""
         return now - self.read_at <= MAX_READING_AGE_S
 
-    def grant_lease(self, now: float) -> float:
+    def grant_lease(self, now: float, *, limit: float = math.inf) -> float:
         """Grant a lease: returns its deadline on the worker's clock, and updates
-        ``leases_expire_at``."""
-        deadline_s = self.reading_s + (now - self.read_at) + LEASE_S
+        ``leases_expire_at``.
+
+        :param limit: time on the host's clock by which it must have ended.
+        """
+        age_s = now - self.read_at
+        deadline_s = self.reading_s + min(
+            age_s + LEASE_S, (limit - self.read_at) * (1.0 - CLOCK_DRIFT)
+        )
         # The worker's clock may have run slow since the reading, and may run slow until the
         # deadline.
         leases_expire_at = self.read_at + (deadline_s - self.reading_s) / (1.0 - CLOCK_DRIFT)
--- a/src/eelgrassyard/dispatch/_links.py
+++ b/src/eelgrassyard/dispatch/_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from ._messages import HostRecord, Ping, Pong, ToServer
@@ -57,7 +58,8 @@
     :param is_open: whether it is open or being opened.
     :param connected: whether the transport has opened it.
     :param number: number of the last ping.
-    :param pong: latest answer to a ping, or None before the first one.
+    :param pong: latest answer to a ping on this session, or None before the first one.
+    :param answered_at: time of the latest answer, also on an earlier session.
     :param lost_at: when the host was last found lost, or None if it has answered since.
     :param refused: whether no process listened at the address at the last attempt.
     """
@@ -71,6 +73,7 @@
     next_ping: float = 0.0
     number: int = 0
     pong: Pong | None = None
+    answered_at: float = -math.inf
     lost_at: float | None = None
     refused: bool = False
 
@@ -130,11 +133,21 @@
         """Handle a host's answer to a ping."""
         link = self.link_by_name.get(name)
         if link is not None and link.is_open:
-            link.last_heard = now
+            link.last_heard = link.answered_at = now
             link.pong = pong
             link.lost_at = None
             link.refused = False
 
+    def heard(self, name: str) -> int:
+        """Number of the last pong received on the session to a host, or 0."""
+        link = self.link_by_name.get(name)
+        return link.pong.number if link is not None and link.pong is not None else 0
+
+    def answered_at(self, name: str) -> float:
+        """Time of the last pong of a host, or negative infinity."""
+        link = self.link_by_name.get(name)
+        return link.answered_at if link is not None else -math.inf
+
     def closed(self, now: float, name: str, *, refused: bool) -> None:
         """Handle a session that the transport has lost or could not open."""
         link = self.link_by_name.get(name)
@@ -199,6 +212,7 @@
                         ready=ready,
                         evacuation_revision=evacuation_revision,
                         carries_starts=True,
+                        heard=self.heard(link.host.name),
                     ),
                 )
 
@@ -223,5 +237,6 @@
                         leads_epoch=epoch,
                         evacuation_revision=evacuation_revision,
                         carries_starts=True,
+                        heard=self.heard(link.host.name),
                     ),
                 )
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -77,6 +77,8 @@
     :param evacuation_revision: revision of the evacuations that the sender knows.
     :param carries_starts: whether the sender understands :class:`CarryStart`; earlier releases
         do not send this field.
+    :param heard: number of the last pong that the sender has received on this session, or 0;
+        earlier releases do not send this field.
     """
 
     number: Number
@@ -85,6 +87,7 @@
     ready: bool = True
     evacuation_revision: Number = 0
     carries_starts: bool = False
+    heard: Number = 0
 
 
 class Pong(_Message, frozen=True):
@@ -203,6 +206,7 @@
     :param waited_s: seconds since the caller's request arrived.
     :param caller_waits_s: seconds for which the caller still waits for the answer.
     :param begun: whether other tasks of the job have started; a late result is then still of use.
+    :param heard: as in :class:`Ping`.
     """
 
     job: Job
@@ -211,6 +215,7 @@
     waited_s: Seconds
     caller_waits_s: RemainingSeconds
     begun: bool = False
+    heard: Number = 0
 
 
 class LentEnded(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -11,9 +11,11 @@
     StartRun,
 )
 from ._jobs import Job
+from ._leases import MIN_START_LEASE_S
 from ._messages import CarryStart, Lend
 from ._peer_pools import RoomByClass, summarize_room
 from ._pool_state import PoolState, round_s
+from ._run_numbers import next_lent_run, next_own_run
 from ._tasks import Phase, PoolJob, Task
 from ._waiting import WaitingTasks
 from ._workers import OPTIMISTIC_FACTOR, Worker, choose_worker
@@ -93,7 +95,7 @@
         waiting.prioritize([task for task in unplaced if task.pool_job.started_runs > 0])
 
     def _must_wait(self, now: float, task: Task) -> bool:
-        return now < task.not_before or self.stops.is_stopping(task.id)
+        return now < task.not_before or self.may_be_running(task.id)
 
     def _available_workers(self, now: float, service: str, *, least_cpu: int = 0) -> list[Worker]:
         """Workers that may get a task now and have ``least_cpu`` free."""
@@ -101,10 +103,20 @@
             return []
         workers = self.workers_by_service.get(service, [])
         self._limit_ejections(now, workers)
-        return [w for w in workers if w.free_cpu(least_cpu) >= least_cpu and w.is_usable(now)]
+        limits = self.lease_limits()
+        return [
+            w
+            for w in workers
+            if w.free_cpu(least_cpu) >= least_cpu
+            and w.is_usable(now)
+            and limits.get(w.record.id, math.inf) >= now + MIN_START_LEASE_S
+        ]
 
     def _try_start(self, now: float, task: Task, workers: Iterable[Worker]) -> bool:
-        """Start a task on the best of the workers, if one has capacity and can end it in time."""
+        """Start a task on the best of the workers, if one has capacity and can end it in time, and
+        no other run of the task may be in progress."""
+        if self._must_wait(now, task):
+            return False
         pool_job = task.pool_job
         step = task.step
         count_by_worker: dict[str, int] | None = None
@@ -181,7 +193,7 @@
         if task.phase is Phase.WAITING:
             pool_job.waiting = max(0, pool_job.waiting - 1)
         task.phase = Phase.ORDERED
-        task.run += 1
+        task.run = task.run + 1 if pool_job.is_lent else next_own_run(task.run)
         task.location = worker.record.id
         task.ordered_at = now
         task.percent = 0
@@ -189,7 +201,7 @@
         worker.reserve(task.step, task.id, task.run)
         if self.crashes.count(task.id):
             worker.suspects.add(task.id)
-        self._task_by_run[(worker.record.id, task.id, task.run)] = task
+        self._add_run(task)
         typical_cpu = self._typical_cpu_by_service.get(pool_job.job.service, float(task.step.cpu))
         self._typical_cpu_by_service[pool_job.job.service] = max(
             1.0, typical_cpu + 0.02 * (task.step.cpu - typical_cpu)
@@ -199,7 +211,7 @@
             task=task.id,
             run=task.run,
             payload=pool_job.job.payload,
-            deadline_s=worker.clock.grant_lease(now),
+            deadline_s=worker.clock.grant_lease(now, limit=self._start_limit(worker, task)),
             fence=self.epoch,
             timeout_s=self.timing.timeout_s(),
         )
@@ -220,6 +232,13 @@
         )
         self.poller.poll_now(now, worker)
 
+    def _start_limit(self, worker: Worker, task: Task) -> float:
+        """Time by which the lease of a start must have ended."""
+        limit = self.lease_limits().get(worker.record.id, math.inf)
+        if task.pool_job.is_lent:
+            limit = min(limit, self.lenders.lease_limit(task.pool_job.requester))
+        return limit
+
     def _have_carried(self, now: float, requester: str, order: StartRun) -> None:
         """Have the host that submitted a job send the start of one of its tasks."""
         self._count("starts_carried")
@@ -274,7 +293,7 @@
             if domain is None:
                 continue
             task.phase = Phase.LENT
-            task.run += 1
+            task.run = next_lent_run(task.run)
             task.location = domain
             task.ordered_at = now
             task.pool_job.waiting = max(0, task.pool_job.waiting - 1)
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ._actions import (
@@ -14,6 +15,7 @@
     RunningEntry,
 )
 from ._jobs import TaskEnd
+from ._run_numbers import is_lent_run
 from ._tasks import Phase, Task
 from ._workers import SILENT_POLL_INTERVAL_S, Worker, WorkerState
 
@@ -131,12 +133,13 @@
         worker.ends_acknowledged = worker.ends_seen
         # A poll that may reach another process of the worker, or the runs of another leader, must
         # not renew leases.
-        renews = bool(worker.state is WorkerState.READY and worker.run_by_task)
+        limit = pool.lease_limits().get(worker.record.id, math.inf)
+        renews = bool(worker.state is WorkerState.READY and worker.run_by_task and limit > now)
         pool.actions.append(
             PollWorker(
                 worker_id=worker.record.id,
                 fence=pool.epoch,
-                deadline_s=worker.clock.grant_lease(now) if renews else None,
+                deadline_s=worker.clock.grant_lease(now, limit=limit) if renews else None,
                 ends_seen=worker.ends_seen,
                 wait_s=self._wait_s(now, worker) if busy else 0.0,
                 margin_s=pool.timing.poll_margin_s(),
@@ -245,6 +248,10 @@
                 return
             if worker.orphan_run_by_task.get(entry.task) == entry.run:
                 return
+            if is_lent_run(entry.run):
+                # Its owner was a session of an earlier leader, so nobody can claim it.
+                pool.stop_orphan(now, worker, entry.task, entry.run, lease_limit=now)
+                return
             worker.orphan_run_by_task[entry.task] = entry.run
             if is_first_report:
                 pool.adopt_orphan(now, entry.task)
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from ._actions import (
@@ -11,12 +12,13 @@
 )
 from ._crashes import CrashHistory
 from ._jobs import TaskEnd, TaskId
+from ._lenders import Lenders
 from ._order_carriers import OrderCarriers
 from ._order_timing import OrderTiming
 from ._peer_pools import PeerPools
 from ._polling import WorkerPoller
 from ._stops import STOP_MARGIN_S, PendingStops
-from ._tasks import PoolJob, Task
+from ._tasks import Phase, PoolJob, Task
 from ._waiting import WaitingTasks
 from ._workers import Worker, WorkerRecord, WorkerState
 
@@ -65,7 +67,9 @@
         self.worker_by_id: dict[str, Worker] = {}
         self.workers_by_service: dict[str, list[Worker]] = {}
         self.job_by_id: dict[str, PoolJob] = {}
-        self.lent_job_by_id: dict[str, PoolJob] = {}
+        self.lent_job_by_owner: dict[tuple[str, str], PoolJob] = {}
+        """Tasks that other pools have lent, by session and job id."""
+        self.lenders = Lenders()
         self.peers = PeerPools()
         self.counts: dict[str, int] = {}
         self.timing = OrderTiming()
@@ -75,6 +79,7 @@
         self._record_by_id: Mapping[str, WorkerRecord] = {}
         self._waiting_by_service: dict[str, WaitingTasks] = {}
         self._task_by_run: dict[tuple[str, TaskId, int], Task] = {}
+        self._run_count_by_task: Counter[TaskId] = Counter()
         self._requester_lost_at: dict[str, float] = {}
         self._typical_cpu_by_service: dict[str, float] = {}
         self._orphan_end_by_task: dict[TaskId, TaskEnd] = {}
@@ -94,6 +99,33 @@
             if (task := task_by_key.get((worker_id, task_id, run))) is not None
         ]
 
+    def _add_run(self, task: Task) -> None:
+        """Record the latest run of a task as in progress."""
+        self._task_by_run[(task.location, task.id, task.run)] = task
+        self._run_count_by_task[task.id] += 1
+
+    def _discard_run(self, task: Task) -> None:
+        """Record that the latest run of a task has ended or is being stopped."""
+        if self._task_by_run.pop((task.location, task.id, task.run), None) is not None:
+            self._run_count_by_task[task.id] -= 1
+            if not self._run_count_by_task[task.id]:
+                del self._run_count_by_task[task.id]
+
+    def may_be_running(self, task_id: TaskId) -> bool:
+        """Tell whether a run of a task may be in progress here, whoever owns it."""
+        return task_id in self._run_count_by_task or self.stops.is_stopping(task_id)
+
+    def lease_limits(self) -> dict[str, float]:
+        """Time by which the leases on a worker must have ended, by worker id; only workers with a
+        limit. A lease holds for all runs on its worker, so the run that must end first decides."""
+        limits = self.stops.lease_limits()
+        for (session, _), pool_job in self.lent_job_by_owner.items():
+            limit = self.lenders.lease_limit(session)
+            for task in pool_job.task_by_id.values():
+                if task.phase in (Phase.ORDERED, Phase.RUNNING):
+                    limits[task.location] = min(limit, limits.get(task.location, limit))
+        return limits
+
     def task_of_run(self, worker_id: str, task_id: TaskId, run: int) -> Task | None:
         """The task that a run belongs to, or None if the run is not in progress."""
         return self._task_by_run.get((worker_id, task_id, run))
@@ -111,7 +143,7 @@
 
     def _pool_jobs(self) -> Iterable[PoolJob]:
         yield from self.job_by_id.values()
-        yield from self.lent_job_by_id.values()
+        yield from self.lent_job_by_owner.values()
 
     def fastest_slowness(self, service: str) -> float:
         """Slowness of the fastest worker of a service, cached until the next tick."""
@@ -153,6 +185,12 @@
                 }
                 for job_id, pool_job in self.job_by_id.items()
             },
+            "lent": {
+                f"{session}/{job_id}": {
+                    str(t.id): t.phase.name.lower() for t in pool_job.task_by_id.values()
+                }
+                for (session, job_id), pool_job in self.lent_job_by_owner.items()
+            },
             "neighbours": self.peers.room_by_service,
         }
 
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ._actions import (
     Reply,
     SendPeerLeader,
@@ -39,26 +41,53 @@
         worker = self.worker_by_id.get(task.location)
         if worker is None or task.phase not in (Phase.ORDERED, Phase.RUNNING):
             return
-        self._task_by_run.pop((task.location, task.id, task.run), None)
+        self._discard_run(task)
         self.note(
             "run_stopped", task=str(task.id), run=task.run, worker=task.location, reason=reason
         )
+        lease_limit = math.inf
+        if task.pool_job.is_lent:
+            lease_limit = self.lenders.lease_limit(task.pool_job.requester)
         self.stops.request_stop(
-            now, worker, task.id, task.run, task.step, may_have_run=may_have_run
+            now,
+            worker,
+            task.id,
+            task.run,
+            task.step,
+            may_have_run=may_have_run,
+            lease_limit=lease_limit,
         )
 
     def _release_run(self, task: Task) -> None:
-        self._task_by_run.pop((task.location, task.id, task.run), None)
+        self._discard_run(task)
         worker = self.worker_by_id.get(task.location)
         if worker is not None and worker.run_by_task.get(task.id) == task.run:
             worker.release(task.step, task.id)
 
-    def stop_orphan(self, now: float, worker: Worker, task_id: TaskId, run: int) -> None:
-        """Stop a run of an earlier leader that no host has claimed."""
+    def stop_orphan(
+        self,
+        now: float,
+        worker: Worker,
+        task_id: TaskId,
+        run: int,
+        *,
+        lease_limit: float = math.inf,
+    ) -> None:
+        """Stop a run of an earlier leader that no host has claimed.
+
+        :param lease_limit: time by which leases on the worker must have ended until the stop is
+            confirmed.
+        """
         self.note("run_unclaimed", task=str(task_id), run=run, worker=worker.record.id)
         worker.orphan_stops.add((task_id, run))
         self.stops.request_stop(
-            now, worker, task_id, run, UNKNOWN_SIZE, leased_until=now + HANDOVER_S
+            now,
+            worker,
+            task_id,
+            run,
+            UNKNOWN_SIZE,
+            leased_until=now + HANDOVER_S,
+            lease_limit=lease_limit,
         )
 
     def run_ended(self, now: float, task: Task, end: TaskEnd, reason: str) -> None:
@@ -107,6 +136,7 @@
         """
         if task.pool_job.is_lent:
             if self.stops.is_stopping(task.id):
+                task.phase = Phase.ENDED
                 self._stopping_lent_tasks.append(task)
             else:
                 self._lent_run_ended(task, TaskEnd.LOST)
@@ -188,13 +218,22 @@
 
     def _lent_run_ended(self, task: Task, end: TaskEnd) -> None:
         pool_job = task.pool_job
-        pool_job.task_by_id.pop(task.id, None)
         task.phase = Phase.ENDED
-        if not pool_job.task_by_id and self.lent_job_by_id.get(pool_job.job.id) is pool_job:
-            del self.lent_job_by_id[pool_job.job.id]
+        if pool_job.task_by_id.get(task.id) is task:
+            del pool_job.task_by_id[task.id]
+        self._remove_lent_job_if_empty(pool_job)
+        self._report_lent_end(task, end)
+
+    def _remove_lent_job_if_empty(self, pool_job: PoolJob) -> None:
+        owner = (pool_job.requester, pool_job.job.id)
+        if not pool_job.task_by_id and self.lent_job_by_owner.get(owner) is pool_job:
+            del self.lent_job_by_owner[owner]
+
+    def _report_lent_end(self, task: Task, end: TaskEnd) -> None:
+        """Report the end of a lent task's run to the session on which the task was lent."""
         self.actions.append(
             Reply(
-                requester=pool_job.requester,
+                requester=task.pool_job.requester,
                 message=LentEnded(
                     job_id=task.id.job,
                     step=task.id.step,
@@ -254,9 +293,11 @@
 
     def _remove_job(self, now: float, pool_job: PoolJob) -> None:
         """Remove a job from all tables, stop its runs, and cancel its lent tasks."""
-        table = self.lent_job_by_id if pool_job.is_lent else self.job_by_id
-        if table.get(pool_job.job.id) is pool_job:
-            del table[pool_job.job.id]
+        job_id, owner = pool_job.job.id, (pool_job.requester, pool_job.job.id)
+        if self.job_by_id.get(job_id) is pool_job:
+            del self.job_by_id[job_id]
+        elif self.lent_job_by_owner.get(owner) is pool_job:
+            del self.lent_job_by_owner[owner]
         waiting = self._waiting_by_service.get(pool_job.job.service)
         if waiting and pool_job.waiting:
             waiting.remove({id(task) for task in pool_job.task_by_id.values()})
--- a/src/eelgrassyard/dispatch/_stops.py
+++ b/src/eelgrassyard/dispatch/_stops.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
 from ._actions import Action, StopRun
 from ._jobs import Step, TaskId
+from ._leases import STOP_LEASE_S
 from ._order_timing import OrderTiming
 from ._workers import Worker
 
@@ -25,6 +27,7 @@
     worker: Worker
     step: Step
     ends_at: float
+    lease_limit: float
     leased_until: float = 0.0
     may_have_run: bool = True
     retry_at: float | None = None
@@ -68,6 +71,14 @@
         """Tell whether stops are in progress on a worker."""
         return any(key[0] == worker_id for key in self._stop_by_key)
 
+    def lease_limits(self) -> dict[str, float]:
+        """Time by which leases must have ended on workers with unconfirmed stops, by worker id."""
+        limits: dict[str, float] = {}
+        for (worker_id, _, _), stop in self._stop_by_key.items():
+            if stop.may_be_running():
+                limits[worker_id] = min(stop.lease_limit, limits.get(worker_id, math.inf))
+        return limits
+
     def request_stop(
         self,
         now: float,
@@ -78,23 +89,27 @@
         *,
         may_have_run: bool = True,
         leased_until: float = 0.0,
+        lease_limit: float = math.inf,
     ) -> None:
         """Stop a run.
 
         :param step: size of the capacity that is freed once the run has ended.
         :param leased_until: time until which a lease of an earlier leader may keep the run alive.
+        :param lease_limit: time by which leases on the worker must have ended until the stop is
+            confirmed, if that is sooner than ``STOP_LEASE_S`` from now.
         :param may_have_run: False if the connection for its start was refused; a start on a broken
             path may still be carried out.
         """
         key = (worker.record.id, task_id, run)
         # Without any answer the run ends when its lease expires; renewals for other runs of the
-        # worker extend that lease.
+        # worker extend that lease up to the limit.
         if key not in self._stop_by_key:
             self._count_by_task[task_id] += 1
         self._stop_by_key[key] = _Stop(
             worker=worker,
             step=step,
             ends_at=max(leased_until, worker.clock.leases_expire_at),
+            lease_limit=min(lease_limit, now + STOP_LEASE_S),
             leased_until=leased_until,
             may_have_run=may_have_run,
         )
--- a/src/eelgrassyard/dispatch/_tasks.py
+++ b/src/eelgrassyard/dispatch/_tasks.py
@@ -160,7 +160,7 @@
     pool_job.due_at = min(due_at, pool_job.caller_deadline) - ROUND_TRIP_S
     for index, run in runs:
         task_id = TaskId(job.id, step, index)
-        # The first start increments the number to the one that the lender gave.
+        # The start increments the number to the one that the lender gave.
         pool_job.task_by_id[task_id] = Task(
             id=task_id, pool_job=pool_job, step=job.steps[step], run=run - 1, lender_run=run
         )
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -6,14 +6,15 @@
 from collections.abc import Mapping
 
 from ._actions import CallFailure
+from ._borrowing import Borrowing
 from ._crashes import CrashHistory
 from ._jobs import Job, Outcome, TaskEnd, TaskId
+from ._lenders import LENT_RUN_EXPIRY_S
 from ._messages import CrashReport, Progress
 from ._peer_pools import RoomByClass
 from ._polling import WorkerPoller
 from ._pool_state import round_s
-from ._tasks import Phase, new_lent_job, new_pool_job
-from ._worker_answers import WorkerAnswers
+from ._tasks import Phase, new_pool_job
 from ._workers import Worker, WorkerRecord, WorkerState
 
 FRESH_REGISTRY_S = 1.0
@@ -31,10 +32,6 @@
 """Run numbers of a job start at this multiple of its round, so that those of a later leader are
 higher."""
 
-LENT_RUN_EXPIRY_S = 1.0
-"""Time after which no task lent to another pool can still run once the session to it has broken:
-that pool stops them when the session is silent for 0.5 s, and their leases expire if it cannot."""
-
 REQUESTER_RECONNECT_S = 0.25
 """Time in which a requester whose connection broke may reconnect before its jobs are stopped."""
 
@@ -44,7 +41,7 @@
 again that is of no use to this task, such as cores without the memory."""
 
 
-class WorkerPool(WorkerAnswers):
+class WorkerPool(Borrowing):
     """Dispatches the jobs of one failure domain to its workers, while this host leads it.
 
     Each method takes the current time in seconds and appends to :attr:`actions`; the driver carries
@@ -220,66 +217,12 @@
                 start_by_s=round_s(self._start_by(pool_job) - now),
             )
 
-    def lend(
-        self,
-        now: float,
-        requester: str,
-        job: Job,
-        step: int,
-        runs: tuple[tuple[int, int], ...],
-        *,
-        waited_s: float,
-        caller_waits_s: float,
-        begun: bool = False,
-    ) -> None:
-        """Start tasks of another pool's job at once, or refuse them for lack of capacity.
-
-        :param runs: index of each task and the number that the lender gave its run.
-        :param begun: whether other tasks of the job have started.
-        """
-        pool_job = new_lent_job(
-            job,
-            requester=requester,
-            now=now,
-            waited_s=waited_s,
-            caller_waits_s=caller_waits_s,
-            step=step,
-            runs=runs,
-        )
-        pool_job.started_runs = int(begun)
-        existing = self.lent_job_by_id.get(job.id)
-        if existing is not None and existing.requester == requester:
-            existing.task_by_id.update(pool_job.task_by_id)
-            for task in pool_job.task_by_id.values():
-                task.pool_job = existing
-        else:
-            self.lent_job_by_id[job.id] = pool_job
-        reason = ""
-        if not self.lending_enabled:
-            reason = "the leader resigns"
-        elif self.evacuated:
-            reason = "the domain is being evacuated"
-        elif self._waiting_by_service.get(job.service):
-            reason = "tasks of this domain wait"
-        workers = self._available_workers(now, job.service)
-        refused = 0
-        for task in list(pool_job.task_by_id.values()):
-            if reason or not self._try_start(now, task, workers):
-                refused += 1
-                self._lent_run_ended(task, TaskEnd.NO_ROOM)
-        if refused:
-            self.note(
-                "lent_tasks_refused",
-                routine=True,
-                job=job.id,
-                count=refused,
-                reason=reason or "no worker has room and is fast enough",
-            )
-
     def cancel(self, now: float, requester: str, job_id: str) -> None:
         """Stop a job whose caller has left, or lent tasks that the lender no longer needs."""
-        for table in (self.job_by_id, self.lent_job_by_id):
-            pool_job = table.get(job_id)
+        for pool_job in (
+            self.job_by_id.get(job_id),
+            self.lent_job_by_owner.get((requester, job_id)),
+        ):
             if pool_job is not None and pool_job.requester == requester:
                 self.note("job_cancelled", job=job_id, requester=requester)
                 self._remove_job(now, pool_job)
@@ -287,15 +230,20 @@
 
     def requester_lost(self, now: float, requester: str, *, silent: bool) -> None:
         """Stop the jobs of a lost requester: at once if its session went silent, otherwise those
-        that no new session has claimed after ``REQUESTER_RECONNECT_S``."""
+        that no new session has claimed after ``REQUESTER_RECONNECT_S``. Lent tasks are stopped at
+        once, since no other session can own them."""
         self.carriers.remove(requester)
+        for (session, _), pool_job in list(self.lent_job_by_owner.items()):
+            if session == requester:
+                self._release_lent_tasks(now, pool_job, "the lender's session has closed")
+        self.lenders.remove(requester)
         if silent:
             self._drop_jobs_of(now, requester)
-        elif any(pool_job.requester == requester for pool_job in self._pool_jobs()):
+        elif any(pool_job.requester == requester for pool_job in self.job_by_id.values()):
             self._requester_lost_at[requester] = now
 
     def _drop_jobs_of(self, now: float, requester: str) -> None:
-        pool_jobs = [pool_job for pool_job in self._pool_jobs() if pool_job.requester == requester]
+        pool_jobs = [p for p in self.job_by_id.values() if p.requester == requester]
         if pool_jobs:
             self.note(
                 "requester_lost",
@@ -316,15 +264,28 @@
             if room and self._waiting_by_service.get(service):
                 self._place(now, service)
 
-    def peer_pool_lost(self, now: float, domain: str) -> None:
+    def peer_pool_lost(self, now: float, domain: str, *, answered_at: float) -> None:
         """Handle a broken session to another pool: requeue the tasks lent to it, which may still
-        run there for ``LENT_RUN_EXPIRY_S``."""
+        run there until ``LENT_RUN_EXPIRY_S`` after its last pong.
+
+        :param answered_at: time of that pong.
+        """
         self.peers.remove(domain)
+        not_before = answered_at + LENT_RUN_EXPIRY_S
+        lost = 0
         for pool_job in list(self.job_by_id.values()):
             for task in list(pool_job.task_by_id.values()):
                 if task.phase is Phase.LENT and task.location == domain:
-                    task.not_before = max(task.not_before, now + LENT_RUN_EXPIRY_S)
+                    task.not_before = max(task.not_before, not_before)
                     self.run_ended(now, task, TaskEnd.LOST, f"session to {domain} broke")
+                    lost += 1
+        if lost:
+            self.note(
+                "lent_tasks_lost",
+                domain=domain,
+                count=lost,
+                restart_after_s=round_s(max(0.0, not_before - now)),
+            )
 
     def lent_ended(
         self,
@@ -383,18 +344,13 @@
                 and not self._start_late(now, pool_job)
             ):
                 self._finish(now, pool_job, Outcome.NOT_RUN, "no free worker in time")
-        for pool_job in list(self.lent_job_by_id.values()):
-            if now >= pool_job.caller_deadline:
-                self._remove_job(now, pool_job)
         for worker_id, task_id, run in self.carriers.overdue(now):
             self.start_answered(now, worker_id, task_id, run, CallFailure.SILENT)
         for worker, task_id in self.stops.advance(now):
             if worker.disconnected and worker.state is not WorkerState.READY:
                 self.worker_crashed(now, worker, task_id, confirmed=False)
                 self.give_up_if_exhausted(now, task_id)
-        stopping, self._stopping_lent_tasks = self._stopping_lent_tasks, []
-        for task in stopping:
-            self.requeue(now, task)
+        self._advance_lent_jobs(now)
         self.poller.advance(now)
         self._remove_departed_workers(now)
         self._place_all(now)
@@ -403,7 +359,7 @@
         """Tell whether nothing is in progress."""
         return (
             not self.job_by_id
-            and not self.lent_job_by_id
+            and not self.lent_job_by_owner
             and not self._task_by_run
             and not self.stops
         )
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -106,7 +106,7 @@
         waits: dict[str, float] = {"waited_s": 0.0, "caller_waits_s": caller_waits_s}
         if lent:
             runs = tuple((index, 1) for index in range(tasks))
-            self.pool.lend(self.now, "p", job, 0, runs, **waits)
+            self.pool.lend(self.now, "p", job, 0, runs, proved_at=self.now, **waits)
         else:
             self.pool.submit(self.now, "r", job, round=round, progress=progress, **waits)
 
@@ -120,6 +120,7 @@
         until = self.now + seconds
         while self.now < until:
             self.now += STEP_S
+            self.pool.lender_proved("p", self.now)
             self._crash_and_restart()
             self._answer_polls()
             self.pool.advance(self.now)
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -241,14 +241,17 @@
     other = msgspec.structs.replace(job(), id="00000000000000aa")
     driver.submit(1.1, other)
     lent = msgspec.structs.replace(job(), id="00000000000000bb")
-    driver.pool.lend(1.1, "r", lent, 0, ((0, 1),), waited_s=0.0, caller_waits_s=1.5)
+    driver.pool.lend(1.1, "r", lent, 0, ((0, 1),), waited_s=0.0, caller_waits_s=1.5, proved_at=1.1)
     (reply,) = driver.take(Reply)
     assert isinstance(reply.message, LentEnded)
     assert reply.message.end is TaskEnd.NO_ROOM
     assert driver.pool.room_by_service(1.1) == {}
     driver.pool.peer_pool_updated(1.12, "d1", {"s": {0: (1000,)}})
-    assert [ask.domain for ask in driver.take(SendPeerLeader)] == ["d1"]
-    driver.pool.lent_ended(1.13, "d1", other.id, 0, 0, 1, TaskEnd.NO_ROOM)
+    (ask,) = driver.take(SendPeerLeader)
+    assert ask.domain == "d1"
+    assert isinstance(ask.message, Lend)
+    ((index, run),) = ask.message.tasks
+    driver.pool.lent_ended(1.13, "d1", other.id, 0, index, run, TaskEnd.NO_ROOM)
     driver.pool.advance(1.2)
     driver.pool.advance(1.5)
     assert driver.take(StartRun) == []
@@ -416,7 +419,9 @@
     """Guards against a refusal with another run number, which the lender cannot match to its task
     (bagmati-ruling quiet-1)."""
     driver = PoolDriver(record("w0", cpu=1000))
-    driver.pool.lend(1.0, "r", job(tasks=3), 0, ((1, 7), (2, 7)), waited_s=0.0, caller_waits_s=1.5)
+    driver.pool.lend(
+        1.0, "r", job(tasks=3), 0, ((1, 7), (2, 7)), waited_s=0.0, caller_waits_s=1.5, proved_at=1.0
+    )
     assert [order.run for order in driver.take(StartRun)] == [7]
     (reply,) = driver.take(Reply)
     assert isinstance(reply.message, LentEnded)
