Start lent tasks again when the leader that borrowed them is replaced

What callers saw: a job whose tasks were lent was given up at its deadline when the leader of the other domain was replaced without the session to it breaking first.

Cause: a pong that names another leader makes the lender replace its session to that domain. A session that the host itself closes isn't reported as lost, so the lent tasks stayed LENT on a session that was gone: no end could arrive on it.

Evidence: test_a_job_ends_though_the_leader_that_borrowed_its_tasks_was_replaced fails without the change.

Change: tasks lent to the earlier leader are handled as after a broken session, also if it is the next process of the same host.

--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -14,6 +14,7 @@
     ConfigDocument,
     Evacuations,
     Hello,
+    HostRecord,
     JobEnded,
     JobReturned,
     KnownHosts,
@@ -89,7 +90,18 @@
         if pong.leader is not None and pong.leader.name == name:
             self.pool.peer_pool_updated(now, host.domain, pong.room_by_service)
         elif pong.leader is not None and pong.leader.domain == host.domain:
-            self._peer_host_by_domain[host.domain] = pong.leader
+            self._peer_leader_reported(now, pong.leader)
+
+    def _peer_leader_reported(self, now: float, leader: HostRecord) -> None:
+        """Replace the session to another domain's pool by one to its leader."""
+        known = self._peer_host_by_domain.get(leader.domain)
+        self._peer_host_by_domain[leader.domain] = leader
+        if self.pool is None or known is None:
+            return
+        if (known.name, known.incarnation) != (leader.name, leader.incarnation):
+            # The runs that the earlier leader has belong to the session that closes.
+            answered_at = self.links.answered_at(known.name)
+            self.pool.peer_pool_lost(now, leader.domain, answered_at=answered_at)
 
     def _lent_ended(self, now: float, name: str, message: LentEnded) -> None:
         host = self._host_by_name.get(name)
--- a/tests/test_lent_runs.py
+++ b/tests/test_lent_runs.py
@@ -25,7 +25,9 @@
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskEnd, TaskId
 from eelgrassyard.dispatch._leases import CLOCK_DRIFT, LEASE_S, STOP_LEASE_S
 from eelgrassyard.dispatch._lenders import LENT_LEASE_S, LENT_RUN_EXPIRY_S
+from eelgrassyard.dispatch._messages import Pong
 from eelgrassyard.dispatch._run_numbers import is_lent_run, next_lent_run, next_own_run
+from eelgrassyard.dispatch._tasks import Phase
 from eelgrassyard.dispatch._worker_pool import WorkerPool
 from eelgrassyard.dispatch._workers import WorkerRecord
 
@@ -402,6 +404,24 @@
     return world, caller, lender, borrower
 
 
+def test_a_job_ends_though_the_leader_that_borrowed_its_tasks_was_replaced() -> None:
+    """Guards against tasks that wait for a session which was replaced by one to the borrower's
+    successor: no end arrives on it, and the job was given up at its deadline."""
+    world, caller, lender, borrower = lending_world()
+    core = world.host_by_name[lender].core
+    assert core is not None
+    assert core.pool is not None
+    successor = next(n for n in world.host_by_name if n.startswith("d1") and n != borrower)
+    leader = world.host_by_name[successor].record
+    pong = Pong(number=1, leader=leader, epoch=10**9)
+    core.link_received(world.now, borrower, pong)
+    tasks = [t for job in core.pool.job_by_id.values() for t in job.task_by_id.values()]
+    assert not [t for t in tasks if t.phase is Phase.LENT]
+    world.run(7.0)
+    assert caller.answers == [Outcome.COMPLETE]
+    assert world.violations == []
+
+
 def test_a_new_session_of_a_lender_ends_the_runs_of_its_earlier_one() -> None:
     """Guards against runs of a session whose end the borrower has not noticed, while the lender
     already uses the next one."""
