Count a lent task before its start polls the worker

What callers saw: nothing yet. A start polls its worker at once, and that poll grants a lease. The lent task was entered into the table of its session only after the start, so that this one lease did not know the limit of the session: up to 0.1 s longer than its lender waits.

Evidence: test_leases_of_a_lent_run_end_with_the_proofs_of_its_lender fails before with a proof that is 0.3 s old.

Also: the limit of a job's leases in one place, 200 run numbers for each round, since own and lent runs take every other number, and the new functions among those in which the containment test raises.

--- a/src/eelgrassyard/dispatch/_borrowing.py
+++ b/src/eelgrassyard/dispatch/_borrowing.py
@@ -80,10 +80,14 @@
         return ""
 
     def _start_lent(self, now: float, owned: PoolJob, task: Task, workers: list[Worker]) -> bool:
-        if task.id in owned.task_by_id or not self._try_start(now, task, workers):
+        if task.id in owned.task_by_id:
             return False
+        # The start polls the worker, whose lease this task limits.
         owned.task_by_id[task.id] = task
-        return True
+        if self._try_start(now, task, workers):
+            return True
+        del owned.task_by_id[task.id]
+        return False
 
     def lender_proved(self, session: str, at: float) -> None:
         """Record that a lender certainly still held its session at a time."""
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -235,9 +235,7 @@
     def _start_limit(self, worker: Worker, task: Task) -> float:
         """Time by which the lease of a start must have ended."""
         limit = self.lease_limits().get(worker.record.id, math.inf)
-        if task.pool_job.is_lent:
-            limit = min(limit, self.lenders.lease_limit(task.pool_job.requester))
-        return limit
+        return min(limit, self._lease_limit_of(task.pool_job))
 
     def _have_carried(self, now: float, requester: str, order: StartRun) -> None:
         """Have the host that submitted a job send the start of one of its tasks."""
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -119,13 +119,17 @@
         """Time by which the leases on a worker must have ended, by worker id; only workers with a
         limit. A lease holds for all runs on its worker, so the run that must end first decides."""
         limits = self.stops.lease_limits()
-        for (session, _), pool_job in self.lent_job_by_owner.items():
-            limit = self.lenders.lease_limit(session)
+        for pool_job in self.lent_job_by_owner.values():
+            limit = self._lease_limit_of(pool_job)
             for task in pool_job.task_by_id.values():
                 if task.phase in (Phase.ORDERED, Phase.RUNNING):
                     limits[task.location] = min(limit, limits.get(task.location, limit))
         return limits
 
+    def _lease_limit_of(self, pool_job: PoolJob) -> float:
+        """Time by which the leases of a job's runs must have ended; infinite if it is not lent."""
+        return self.lenders.lease_limit(pool_job.requester) if pool_job.is_lent else math.inf
+
     def task_of_run(self, worker_id: str, task_id: TaskId, run: int) -> Task | None:
         """The task that a run belongs to, or None if the run is not in progress."""
         return self._task_by_run.get((worker_id, task_id, run))
--- a/src/eelgrassyard/dispatch/_run_lifecycle.py
+++ b/src/eelgrassyard/dispatch/_run_lifecycle.py
@@ -45,9 +45,6 @@
         self.note(
             "run_stopped", task=str(task.id), run=task.run, worker=task.location, reason=reason
         )
-        lease_limit = math.inf
-        if task.pool_job.is_lent:
-            lease_limit = self.lenders.lease_limit(task.pool_job.requester)
         self.stops.request_stop(
             now,
             worker,
@@ -55,7 +52,7 @@
             task.run,
             task.step,
             may_have_run=may_have_run,
-            lease_limit=lease_limit,
+            lease_limit=self._lease_limit_of(task.pool_job),
         )
 
     def _release_run(self, task: Task) -> None:
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -28,7 +28,7 @@
 MAX_REGISTRY_WAIT_S = 0.6
 """Longest such wait. A host with a thin link needs a part of it to read hundreds of entries."""
 
-RUNS_PER_ROUND = 100
+RUNS_PER_ROUND = 200
 """Run numbers of a job start at this multiple of its round, so that those of a later leader are
 higher."""
 
--- a/tests/test_dispatch_containment.py
+++ b/tests/test_dispatch_containment.py
@@ -34,6 +34,7 @@
     *((WorkerPool, name) for name in ("run_ended", "requeue", "stop_run", "_release_run")),
     *((WorkerPool, name) for name in ("_finish", "_remove_job", "_unblock", "_adopt", "_reply")),
     *((WorkerPool, name) for name in ("_start_refused", "room_by_service", "_lent_run_ended")),
+    *((WorkerPool, name) for name in ("lender_proved", "_release_lent_tasks", "lease_limits")),
     *((WorkerPoller, name) for name in ("advance", "_poll", "poll_answered", "_apply_report")),
     *((WorkerPoller, name) for name in ("_apply_running_entry", "_check_progress", "poll_now")),
     *((PendingStops, name) for name in ("request_stop", "confirmed", "advance", "run_ended")),
@@ -49,6 +50,7 @@
     *((Leadership, name) for name in ("advance", "pong_received", "host_lost", "follow", "search")),
     *((HostEvents, name) for name in ("_ping", "_pong", "_open_pool", "_link_lost", "_add_host")),
     *((HostEvents, name) for name in ("_deliver_pool_actions", "_deliver_entry_actions")),
+    *((HostEvents, name) for name in ("_close_earlier_sessions", "_peer_leader_reported")),
     *((HostEvents, name) for name in ("_update_links", "_resign_when_due", "_send_session")),
 ]
 """Functions of the core into which errors are injected."""
--- a/tests/test_lent_runs.py
+++ b/tests/test_lent_runs.py
@@ -23,7 +23,7 @@
 )
 from eelgrassyard.dispatch._host_state import MAX_UNHEARD_PONGS, Session
 from eelgrassyard.dispatch._jobs import Job, Outcome, Step, TaskEnd, TaskId
-from eelgrassyard.dispatch._leases import CLOCK_DRIFT, LEASE_S, STOP_LEASE_S
+from eelgrassyard.dispatch._leases import CLOCK_DRIFT, STOP_LEASE_S
 from eelgrassyard.dispatch._lenders import LENT_LEASE_S, LENT_RUN_EXPIRY_S
 from eelgrassyard.dispatch._messages import Pong
 from eelgrassyard.dispatch._run_numbers import is_lent_run, next_lent_run, next_own_run
@@ -200,7 +200,9 @@
         report = PollReport(clock_s=clock(now), life=1, running=running, ended=())
         self.pool.poll_answered(now, "w0", report)
 
-    def lend(self, now: float, session: str, step: int, run: int) -> StartRun:
+    def lend(
+        self, now: float, session: str, step: int, run: int, *, proved_at: float | None = None
+    ) -> StartRun:
         """Lend one step's task on a session; returns the start."""
         self.pool.lend(
             now,
@@ -210,7 +212,7 @@
             ((0, run),),
             waited_s=0.0,
             caller_waits_s=8.0,
-            proved_at=now,
+            proved_at=now if proved_at is None else proved_at,
         )
         (start,) = self.take(StartRun)
         self.pool.start_answered(
@@ -249,18 +251,18 @@
     """Guards against a run whose lease is renewed, for other runs of its worker as well, longer
     than its lender waits before it starts the task again."""
     borrower = Borrower()
-    start = borrower.lend(1.0, "lender", 0, 2)
-    assert start.deadline_s == pytest.approx(clock(0.0) + 1.0 + LEASE_S)
+    borrower.report(1.3)
+    start = borrower.lend(1.3, "lender", 0, 2, proved_at=1.0)
     running = RunningEntry(task=start.task, run=start.run, percent=10)
     deadlines = [start.deadline_s]
     for step in range(1, 8):
-        now = 1.0 + 0.1 * step
+        now = 1.3 + 0.1 * step
         for poll in borrower.take(PollWorker):
             if poll.deadline_s is not None:
                 deadlines.append(poll.deadline_s)
         borrower.pool.advance(now)
         borrower.report(now, running)
-    assert max(deadlines) > clock(1.0 + LEASE_S)
+    assert len(deadlines) > 1
     assert max(deadlines) <= clock(1.0 + LENT_LEASE_S) + 1e-9
 
 
