Remove a function that nothing calls any more

Cause: the end of a session looks into the table of lent jobs by itself, so nothing lists the jobs of both tables together.

--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from ._actions import (
     Action,
@@ -145,10 +145,6 @@
             if worker.is_registered:
                 self.workers_by_service.setdefault(worker.record.service, []).append(worker)
 
-    def _pool_jobs(self) -> Iterable[PoolJob]:
-        yield from self.job_by_id.values()
-        yield from self.lent_job_by_owner.values()
-
     def fastest_slowness(self, service: str) -> float:
         """Slowness of the fastest worker of a service, cached until the next tick."""
         fastest_slowness = self._fastest_slowness_by_service.get(service)
