Test that a late start waits for the stop of an earlier run

What a caller could meet: a job that was cancelled and sent again, and that starts late, ran beside its first run while the stop of that one was unconfirmed, if another worker had room.

With one worker, or with room left on the first, it passes on the old code too, which skips the worker of the first run.

--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -604,3 +604,17 @@
             driver.answer(now + 0.15, order)
         driver.pool.advance(now)
     assert driver.pool.timing.is_congested()
+
+
+def test_a_late_start_waits_for_the_stop_of_an_earlier_run() -> None:
+    """Guards against a second run of a job that its caller sends again and that starts late, while
+    the stop of its first run is unconfirmed: only starts in time were checked for it."""
+    driver = PoolDriver(record("w0", cpu=1000), record("w1"))
+    driver.submit(1.0, job())
+    (first,) = driver.take(StartRun)
+    driver.pool.cancel(1.05, "r", JOB_ID)
+    assert [stop.run for stop in driver.take(StopRun)] == [first.run]
+    driver.submit(1.1, job())
+    for now in (1.2, 1.3, 1.4, 1.5):
+        driver.pool.advance(now)
+    assert driver.take(StartRun) == []
