--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,6 @@
 import asyncio
 import pathlib
 import random
-import signal
 import time
 from dataclasses import dataclass
 
@@ -116,7 +115,7 @@
     async def replace_leader() -> None:
         """Remove the machine that leads for good; a new one comes at another address."""
         gone = (await leading_hosts() or lab.hosts)[0]
-        gone.send(signal.SIGKILL)
+        await gone.remove()
         lab.record(f"{gone.name} at {gone.control} is gone")
         lab.hosts.remove(gone)
         lab.gone.append(gone)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -166,6 +166,7 @@
     control: str
     folder: pathlib.Path
     process: asyncio.subprocess.Process | None = None
+    silent_sockets: list[socket.socket] = field(default_factory=list)
 
     async def start(self, *, store: str, seeds: list[str]) -> None:
         """Write the settings and start the process as the platform does."""
@@ -205,6 +206,30 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def remove(self) -> None:
+        """Take the machine away for good: its process ends, and its addresses answer nothing."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+        for address in (self.front, self.ready, self.control):
+            # Without a listener an address refuses connections instead.
+            with contextlib.suppress(OSError):
+                self._silence(address)
+
+    def _silence(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        listener = socket.socket()
+        self.silent_sockets.append(listener)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ip, int(port)))
+        listener.listen(0)
+        # A full queue drops further attempts, as a machine without power does.
+        for _ in range(2):
+            filler = socket.socket()
+            self.silent_sockets.append(filler)
+            filler.setblocking(False)
+            filler.connect_ex((ip, int(port)))
+
     def log_lines(self, event: str) -> list[dict[str, object]]:
         """Lines of the log with an event."""
         lines = (self.folder / f"{self.name}.log").read_text(errors="replace").splitlines()
@@ -453,6 +478,9 @@
                 await host.process.wait()
         for server in self._servers:
             server.close()
+        for host in self.gone:
+            for silent in host.silent_sockets:
+                silent.close()
         kept = os.environ.get("KEEP_LOGS")
         if kept:
             shutil.copytree(self._folder, kept, dirs_exist_ok=True)
