Forget departed hosts and ask every present one before taking the lead

What callers saw: after 14 to 16 hosts of a domain had been replaced, each remaining host led the domain for itself.

Cause: no rule said which hosts count. Whatever a host had ever heard of stayed in one table, new hosts got all of it from their peers, and a search asked the first eight by name and weight. Once these had all gone, no search reached a live host.

Ruled out: the seeds (replaced by names at the first answer), fences and clocks (epochs rise by the constant step only after the first mutual refusals), the order of the names alone (hosts chosen by chance do the same with more replacements).

Present hosts are listed by the store or heard within 10 s. Others are asked after them and not passed on, and are forgotten once readings of the store have gone without them for 10 s; without readings nothing is. A host whose session fails goes to the end of the order, so each one is asked in turn. Nobody leads before all present hosts were asked. The leader of another domain is looked for in the same order. A leader names a new host to its followers, for those that the store refuses.

--- a/src/eelgrassyard/dispatch/_host.py
+++ b/src/eelgrassyard/dispatch/_host.py
@@ -45,13 +45,26 @@
         except Exception as error:
             self._contain(now, "set_workers", error, lambda: self._start_over(now))
 
-    def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
-        """Replace the hosts that the store lists."""
+    def set_hosts(self, now: float, hosts: Iterable[HostRecord], *, read_at: float) -> None:
+        """Replace the hosts that the store lists.
+
+        :param read_at: time in seconds at which the store listed them.
+        """
         try:
-            super().set_hosts(now, hosts)
+            super().set_hosts(now, hosts, read_at=read_at)
         except Exception as error:
             self._contain(now, "set_hosts", error, lambda: None)
 
+    def confirm_hosts(self, now: float, *, read_at: float) -> None:
+        """Record that the store still lists the same hosts.
+
+        :param read_at: time in seconds at which it did.
+        """
+        try:
+            super().confirm_hosts(now, read_at=read_at)
+        except Exception as error:
+            self._contain(now, "confirm_hosts", error, lambda: None)
+
     # --- callers ---
 
     def job_arrived(self, now: float, ticket: int, job: Job, *, caller_waits_s: float) -> None:
--- a/src/eelgrassyard/dispatch/_host_events.py
+++ b/src/eelgrassyard/dispatch/_host_events.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Mapping
 
 from ._actions import OrderResult, PollResult, PollWorker, StartRun, StopRun
+from ._host_directory import UNKNOWN_DOMAIN
 from ._jobs import Job
 from ._leadership import Role
 from ._messages import HostRecord
@@ -40,19 +41,33 @@
         if self.pool is not None:
             self.pool.store_answering(now)
 
-    def set_hosts(self, now: float, hosts: Iterable[HostRecord]) -> None:
-        """Replace the hosts that the store lists."""
-        listed = {host.name: host for host in hosts}
-        for host in listed.values():
-            self._add_host(host)
-        self.leadership.set_hosts(self._host_by_name, listed)
+    def set_hosts(self, now: float, hosts: Iterable[HostRecord], *, read_at: float) -> None:
+        """Replace the hosts that the store lists.
+
+        :param read_at: time in seconds at which the store listed them.
+        """
+        self._note_departed(self.directory.set_listed(now, hosts, read_at=read_at))
         self.leadership.hosts_known = True
 
-    def set_seeds(self, addresses: Iterable[str]) -> None:
+    def confirm_hosts(self, now: float, *, read_at: float) -> None:
+        """Record that the store still lists the same hosts.
+
+        :param read_at: time in seconds at which it did.
+        """
+        self._note_departed(self.directory.confirm_listed(now, read_at=read_at))
+
+    def _note_departed(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._note("host_departed", peer=name, hosts_left=len(self.directory))
+
+    def set_seeds(self, now: float, addresses: Iterable[str]) -> None:
         """Add the addresses of hosts whose names are not known yet; they may be stale."""
         for address in addresses:
             if address != self.own.address:
-                self._add_host(HostRecord(name=address, address=address, domain="", incarnation=0))
+                seed = HostRecord(
+                    name=address, address=address, domain=UNKNOWN_DOMAIN, incarnation=0
+                )
+                self.directory.add(now, seed)
 
     def set_config(self, version: int, document: bytes) -> None:
         """Set the configuration in force, which is also sent to hosts with an older one."""
@@ -131,9 +146,9 @@
     def _update_links(self, now: float) -> None:
         for name in self.links.take_lost():
             self._link_lost(now, name)
-        wanted = self.leadership.wanted_links()
+        wanted = self.leadership.wanted_links(now)
         if self.pool is not None:
-            wanted.update(self._peer_pool_links())
+            wanted.update(self._peer_pool_links(now))
         self.links.set_wanted(now, wanted)
         self.links.advance(
             now,
@@ -148,13 +163,12 @@
         if leader is not None and leader.name == name:
             self._note("leader_lost", leader=name, epoch=self.leadership.epoch)
             self.entry.set_leader(now, 0)
+        link = self.links.link_by_name.get(name)
+        self.directory.lost(now, name, refused=link is not None and link.refused)
         self.leadership.host_lost(now, name)
         for domain, host in list(self._peer_host_by_domain.items()):
             if host.name == name:
                 del self._peer_host_by_domain[domain]
-                self._peer_attempts_by_domain[domain] = (
-                    self._peer_attempts_by_domain.get(domain, 0) + 1
-                )
                 if self.pool is not None:
                     answered_at = self.links.answered_at(name)
                     self.pool.peer_pool_lost(now, domain, answered_at=answered_at)
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -13,6 +13,7 @@
 from ._actions import Action, Note
 from ._crashes import CrashHistory
 from ._entry import AnswerCaller, Entry
+from ._host_directory import HostDirectory
 from ._leadership import Leadership, Role
 from ._links import CloseLink, Links, OpenLink, SendLink
 from ._messages import (
@@ -101,6 +102,7 @@
     :param far_factor: factor on the run time of a task placed outside its rack.
     :param link_bytes_per_s: capacity of this host's link; infinite if it is not known.
 
+    :ivar directory: the other hosts of all domains.
     :ivar pool: worker pool of the domain while this host leads it, otherwise None.
     :ivar crashes: crashes of workers under tasks, in all domains.
     :ivar new_config: newer configuration received from another host; the driver takes it.
@@ -119,7 +121,8 @@
         self.own = own
         self.entry = Entry()
         self.links = Links()
-        self.leadership = Leadership(own=own, now=now)
+        self.directory = HostDirectory(own=own)
+        self.leadership = Leadership(own=own, directory=self.directory, now=now)
         self.pool: WorkerPool | None = None
         self.crashes = CrashHistory()
         self.config_version = 0
@@ -134,27 +137,14 @@
         self._link_bytes_per_s = link_bytes_per_s
         self._record_by_id: Mapping[str, WorkerRecord] = {}
         self._registry_read_at = -math.inf
-        self._host_by_name: dict[str, HostRecord] = {own.name: own}
         self._session_by_id: dict[str, Session] = {}
         self._peer_host_by_domain: dict[str, HostRecord] = {}
-        self._peer_attempts_by_domain: dict[str, int] = {}
         self._actions: list[HostAction] = []
         self._last_called_at = now
         self.unforeseen_errors: Counter[str] = Counter()
         self._start_over_pause_s = 0.0
         self._started_over_at = now
 
-    def _add_host(self, host: HostRecord) -> None:
-        known = self._host_by_name.get(host.name)
-        if host.name != self.own.name and (known is None or known.incarnation < host.incarnation):
-            # An address belongs to one host. A seed is listed under its address until its name is
-            # known.
-            for name, other in list(self._host_by_name.items()):
-                if other.address == host.address and name not in (host.name, self.own.name):
-                    del self._host_by_name[name]
-            self._host_by_name[host.name] = host
-            self.leadership.set_hosts(self._host_by_name, self.leadership.registered)
-
     def is_ready(self) -> bool:
         """Tell whether this host can serve new callers."""
         if self.draining or not self.config_version:
@@ -279,7 +269,7 @@
             "draining": self.draining,
             "config_version": self.config_version,
             "evacuated_domains": self.evacuations.domains,
-            "hosts": sorted(self._host_by_name),
+            "hosts": self.directory.dump(self._last_called_at),
             "links": {
                 name: {"alive": link.is_alive(), "last_heard": round(link.last_heard, 3)}
                 for name, link in self.links.link_by_name.items()
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -40,9 +40,11 @@
                 self._close_earlier_sessions(now, session_id, message.host)
                 session.host = message.host
                 session.leads_epoch = message.leads_epoch
-                self._add_host(message.host)
-                known = tuple(self._host_by_name.values())
-                self._send_session(session_id, KnownHosts(hosts=known))
+                is_new = self.directory.heard(now, message.host)
+                present = self.directory.present(now)
+                self._send_session(session_id, KnownHosts(hosts=(self.own, *present)))
+                if is_new:
+                    self._introduce(session_id, message.host)
             case Ping():
                 self._ping(now, session_id, session, message)
             case ConfigDocument():
@@ -54,6 +56,19 @@
             case StartCarried():
                 self._start_carried(now, message)
 
+    def _introduce(self, session_id: str, host: HostRecord) -> None:
+        """Name a new host of the domain to the followers: while the store is out, nothing else
+        tells them whom to ask when this leader is lost."""
+        if self.pool is None or host.domain != self.own.domain:
+            return
+        for other_id, other in self._session_by_id.items():
+            if (
+                other_id != session_id
+                and other.host is not None
+                and other.host.domain == self.own.domain
+            ):
+                self._send_session(other_id, KnownHosts(hosts=(host,)))
+
     def _close_earlier_sessions(self, now: float, session_id: str, host: HostRecord) -> None:
         """Close the sessions that a host has replaced by a new one. Their lent tasks end, since a
         session owns only what was lent on it; jobs may be submitted again on the new one."""
@@ -134,6 +149,8 @@
     def _ping(self, now: float, session_id: str, session: Session, ping: Ping) -> None:
         session.leads_epoch = ping.leads_epoch
         session.ready = ping.ready
+        if session.host is not None:
+            self.directory.heard(now, session.host)
         if (
             ping.carries_starts
             and self.pool is not None
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -4,8 +4,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable, Mapping
 
+from ._host_directory import UNKNOWN_DOMAIN, HostDirectory, rank
 from ._links import Links
 from ._messages import HostRecord, Pong
 
@@ -33,7 +33,7 @@
 
 MAX_CANDIDATES = 8
 MAX_REMOTE_HOSTS = 3
-"""Hosts of the own domain, and of other domains, that are contacted during a search."""
+"""Hosts of the own domain, and of other domains, that are contacted at a time during a search."""
 
 
 class Role(enum.Enum):
@@ -48,14 +48,16 @@
     """Finds the leader of this host's failure domain, or makes this host the leader.
 
     :param own: this host.
+    :param directory: the other hosts.
     :param now: start of the process.
 
     :ivar hosts_known: whether the store or another host has listed the hosts of the system. Until
         then this host does not claim leadership, since it might be cut off from the leader.
     """
 
-    def __init__(self, *, own: HostRecord, now: float) -> None:
+    def __init__(self, *, own: HostRecord, directory: HostDirectory, now: float) -> None:
         self.own = own
+        self._directory = directory
         self.role = Role.SEARCHING
         self.leader: HostRecord | None = None
         self.epoch = 0
@@ -66,43 +68,27 @@
         self._min_search_s = STARTUP_SEARCH_S
         self._claim_backoff_until = 0.0
         self._paused_until = 0.0
-        self._lost_at: dict[str, float] = {}
-        self._host_by_name: Mapping[str, HostRecord] = {}
-        self.registered: frozenset[str] = frozenset()
 
-    def set_hosts(self, hosts: Mapping[str, HostRecord], registered: Iterable[str]) -> None:
-        """Replace the known hosts.
+    def candidates(self, now: float) -> list[HostRecord]:
+        """Other hosts of this host's domain that are asked for a leader now."""
+        return self._directory.candidates(now, {self.own.domain})[:MAX_CANDIDATES]
 
-        :param registered: names of the hosts that the store lists as alive.
-        """
-        self._host_by_name = hosts
-        self.registered = frozenset(registered)
-
-    def members(self) -> list[HostRecord]:
-        """Other hosts of this host's domain, by descending rank for leadership."""
-        members = [
-            host
-            for host in self._host_by_name.values()
-            if host.domain == self.own.domain and host.name != self.own.name
-        ]
-        return sorted(members, key=_rank)
-
-    def wanted_links(self) -> dict[str, tuple[HostRecord, bool]]:
+    def wanted_links(self, now: float) -> dict[str, tuple[HostRecord, bool]]:
         """Outbound sessions that the current role needs: host and whether it is in another domain,
         by name."""
         wanted: dict[str, tuple[HostRecord, bool]] = {}
         if self.role is Role.FOLLOWING and self.leader is not None:
             wanted[self.leader.name] = (self.leader, False)
         elif self.role is Role.SEARCHING:
-            for host in self.members()[:MAX_CANDIDATES]:
+            for host in self.candidates(now):
                 wanted[host.name] = (host, False)
-            for host in self._remote_hosts():
+            for host in self._remote_hosts(now):
                 wanted[host.name] = (host, True)
         return wanted
 
-    def _remote_hosts(self) -> list[HostRecord]:
-        others = [h for h in self._host_by_name.values() if h.domain != self.own.domain]
-        return sorted(others, key=_rank)[:MAX_REMOTE_HOSTS]
+    def _remote_hosts(self, now: float) -> list[HostRecord]:
+        domains = {UNKNOWN_DOMAIN, *self._directory.other_domains()}
+        return self._directory.candidates(now, domains)[:MAX_REMOTE_HOSTS]
 
     # --- events ---
 
@@ -148,14 +134,12 @@
 
     def host_lost(self, now: float, name: str) -> None:
         """Handle a broken or silent session to a host."""
-        self._lost_at[name] = now
         if self.role is Role.FOLLOWING and self.leader is not None and self.leader.name == name:
             self.search(now)
 
     def pong_received(self, now: float, name: str, pong: Pong) -> None:
         """Handle a host's report on the leader of its domain."""
-        self._lost_at.pop(name, None)
-        host = self._host_by_name.get(name)
+        host = self._directory.get(name)
         if host is None or host.domain != self.own.domain or pong.leader is None:
             if (
                 self.role is Role.FOLLOWING
@@ -172,7 +156,8 @@
             return
         if self.role is Role.LEADING:
             return
-        stale = now - self._lost_at.get(leader.name, -1e9) < CLAIM_DELAY_S and leader.name != name
+        was_lost = now - self._directory.lost_at(leader.name) < CLAIM_DELAY_S
+        stale = was_lost and leader.name != name
         if stale or pong.epoch < self.epoch or (leader.name == name and pong.draining):
             return
         if self.leader is None or self.leader.name != leader.name or pong.epoch > self.epoch:
@@ -198,33 +183,41 @@
             self._search_started_at = now
             return False
         waited_s = now - self._search_started_at
-        members = self.members()[:MAX_CANDIDATES]
-        answered = [h for h in members if _is_alive(links, h.name)]
-        refused = [h for h in members if _is_refused(links, h.name)]
-        all_known = len(answered) + len(refused) == len(members)
-        if waited_s < self._min_search_s and not (all_known and members):
+        present = self._directory.present(now, self.own.domain)
+        answered = [h for h in self.candidates(now) if _is_alive(links, h.name)]
+        unasked = [h for h in present if not self._was_asked(links, h.name)]
+        silent = [
+            h for h in present if not (_is_alive(links, h.name) or self._was_refused(links, h.name))
+        ]
+        if waited_s < self._min_search_s and not (present and not silent):
+            return False
+        if unasked and waited_s < CLAIM_DELAY_S:
             return False
         higher_ranked = [
-            h for h in answered if _rank(h) < _rank(self.own) and not _is_draining(links, h.name)
+            h for h in answered if rank(h) < rank(self.own) and not _is_draining(links, h.name)
         ]
         if higher_ranked and waited_s < CLAIM_DELAY_S:
             return False
-        remote_hosts = self._remote_hosts()
-        is_isolated = (
-            len(refused) < len(members)
-            and not answered
-            and not any(_is_alive(links, h.name) for h in remote_hosts)
+        is_isolated = not answered and not any(
+            _is_alive(links, h.name) for h in self._remote_hosts(now)
         )
-        if is_isolated:
-            others = {h.name for h in members} & self.registered
-            if others and waited_s < ISOLATED_CLAIM_DELAY_S:
-                return False
+        listed_silent = any(self._directory.is_listed(h.name) for h in silent)
+        if is_isolated and listed_silent and waited_s < ISOLATED_CLAIM_DELAY_S:
+            return False
         self.lead(now)
         return True
 
+    def _was_asked(self, links: Links, name: str) -> bool:
+        """Tell whether a session to a host has been tried in this search."""
+        return (
+            name in links.link_by_name or self._directory.lost_at(name) >= self._search_started_at
+        )
 
-def _rank(host: HostRecord) -> tuple[float, str]:
-    return (-host.weight, host.name)
+    def _was_refused(self, links: Links, name: str) -> bool:
+        link = links.link_by_name.get(name)
+        return (link is not None and link.refused) or self._directory.was_refused(
+            name, since=self._search_started_at
+        )
 
 
 def _is_alive(links: Links, name: str) -> bool:
@@ -232,11 +225,6 @@
     return link is not None and link.is_alive()
 
 
-def _is_refused(links: Links, name: str) -> bool:
-    link = links.link_by_name.get(name)
-    return link is not None and link.refused
-
-
 def _is_draining(links: Links, name: str) -> bool:
     link = links.link_by_name.get(name)
     return link is not None and link.pong is not None and link.pong.draining
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -51,7 +51,7 @@
                 self._pong(now, name, message)
             case KnownHosts():
                 for host in message.hosts:
-                    self._add_host(host)
+                    self.directory.add(now, host)
                 self.leadership.hosts_known = True
             case JobEnded():
                 self.entry.job_ended(now, message)
@@ -76,6 +76,12 @@
 
     def _pong(self, now: float, name: str, pong: Pong) -> None:
         self.links.pong_received(now, name, pong)
+        self.directory.answered(name)
+        link = self.links.link_by_name.get(name)
+        if link is not None:
+            self.directory.heard(now, link.host)
+        if pong.leader is not None:
+            self.directory.add(now, pong.leader)
         self.leadership.pong_received(now, name, pong)
         self.crashes.merge(now, pong.crashes)
         if pong.evacuation_revision < self.evacuations.revision:
@@ -84,7 +90,7 @@
             self._actions.append(SendLink(name=name, message=self._config_message()))
         if self.pool is None:
             return
-        host = self._host_by_name.get(name)
+        host = self.directory.get(name)
         if host is None or host.domain == self.own.domain:
             return
         if pong.leader is not None and pong.leader.name == name:
@@ -104,7 +110,7 @@
             self.pool.peer_pool_lost(now, leader.domain, answered_at=answered_at)
 
     def _lent_ended(self, now: float, name: str, message: LentEnded) -> None:
-        host = self._host_by_name.get(name)
+        host = self.directory.get(name)
         if self.pool is not None and host is not None:
             self.pool.lent_ended(
                 now,
@@ -161,5 +167,5 @@
             if message.successor is None or message.successor.name == self.own.name:
                 self.leadership.search(now)
             else:
-                self._add_host(message.successor)
+                self.directory.add(now, message.successor)
                 self.leadership.follow(now, message.successor, message.epoch)
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -75,18 +75,13 @@
                 self._session_by_id.pop(session_id)
                 self._actions.append(CloseSession(session=session_id))
 
-    def _peer_pool_links(self) -> dict[str, tuple[HostRecord, bool]]:
+    def _peer_pool_links(self, now: float) -> dict[str, tuple[HostRecord, bool]]:
         """One host of each other domain: its leader if known, otherwise one that may report it."""
         wanted: dict[str, tuple[HostRecord, bool]] = {}
-        domains = {h.domain for h in self._host_by_name.values() if h.domain} - {self.own.domain}
-        for domain in sorted(domains):
+        for domain in sorted({*self.directory.other_domains(), *self._peer_host_by_domain}):
             host = self._peer_host_by_domain.get(domain)
             if host is None:
-                known = sorted(
-                    (h for h in self._host_by_name.values() if h.domain == domain),
-                    key=lambda h: (-h.weight, h.name),
-                )
-                host = known[self._peer_attempts_by_domain.get(domain, 0) % len(known)]
+                host = self.directory.candidates(now, {domain})[0]
                 self._peer_host_by_domain[domain] = host
             wanted[host.name] = (host, True)
         return wanted
--- a/src/eelgrassyard/platform/_host.py
+++ b/src/eelgrassyard/platform/_host.py
@@ -197,7 +197,7 @@
         """
         asyncio.get_running_loop().set_exception_handler(self._errors.handle_loop_error)
         self._journal.write("start", {"domain": self._own.domain, "weight": self._own.weight})
-        self._core.set_seeds(self._settings.seeds)
+        self._core.set_seeds(self._clock.now(), self._settings.seeds)
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._take_part, group)
--- a/src/eelgrassyard/platform/_store_follower.py
+++ b/src/eelgrassyard/platform/_store_follower.py
@@ -125,6 +125,15 @@
             on_odd_item=self._ignore_item,
             mode=self._registry_mode,
         )
+        self._host_mirror = Mirror(
+            store=store,
+            prefix=HOST_PREFIX,
+            now=clock.now,
+            on_change=self._hosts_changed,
+            on_availability=self._store_availability_changed,
+            on_odd_item=self._ignore_item,
+            mode=lambda: HOSTS_MODE,
+        )
         self.mirrors = (
             Mirror(
                 store=store,
@@ -136,15 +145,7 @@
                 max_characters=MAX_CONFIG_CHARACTERS,
             ),
             self._worker_mirror,
-            Mirror(
-                store=store,
-                prefix=HOST_PREFIX,
-                now=clock.now,
-                on_change=self._hosts_changed,
-                on_availability=self._store_availability_changed,
-                on_odd_item=self._ignore_item,
-                mode=lambda: HOSTS_MODE,
-            ),
+            self._host_mirror,
         )
 
     def advance(self) -> None:
@@ -157,6 +158,7 @@
             self._worker_mirror.wake()
         self._led = leads
         self._remove_missing_workers()
+        self._core.confirm_hosts(self._clock.now(), read_at=self._host_mirror.read_at)
         new_config = self._core.new_config
         if new_config is not None:
             self._core.new_config = None
@@ -293,5 +295,5 @@
             else:
                 hosts.append(result.unwrap())
         self._refused_host_values = refused
-        self._core.set_hosts(self._clock.now(), hosts)
+        self._core.set_hosts(self._clock.now(), hosts, read_at=self._host_mirror.read_at)
         self._on_hosts({host.name for host in hosts})
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -94,6 +94,7 @@
         self.host_by_name: dict[str, SimHost] = {}
         self.worker_by_id: dict[str, FakeWorker] = {}
         self.cut_paths: set[frozenset[str]] = set()
+        self.removed: set[str] = set()
         self.delay_by_path: dict[frozenset[str], float] = {}
         self.late_share = 0.0
         self.lost_share = 0.0
@@ -165,7 +166,7 @@
             far_factor=1.5,
             link_bytes_per_s=self.link_bytes_per_s,
         )
-        host.core.set_hosts(self.now, [other.record for other in self.host_by_name.values()])
+        host.core.set_hosts(self.now, self.listed_hosts(), read_at=self.now)
         host.core.set_workers(
             self.now, {w.record.id: w.record for w in self.worker_by_id.values()}, read_at=self.now
         )
@@ -173,6 +174,10 @@
         life = host.life
         self.at(self.random.uniform(0.0, TICK_S), lambda: self._tick(name, life))
 
+    def listed_hosts(self) -> list[HostRecord]:
+        """Hosts that the store lists."""
+        return [host.record for host in self.host_by_name.values()]
+
     def kill(self, name: str, *, silent: bool) -> None:
         """Terminate a host's process; its connections break, or go silent on a loss of power."""
         host = self.host_by_name[name]
@@ -239,6 +244,8 @@
 
     def reachable(self, a: str, b: str) -> bool:
         """Tell whether packets pass between two parties."""
+        if a in self.removed or b in self.removed:
+            return False
         return frozenset((a, b)) not in self.cut_paths
 
     def _delay(self, a: str, b: str) -> float:
@@ -621,7 +628,8 @@
 
         def retry() -> None:
             if not caller.answers and self.now < caller.until:
-                self._submit_attempt(caller, self.random.choice(sorted(self.host_by_name)))
+                hosts = sorted(set(self.host_by_name) - self.removed)
+                self._submit_attempt(caller, self.random.choice(hosts))
 
         self.at(RESEND_S, retry)
 
--- a/tests/test_dispatch_containment.py
+++ b/tests/test_dispatch_containment.py
@@ -13,6 +13,7 @@
 from dispatch_world import World
 from eelgrassyard.dispatch._crashes import CrashHistory
 from eelgrassyard.dispatch._entry import Entry
+from eelgrassyard.dispatch._host_directory import HostDirectory
 from eelgrassyard.dispatch._host_events import HostEvents
 from eelgrassyard.dispatch._jobs import Outcome
 from eelgrassyard.dispatch._leadership import Leadership
@@ -48,10 +49,11 @@
     *((Entry, name) for name in ("set_leader", "caller_left", "_answer", "_remove")),
     *((Links, name) for name in ("advance", "set_wanted", "connected", "pong_received", "closed")),
     *((Leadership, name) for name in ("advance", "pong_received", "host_lost", "follow", "search")),
-    *((HostEvents, name) for name in ("_ping", "_pong", "_open_pool", "_link_lost", "_add_host")),
+    *((HostEvents, name) for name in ("_ping", "_pong", "_open_pool", "_link_lost", "_introduce")),
     *((HostEvents, name) for name in ("_deliver_pool_actions", "_deliver_entry_actions")),
     *((HostEvents, name) for name in ("_close_earlier_sessions", "_peer_leader_reported")),
     *((HostEvents, name) for name in ("_update_links", "_resign_when_due", "_send_session")),
+    *((HostDirectory, name) for name in ("add", "heard", "lost", "present", "candidates")),
 ]
 """Functions of the core into which errors are injected."""
 
--- a/tests/test_dispatch_odd_input.py
+++ b/tests/test_dispatch_odd_input.py
@@ -142,7 +142,7 @@
     odd = OddValues(seed)
     rng = odd.random
     core = DispatchHost(own=OWN, now=0.0, stop_s=0.05, far_factor=1.5)
-    core.set_hosts(0.0, [OWN])
+    core.set_hosts(0.0, [OWN], read_at=0.0)
     core.set_config(1, b"{}")
     workers = {
         name: WorkerRecord(
--- a/tests/test_net_sessions.py
+++ b/tests/test_net_sessions.py
@@ -81,7 +81,7 @@
         await driver.start()
         driver.stop()
         stopped_at = core._last_called_at
-        core.set_hosts(driver.now(), [peer])
+        core.set_hosts(driver.now(), [peer], read_at=driver.now())
         core.advance(driver.now())
         driver.perform_actions()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
