Extend no run that its leader can no longer stop

The job had been given up with 502 by a host that had just been fenced out; its runs went on, and its caller sent it again 1.3 s later.

Cause: a lease holds for all that runs on a worker. Each new leader gave hosts 0.35 s to claim the runs that it found, and meanwhile extended all of them with the leases of its own starts and polls. A leader that is fenced out sooner stops none, and the next one begins anew, so a run without an owner lived as long as leaders followed each other faster than that.

Ruled out: a later 502 (the caller's own wait ends at the same moment), waiting for the lists of all workers before a new leader starts anything (the job may be sent to another domain, which reads none of these workers; 1.1 s without a start after each change of the leader while one worker is silent).

Change: a leader extends only what it owns (docs/design.md, who owns a run without a leader). A host that followed the last leader may extend what it finds for 0.45 s, in which it stops what nobody claims; any other new leader grants no lease on such a worker. Hosts have 0.3 s to claim.

The pools of tests/test_dispatch_pool.py and of one test of tests/test_lent_runs.py are those of a successor now, since these tests are about a failover in which the new leader may extend runs.

--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import enum
+import math
 
 from ._host_directory import UNKNOWN_DOMAIN, HostDirectory, rank
 from ._links import Links
@@ -31,6 +32,14 @@
 FENCED_BACKOFF_S = 0.3
 """Pause before a host that was fenced out may claim leadership again."""
 
+SETTLED_S = 1.0
+"""Time for which a host must have followed a leader to succeed it. By then that leader has itself
+settled the runs of the one before it."""
+
+SUCCESSION_S = 1.0
+"""Time after the loss of its leader within which a host can succeed it. Without a renewal no run of
+that leader is left later."""
+
 MAX_CANDIDATES = 8
 MAX_REMOTE_HOSTS = 3
 """Hosts of the own domain, and of other domains, that are contacted at a time during a search."""
@@ -53,6 +62,9 @@
 
     :ivar hosts_known: whether the store or another host has listed the hosts of the system. Until
         then this host does not claim leadership, since it might be cut off from the leader.
+    :ivar is_successor: whether this host, as leader, has succeeded one that it followed until that
+        was lost. Any other host that leads cannot know who owned the runs on the workers, or since
+        when nobody has.
     """
 
     def __init__(self, *, own: HostRecord, directory: HostDirectory, now: float) -> None:
@@ -68,6 +80,9 @@
         self._min_search_s = STARTUP_SEARCH_S
         self._claim_backoff_until = 0.0
         self._paused_until = 0.0
+        self.is_successor = False
+        self._followed_since = math.inf
+        self._settled_leader_lost_at = -math.inf
 
     def candidates(self, now: float) -> list[HostRecord]:
         """Other hosts of this host's domain that are asked for a leader now."""
@@ -95,6 +110,8 @@
     def follow(self, now: float, host: HostRecord, epoch: int) -> None:
         """Follow a leader that another host has reported."""
         self.highest_epoch = max(self.highest_epoch, epoch)
+        if self.leader is None or (self.leader.name, self.epoch) != (host.name, epoch):
+            self._followed_since = now
         self.role = Role.FOLLOWING
         self.leader = host
         self.epoch = epoch
@@ -102,6 +119,8 @@
     def lead(self, now: float) -> None:
         """Become leader with an epoch above all known ones."""
         self.highest_epoch = max(self.highest_epoch + 1, int(now * 1000))
+        self._leave_leader(now)
+        self.is_successor = now - self._settled_leader_lost_at <= SUCCESSION_S
         self.role = Role.LEADING
         self.leader = self.own
         self.epoch = self.highest_epoch
@@ -111,12 +130,24 @@
 
         :param min_s: time in which other hosts can answer before this one claims leadership.
         """
+        self._leave_leader(now)
         self.role = Role.SEARCHING
         self.leader = None
         self.epoch = 0
         self._search_started_at = now
         self._min_search_s = min_s
 
+    def _leave_leader(self, now: float) -> None:
+        if self.role is Role.SEARCHING:
+            return
+        is_settled = self.role is Role.FOLLOWING and now - self._followed_since >= SETTLED_S
+        self._settled_leader_lost_at = now if is_settled else -math.inf
+
+    def suspended(self, now: float) -> None:
+        """Search again after a pause in which others may have led unseen."""
+        self.search(now)
+        self._settled_leader_lost_at = -math.inf
+
     def fenced_out(self, now: float) -> None:
         """Handle the refusal of this leader's epoch by a worker: back off and search again."""
         self.highest_epoch += FENCED_EPOCH_STEP
@@ -126,7 +157,7 @@
     def pause(self, now: float, seconds: float) -> None:
         """Search again, and claim leadership only after a pause."""
         self._paused_until = self._claim_backoff_until = now + seconds
-        self.search(now)
+        self.suspended(now)
 
     def is_paused(self, now: float) -> bool:
         """Tell whether other hosts need not wait for this one to claim leadership."""
--- a/src/eelgrassyard/dispatch/_leases.py
+++ b/src/eelgrassyard/dispatch/_leases.py
@@ -25,6 +25,11 @@
 confirmed and the worker has other runs. A caller may submit again 1.3 s after an answer that its
 job was given up."""
 
+UNOWNED_LEASE_S = 0.45
+"""Time after a successor's first reading of a worker by which leases there have ended while the
+worker has runs that no host has claimed. A run that the earlier leader could not stop any more ends
+within 0.82 s without a renewal, so both together are under 1.3 s."""
+
 MIN_START_LEASE_S = 0.3
 """Shortest lease with which a run is started; its first renewal may be that late."""
 
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -69,8 +69,9 @@
 MAX_SLOWNESS = 20.0
 """Upper bound of the slowness learned from a run that is moved."""
 
-ORPHAN_CLAIM_S = 0.35
-"""Time in which hosts submit their jobs to a new leader before it stops orphaned runs."""
+ORPHAN_CLAIM_S = 0.3
+"""Time in which hosts submit their jobs to a new leader before it stops orphaned runs. It leaves
+time to confirm the stops within ``UNOWNED_LEASE_S``, which ends the leases on the worker."""
 
 
 class WorkerPoller:
@@ -214,6 +215,7 @@
         worker.clock.update(reading_s=report.clock_s, now=now)
         if is_first_report:
             self._claim_deadline_by_worker[worker.record.id] = now + ORPHAN_CLAIM_S
+            worker.unowned_lease_limit = pool.unowned_lease_limit(now)
         worker_id = worker.record.id
         for ended in sorted(report.ended, key=lambda ended: ended.number):
             if ended.number <= worker.ends_seen:
@@ -256,7 +258,10 @@
             if is_first_report:
                 pool.adopt_orphan(now, entry.task)
             else:
+                # Its start was carried out late, after the first reading.
                 self._claim_deadline_by_worker[worker.record.id] = now
+                worker.unowned_lease_limit = now
+            pool.unclaimed_worker_by_id[worker.record.id] = worker
             return
         if task.phase is Phase.ORDERED:
             task.phase = Phase.RUNNING
@@ -308,5 +313,5 @@
     def _stop_orphans(self, now: float, worker: Worker) -> None:
         pool = self._pool
         for task_id, run in worker.orphan_run_by_task.items():
-            pool.stop_orphan(now, worker, task_id, run)
+            pool.stop_orphan(now, worker, task_id, run, lease_limit=worker.unowned_lease_limit)
         worker.orphan_run_by_task.clear()
--- a/src/eelgrassyard/dispatch/_pool_state.py
+++ b/src/eelgrassyard/dispatch/_pool_state.py
@@ -12,6 +12,7 @@
 )
 from ._crashes import CrashHistory
 from ._jobs import TaskEnd, TaskId
+from ._leases import UNOWNED_LEASE_S
 from ._lenders import Lenders
 from ._order_carriers import OrderCarriers
 from ._order_timing import OrderTiming
@@ -36,6 +37,8 @@
     :param stop_s: longest time that a worker takes to stop a run.
     :param far_factor: factor on the run time of a task placed outside its rack.
     :param link_bytes_per_s: capacity of this host's link.
+    :param is_successor: whether the host followed the leader before it until that was lost. Then it
+        may extend its runs for ``UNOWNED_LEASE_S``, in which their hosts can claim them.
     :param crashes: what the host knows of crashes of workers; empty by default.
 
     :ivar lending_enabled: whether tasks are lent to other pools, and accepted from them.
@@ -55,6 +58,7 @@
         stop_s: float,
         far_factor: float,
         link_bytes_per_s: float = math.inf,
+        is_successor: bool = False,
         crashes: CrashHistory | None = None,
     ) -> None:
         self.domain = domain
@@ -65,6 +69,8 @@
         self.evacuated = False
         self.starts_after = 0.0
         self.worker_by_id: dict[str, Worker] = {}
+        self.unclaimed_worker_by_id: dict[str, Worker] = {}
+        """Workers that may have runs of an earlier leader that no host has claimed."""
         self.workers_by_service: dict[str, list[Worker]] = {}
         self.job_by_id: dict[str, PoolJob] = {}
         self.lent_job_by_owner: dict[tuple[str, str], PoolJob] = {}
@@ -75,6 +81,7 @@
         self.timing = OrderTiming()
         self.crashes = CrashHistory() if crashes is None else crashes
         self.carriers = OrderCarriers(link_bytes_per_s=link_bytes_per_s)
+        self._is_successor = is_successor
         self._far_factor = far_factor
         self._record_by_id: Mapping[str, WorkerRecord] = {}
         self._waiting_by_service: dict[str, WaitingTasks] = {}
@@ -119,6 +126,12 @@
         """Time by which the leases on a worker must have ended, by worker id; only workers with a
         limit. A lease holds for all runs on its worker, so the run that must end first decides."""
         limits = self.stops.lease_limits()
+        for worker_id, worker in list(self.unclaimed_worker_by_id.items()):
+            if worker.orphan_run_by_task:
+                limit = worker.unowned_lease_limit
+                limits[worker_id] = min(limit, limits.get(worker_id, limit))
+            else:
+                del self.unclaimed_worker_by_id[worker_id]
         for pool_job in self.lent_job_by_owner.values():
             limit = self._lease_limit_of(pool_job)
             for task in pool_job.task_by_id.values():
@@ -126,6 +139,11 @@
                     limits[task.location] = min(limit, limits.get(task.location, limit))
         return limits
 
+    def unowned_lease_limit(self, now: float) -> float:
+        """Time by which leases on a worker that is read for the first time must have ended while it
+        has runs that this leader does not own."""
+        return now + UNOWNED_LEASE_S if self._is_successor else now
+
     def _lease_limit_of(self, pool_job: PoolJob) -> float:
         """Time by which the leases of a job's runs must have ended; infinite if it is not lent."""
         return self.lenders.lease_limit(pool_job.requester) if pool_job.is_lent else math.inf
--- a/src/eelgrassyard/dispatch/_transitions.py
+++ b/src/eelgrassyard/dispatch/_transitions.py
@@ -37,6 +37,7 @@
             epoch=self.leadership.epoch,
             domain=self.own.domain,
             registry_age_s=round_s(now - self._registry_read_at),
+            succeeds=self.leadership.is_successor,
         )
         self.pool = WorkerPool(
             domain=self.own.domain,
@@ -45,6 +46,7 @@
             stop_s=self._stop_s,
             far_factor=self._far_factor,
             link_bytes_per_s=self._link_bytes_per_s,
+            is_successor=self.leadership.is_successor,
             crashes=self.crashes,
         )
         self.pool.set_evacuated(now, self.own.domain in self.evacuations.domains)
@@ -139,5 +141,5 @@
         for session_id in list(self._session_by_id):
             self._close_session(now, session_id)
         self.links.set_wanted(now, {})
-        self.leadership.search(now)
+        self.leadership.suspended(now)
         self.entry.set_leader(now, 0)
--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -58,6 +58,7 @@
         stop_s: float,
         far_factor: float,
         link_bytes_per_s: float = math.inf,
+        is_successor: bool = False,
         crashes: CrashHistory | None = None,
     ) -> None:
         super().__init__(
@@ -67,6 +68,7 @@
             stop_s=stop_s,
             far_factor=far_factor,
             link_bytes_per_s=link_bytes_per_s,
+            is_successor=is_successor,
             crashes=crashes,
         )
         self.poller = WorkerPoller(pool=self)
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -121,6 +122,7 @@
     :param ends_acknowledged: value of ``ends_seen`` in the latest poll.
     :param reserved_cpu: capacity in use by runs that this leader tracks.
     :param orphan_run_by_task: runs of an earlier leader that no host has claimed yet.
+    :param unowned_lease_limit: time by which leases there must have ended while it has such runs.
     :param orphan_stops: orphaned runs that are being stopped, which may still be in progress.
     :param failed_jobs: jobs that failed here and on no other worker since the last success.
     :param on_trial: whether the worker was ejected and has not completed a task since; it gets one
@@ -146,6 +148,7 @@
     reserved_gpu: int = 0
     run_by_task: dict[TaskId, int] = field(default_factory=dict)
     orphan_run_by_task: dict[TaskId, int] = field(default_factory=dict)
+    unowned_lease_limit: float = math.inf
     orphan_stops: set[tuple[TaskId, int]] = field(default_factory=set)
     speed: UpstreamSpeed = field(default_factory=UpstreamSpeed)
     failed_jobs: set[str] = field(default_factory=set)
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -59,10 +59,13 @@
 
 
 class PoolDriver:
-    """A pool whose orders and polls are answered by the test."""
+    """A pool whose orders and polls are answered by the test. Its host has succeeded a leader that
+    it followed."""
 
     def __init__(self, *workers: WorkerRecord) -> None:
-        self.pool = WorkerPool(domain="d0", epoch=5, now=0.0, stop_s=0.05, far_factor=1.5)
+        self.pool = WorkerPool(
+            domain="d0", epoch=5, now=0.0, stop_s=0.05, far_factor=1.5, is_successor=True
+        )
         self.records = {worker.id: worker for worker in workers}
         self.pool.set_workers(0.0, self.records, read_at=0.0)
         for worker in self.take(PollWorker):
--- a/tests/test_lent_runs.py
+++ b/tests/test_lent_runs.py
@@ -312,7 +312,7 @@
     in which hosts may claim them, which is longer than their lender waits."""
     borrower = Borrower()
     orphans = [RunningEntry(task=TaskId(JOB_ID, 0, n), run=1 + n, percent=10) for n in (0, 1)]
-    pool = WorkerPool(domain="d0", epoch=6, now=2.0, stop_s=0.05, far_factor=1.5)
+    pool = WorkerPool(domain="d0", epoch=6, now=2.0, stop_s=0.05, far_factor=1.5, is_successor=True)
     borrower.pool = pool
     pool.set_workers(2.0, {"w0": record("w0")}, read_at=2.0)
     borrower.report(2.0, *orphans)
