Leave a leader alone that another host reaches, and let the smaller part wait

What callers saw: while hosts of a domain do not reach each other but all reach the workers, the domain serves about half of its jobs or less, and its tasks are stopped several times a second. One cut path, between a leader and one follower, is enough.

Cause: a host took the lead whenever it did not reach the leader itself. That another host of the domain answered it and named a leader counted for nothing, and being fenced out only delayed the next attempt by 0.3 s, at all hosts alike.

Ruled out: a longer pause for all who were fenced out (the domain has no leader meanwhile, and with a fence that is ahead of the clocks the search takes minutes), a vote (two of two hosts, or three parts, have no majority).

One that was fenced out after workers had obeyed it knows of a rival and says so to hosts that ask it; with fewer hosts in reach than the store lists beside them, or as many but a lower rank, it waits for 12 s as an isolated one does.

--- a/src/eelgrassyard/dispatch/_host_events.py
+++ b/src/eelgrassyard/dispatch/_host_events.py
@@ -130,8 +130,9 @@
         if self.pool is not None:
             self.pool.advance(now)
             if self.pool.fenced_out:
+                was_obeyed = self.pool.ready_workers() > 0
                 self._stop_leading(now)
-                self.leadership.fenced_out(now)
+                self.leadership.fenced_out(now, was_obeyed=was_obeyed)
         self._resign_when_due(now)
 
     def _advance_leadership(self, now: float) -> None:
--- a/src/eelgrassyard/dispatch/_inbound.py
+++ b/src/eelgrassyard/dispatch/_inbound.py
@@ -184,6 +184,7 @@
             draining=self.draining or self.leadership.is_paused(now),
             room_by_service=pool.room_by_service(now) if pool and ping.leads_epoch else {},
             crashes=crashes,
+            rival_leads=self.leadership.has_rival(now),
         )
         self._send_session(session_id, pong)
         if ping.evacuation_revision < self.evacuations.revision:
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -81,6 +81,7 @@
         self._claim_backoff_until = 0.0
         self._paused_until = 0.0
         self.is_successor = False
+        self._rival_seen_at = -math.inf
         self._followed_since = math.inf
         self._settled_leader_lost_at = -math.inf
 
@@ -112,6 +113,7 @@
         self.highest_epoch = max(self.highest_epoch, epoch)
         if self.leader is None or (self.leader.name, self.epoch) != (host.name, epoch):
             self._followed_since = now
+        self._rival_seen_at = -math.inf
         self.role = Role.FOLLOWING
         self.leader = host
         self.epoch = epoch
@@ -148,12 +150,22 @@
         self.search(now)
         self._settled_leader_lost_at = -math.inf
 
-    def fenced_out(self, now: float) -> None:
-        """Handle the refusal of this leader's epoch by a worker: back off and search again."""
+    def fenced_out(self, now: float, *, was_obeyed: bool) -> None:
+        """Handle the refusal of this leader's epoch by a worker: back off and search again.
+
+        :param was_obeyed: whether a worker has accepted the epoch before, so that another host must
+            have taken the lead since. Otherwise an earlier leader's clock may have been ahead.
+        """
+        if was_obeyed:
+            self._rival_seen_at = now
         self.highest_epoch += FENCED_EPOCH_STEP
         self._claim_backoff_until = now + FENCED_BACKOFF_S
         self.search(now)
 
+    def has_rival(self, now: float) -> bool:
+        """Tell whether another host has fenced this one out and this one follows none since."""
+        return now - self._rival_seen_at < ISOLATED_CLAIM_DELAY_S
+
     def pause(self, now: float, seconds: float) -> None:
         """Search again, and claim leadership only after a pause."""
         self._paused_until = self._claim_backoff_until = now + seconds
@@ -224,6 +236,12 @@
             return False
         if unasked and waited_s < CLAIM_DELAY_S:
             return False
+        if any(self._names_leader(links, h.name) for h in answered):
+            return False
+        missed = [h for h in silent if self._directory.is_listed(h.name)]
+        rival_leads = self.has_rival(now) or any(_has_rival(links, h.name) for h in answered)
+        if rival_leads and self._is_smaller_part(answered, missed):
+            return False
         higher_ranked = [
             h for h in answered if rank(h) < rank(self.own) and not _is_draining(links, h.name)
         ]
@@ -232,12 +250,30 @@
         is_isolated = not answered and not any(
             _is_alive(links, h.name) for h in self._remote_hosts(now)
         )
-        listed_silent = any(self._directory.is_listed(h.name) for h in silent)
-        if is_isolated and listed_silent and waited_s < ISOLATED_CLAIM_DELAY_S:
+        if is_isolated and missed and waited_s < ISOLATED_CLAIM_DELAY_S:
             return False
         self.lead(now)
         return True
 
+    def _names_leader(self, links: Links, name: str) -> bool:
+        """Tell whether a host that answers reaches a leader. This host must not fence that one out,
+        though it cannot reach it."""
+        link = links.link_by_name.get(name)
+        pong = link.pong if link is not None else None
+        return (
+            pong is not None
+            and pong.leader is not None
+            and pong.leader.name not in (name, self.own.name)
+        )
+
+    def _is_smaller_part(self, answered: list[HostRecord], missed: list[HostRecord]) -> bool:
+        """Tell whether the domain is divided and this host is in the part that has fewer hosts, or
+        as many but not the one of highest rank."""
+        reached = [self.own, *answered]
+        if not missed or len(reached) != len(missed):
+            return len(reached) < len(missed)
+        return min(map(rank, missed)) < min(map(rank, reached))
+
     def _was_asked(self, links: Links, name: str) -> bool:
         """Tell whether a session to a host has been tried in this search."""
         return (
@@ -256,6 +292,11 @@
     return link is not None and link.is_alive()
 
 
+def _has_rival(links: Links, name: str) -> bool:
+    link = links.link_by_name.get(name)
+    return link is not None and link.pong is not None and link.pong.rival_leads
+
+
 def _is_draining(links: Links, name: str) -> bool:
     link = links.link_by_name.get(name)
     return link is not None and link.pong is not None and link.pong.draining
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -102,6 +102,8 @@
     :param evacuation_revision: revision of the evacuations that the answering host knows.
     :param crashes: what a leader knows of crashes of workers, as far as it has changed since the
         pong before.
+    :param rival_leads: whether a host that the answering one does not follow has fenced it out;
+        earlier releases do not send this field.
     """
 
     number: Number
@@ -112,6 +114,7 @@
     room_by_service: dict[str, dict[SpeedClass, tuple[Number, ...]]] = {}
     evacuation_revision: Number = 0
     crashes: tuple[CrashReport, ...] = ()
+    rival_leads: bool = False
 
 
 class KnownHosts(_Message, frozen=True):
