Replace hosts for good in the soak

The soak restarted the same hosts only, so it met neither departed hosts nor new names and addresses. With `--replacements=N` hosts are removed for good N times, one or two at a time, half of the time the likely leader, and others come at new addresses, beside all other faults.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -36,9 +37,12 @@
     def __init__(self, *, site: Site, seed: int) -> None:
         self.log: list[str] = []
         self._site = site
+        self._random_seed = seed
         self._random = random.Random(seed)
         self._began = time.monotonic()
         self._reserved_hosts: set[str] = set()
+        self._removed = contextlib.ExitStack()
+        self._removed_hosts: list[str] = []
 
     @property
     def unplanned(self) -> list[Callable[[], Awaitable[None]]]:
@@ -81,11 +85,18 @@
             self.drain_worker,
         ]
 
-    async def run(self, seconds: float, *, gap_s: float, planned_only: bool) -> None:
-        """Inject overlapping and repeated faults for a time; return when all are undone."""
+    async def run(
+        self, seconds: float, *, gap_s: float, planned_only: bool, replacements: int = 0
+    ) -> None:
+        """Inject overlapping and repeated faults for a time; return when all are undone.
+
+        :param replacements: how often hosts are removed for good meanwhile, which is not undone.
+        """
         self._began = time.monotonic()
         kinds = self.planned if planned_only else [*self.unplanned, *self.planned]
         async with asyncio.TaskGroup() as group:
+            if replacements:
+                group.create_task(self._inject(functools.partial(self.replace_hosts, replacements)))
             while time.monotonic() - self._began < seconds:
                 kind = self._random.choice(kinds)
                 for _ in range(self._random.choice((1, 1, 1, 2, 3))):
@@ -94,7 +105,7 @@
 
     async def _inject(self, kind: Callable[[], Awaitable[None]]) -> None:
         fault_tracker = self._site.ledger.fault_tracker
-        is_planned = kind.__name__ in {known.__name__ for known in self.planned}
+        is_planned = kind in self.planned
         if not is_planned:
             fault_tracker.began()
         try:
@@ -199,6 +210,48 @@
             finally:
                 self._reserved_hosts.discard(host.name)
 
+    async def replace_hosts(self, times: int) -> None:
+        """Remove hosts for good, one or two at a time and half of the time the likely leader, and
+        start others with new names and addresses in their place."""
+        # A generator of its own leaves the other faults of a seed as they are.
+        rng = random.Random(self._random_seed + 1)
+        for _ in range(times):
+            await self._replace(rng, count=rng.choice((1, 1, 2)), leader=rng.random() < 0.5)
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+
+    async def _replace(self, rng: random.Random, *, count: int, leader: bool) -> None:
+        domain = rng.choice(self._site.domains)
+        members = [
+            host
+            for host in self._site.hosts
+            if host.domain == domain and host.is_up and host.name not in self._reserved_hosts
+        ]
+        rng.shuffle(members)
+        if leader:
+            members.sort(key=lambda host: (-host.weight, host.name))
+        gone = members[:count]
+        self._log_fault(f"remove {[host.name for host in gone]} for good")
+        for host in gone:
+            self._reserved_hosts.add(host.name)
+            self._removed_hosts.append(host.name)
+            self._removed.enter_context(self._site.network.cut(self._around(host.name)))
+        await asyncio.gather(*(host.kill() for host in gone))
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
+        for host in gone:
+            new = await self._site.replace_host(host)
+            self._removed.enter_context(self._site.network.cut(self._around_removed(new.name)))
+            self._log_fault(f"{new.name} comes in place of {host.name}")
+
+    def close_removed(self) -> None:
+        """Close the connections to the hosts that were removed for good, at the end of a run."""
+        for connection in self._site.network.open_connections(set(self._removed_hosts)):
+            connection.reset()
+        self._removed.close()
+
+    def _around_removed(self, name: str) -> list[tuple[str, str]]:
+        pairs = [(name, gone) for gone in self._removed_hosts]
+        return pairs + [(gone, name) for name, gone in pairs]
+
     async def stop_host(self) -> None:
         """Stop a host with SIGTERM, or SIGKILL after the grace period, and start a new process."""
         with self._reserve_host() as host:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -79,6 +79,7 @@
     workers_per_domain: int,
     rate: float,
     timed: bool = True,
+    replacements: int = 0,
 ) -> RunResult:
     """Make one run.
 
@@ -86,6 +87,7 @@
     :param fault_s: time during which faults are injected.
     :param rate: jobs per second.
     :param timed: whether invariants with a time bound are checked.
+    :param replacements: how often hosts are removed for good and others come, beside other faults.
     """
     rng = random.Random(seed)
     site = Site(
@@ -114,7 +116,12 @@
         watchers.append(asyncio.ensure_future(lag.run()))
         await asyncio.sleep(WARM_S)
         planned_only = rng.random() < PLANNED_ONLY_SHARE
-        await faults.run(fault_s, gap_s=rng.choice(MEAN_GAPS_S), planned_only=planned_only)
+        await faults.run(
+            fault_s,
+            gap_s=rng.choice(MEAN_GAPS_S),
+            planned_only=planned_only,
+            replacements=replacements,
+        )
         if not planned_only and rng.random() < CLOSING_SHARE:
             await faults.change_routes()
             await faults.kill_many()
@@ -130,6 +137,7 @@
     finally:
         for watcher in watchers:
             watcher.cancel()
+        faults.close_removed()
         for problem in await site.stop():
             ledger.record_violation("STOP", problem)
     ledger.check_refusals()
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -79,28 +79,32 @@
         )
         self.registry_lapses = False
         self._address_by_worker: dict[tuple[str, str], str] = {}
+        self._server_address_by_worker: dict[str, str] = {}
+        self._replaced = 0
         self._servers: list[HttpServer] = []
         self._config_version = 0
 
+    def _make_host(self, folder: pathlib.Path, name: str, domain: str) -> HostProcess:
+        front, front_bind, ready, peer, peer_bind, store = free_addresses(6)
+        return HostProcess(
+            name=name,
+            domain=domain,
+            folder=folder,
+            front=front,
+            front_bind=front_bind,
+            ready=ready,
+            peer=peer,
+            peer_bind=peer_bind,
+            store=store,
+            weight=self.random.choice((0.4, 0.6, 1.0)),
+        )
+
     def _make_hosts(self, folder: pathlib.Path, hosts_per_domain: int) -> list[HostProcess]:
-        hosts = []
-        for domain in self.domains:
-            for number in range(hosts_per_domain):
-                front, front_bind, ready, peer, peer_bind, store = free_addresses(6)
-                hosts.append(
-                    HostProcess(
-                        name=f"{domain}-h{number}",
-                        domain=domain,
-                        folder=folder,
-                        front=front,
-                        front_bind=front_bind,
-                        ready=ready,
-                        peer=peer,
-                        peer_bind=peer_bind,
-                        store=store,
-                        weight=self.random.choice((0.4, 0.6, 1.0)),
-                    )
-                )
+        hosts = [
+            self._make_host(folder, f"{domain}-h{number}", domain)
+            for domain in self.domains
+            for number in range(hosts_per_domain)
+        ]
         seeds = tuple(host.peer for host in hosts[::hosts_per_domain])[:3]
         for host in hosts:
             host.seeds = seeds
@@ -133,16 +137,39 @@
             await self._connect_host(host)
         await asyncio.gather(*(host.start() for host in self.hosts))
 
+    async def replace_host(self, gone: HostProcess) -> HostProcess:
+        """Start a host with a new name and new addresses in place of one that is gone for good."""
+        self._replaced += 1
+        # No name is part of another one, since a session is identified by the name in its bytes.
+        host = self._make_host(gone.folder, f"{gone.domain}-r{self._replaced:03}", gone.domain)
+        # The platform names hosts of the time at which the settings are written.
+        host.seeds = tuple(other.peer for other in self.hosts if other is not gone)[:3]
+        for worker in self.workers:
+            await self._connect_host_to_worker(host, worker)
+        await self._connect_host(host)
+        self.hosts[self.hosts.index(gone)] = host
+        self.host_by_name[host.name] = host
+        await host.start()
+        return host
+
     async def _connect_worker(self, worker: StandinWorker) -> None:
         """Start the server of a worker, and a proxy to it for each host."""
-        addresses = free_addresses(1 + len(self.hosts))
-        await self._serve(worker.server(), addresses[0])
-        for host, address in zip(self.hosts, addresses[1:], strict=True):
-            proxy = Proxy(
-                network=self.network, source=host.name, target=worker.name, address=addresses[0]
-            )
-            await proxy.listen(address)
-            self._address_by_worker[host.name, worker.name] = address
+        (address,) = free_addresses(1)
+        await self._serve(worker.server(), address)
+        self._server_address_by_worker[worker.name] = address
+        for host in self.hosts:
+            await self._connect_host_to_worker(host, worker)
+
+    async def _connect_host_to_worker(self, host: HostProcess, worker: StandinWorker) -> None:
+        proxy = Proxy(
+            network=self.network,
+            source=host.name,
+            target=worker.name,
+            address=self._server_address_by_worker[worker.name],
+        )
+        (address,) = free_addresses(1)
+        await proxy.listen(address)
+        self._address_by_worker[host.name, worker.name] = address
 
     async def _connect_host(self, host: HostProcess) -> None:
         store_address = free_addresses(1)[0]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -196,6 +196,27 @@
     assert entries(1) != entries(2)
 
 
+def test_promises_hold_while_hosts_are_replaced_for_good(tmp_path: Path) -> None:
+    """Guards against hosts of a domain that lead each for itself, or no longer find each other,
+    after others were removed for good and came at other addresses, beside other faults."""
+    result = asyncio.run(
+        run_soak(
+            seed=103,
+            folder=tmp_path,
+            fault_s=5.0,
+            domains=2,
+            hosts_per_domain=2,
+            workers_per_domain=3,
+            rate=10.0,
+            timed=False,
+            replacements=4,
+        )
+    )
+    assert result.violations == []
+    assert sum("for good" in fault for fault in result.faults) == 4
+    assert result.counts["completed"] > 0
+
+
 @pytest.mark.parametrize("seed", [101, 102])
 def test_promises_hold_on_real_processes_under_faults(tmp_path: Path, seed: int) -> None:
     """Guards against concurrent, incomplete, unrequested or falsely refused work when real hosts
