--- a/tests/test_replaced_hosts.py
+++ b/tests/test_replaced_hosts.py
@@ -182,3 +182,52 @@
     # The host itself knows its address, whatever the clocks of the two say.
     assert directory.heard(world.now, old)
     assert directory.get("d0-new") is None
+
+
+def _inject(world: ReplacingWorld, kind: str) -> None:
+    """Inject a fault that ends within some seconds, beside the others."""
+    rng = world.random
+    alive = sorted([*world.alive("d0"), *world.alive("d1")])
+    name = rng.choice(alive)
+    seconds = rng.uniform(0.5, 6.0)
+    match kind:
+        case "replace":
+            domain = world.host_by_name[name].record.domain
+            gone = (world.leaders(domain) or [name])[:1] if rng.random() < 0.5 else [name]
+            for each in gone:
+                world.remove(each)
+                world.at(rng.uniform(0.3, 2.0), lambda: world.add(domain))
+        case "restart":
+            world.kill(name, silent=rng.random() < 0.5)
+            world.at(seconds / 3, lambda: world.boot(name) if name not in world.removed else None)
+        case "freeze":
+            world.freeze(name, seconds)
+        case "store out":
+            world.store_up = False
+            if rng.random() < 0.5:
+                world.entry_ends_at.clear()
+            world.at(2 * seconds, lambda: setattr(world, "store_up", True))
+        case "cut":
+            others = (
+                [STORE] if rng.random() < 0.3 else rng.sample(alive, rng.randint(1, len(alive)))
+            )
+            pairs = {frozenset((name, other)) for other in others if other != name}
+            world.cut_paths |= pairs
+            world.at(seconds, lambda: world.cut_paths.difference_update(pairs))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_replaced_hosts_beside_other_faults(seed: int) -> None:
+    """Guards against runs of one task at once and against a domain that does not recover, when
+    hosts are replaced, restarted, frozen and cut off in series that overlap, and the store is out
+    or refuses some."""
+    world = ReplacingWorld(seed=seed, domains=2, new_names=("first", "last")[seed % 2])
+    world.run(2.0)
+    world.send_jobs()
+    for _ in range(30):
+        kind = world.random.choice(["replace", "replace", "restart", "freeze", "store out", "cut"])
+        if len(world.alive("d0")) > 1 and len(world.alive("d1")) > 1:
+            _inject(world, kind)
+        world.run(world.random.uniform(0.1, 1.5))
+    world.run(5.0)
+    _check_serves_as_before(world)
