Say what a host without a leader waits for

A host that does not take the lead, since another one probably leads that it does not reach, was unready for up to 12 s without a line. `waits_to_lead` and `waits_for` in `/state` name the reason. The conditions of a search and those of a leader elsewhere are two functions now; none of them changed.

--- a/src/eelgrassyard/dispatch/_host_events.py
+++ b/src/eelgrassyard/dispatch/_host_events.py
@@ -142,8 +142,11 @@
             # An error has interrupted a change of the role.
             self._start_over(now)
         self._update_links(now)
+        waited_for = self.leadership.waits_for
         if self.leadership.advance(now, self.links):
             self._open_pool(now)
+        if self.leadership.waits_for not in ("", waited_for):
+            self._note("waits_to_lead", waits_for=self.leadership.waits_for)
         self.entry.set_leader(now, self._confirmed_epoch())
 
     def _update_links(self, now: float) -> None:
--- a/src/eelgrassyard/dispatch/_host_state.py
+++ b/src/eelgrassyard/dispatch/_host_state.py
@@ -267,6 +267,7 @@
             "role": leadership.role.name.lower(),
             "leader": leadership.leader.name if leadership.leader is not None else "",
             "epoch": leadership.epoch,
+            "waits_for": leadership.waits_for,
             "ready": self.is_ready(),
             "draining": self.draining,
             "config_version": self.config_version,
--- a/src/eelgrassyard/dispatch/_leadership.py
+++ b/src/eelgrassyard/dispatch/_leadership.py
@@ -5,6 +5,7 @@
 
 import enum
 import math
+from dataclasses import dataclass
 
 from ._host_directory import UNKNOWN_DOMAIN, HostDirectory, rank
 from ._links import Links
@@ -53,6 +54,20 @@
     LEADING = enum.auto()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Survey:
+    """Other hosts of a domain during a search.
+
+    :param present: those that count.
+    :param answered: those that have answered, also if they do not count.
+    :param silent: present ones that have neither answered nor refused a connection.
+    """
+
+    present: list[HostRecord]
+    answered: list[HostRecord]
+    silent: list[HostRecord]
+
+
 class Leadership:
     """Finds the leader of this host's failure domain, or makes this host the leader.
 
@@ -62,6 +77,7 @@
 
     :ivar hosts_known: whether the store or another host has listed the hosts of the system. Until
         then this host does not claim leadership, since it might be cut off from the leader.
+    :ivar waits_for: why this host does not take the lead though it follows nobody, or empty.
     :ivar is_successor: whether this host, as leader, has succeeded one that it followed until that
         was lost. Any other host that leads cannot know who owned the runs on the workers, or since
         when nobody has.
@@ -80,6 +96,7 @@
         self._min_search_s = STARTUP_SEARCH_S
         self._claim_backoff_until = 0.0
         self._paused_until = 0.0
+        self.waits_for = ""
         self.is_successor = False
         self._rival_seen_at = -math.inf
         self._followed_since = math.inf
@@ -220,40 +237,64 @@
 
     def advance(self, now: float, links: Links) -> bool:
         """Become leader if no host of higher rank does; True if this host has just become it."""
+        self.waits_for = ""
         if self.role is not Role.SEARCHING or self.draining or now < self._claim_backoff_until:
             return False
         if not self.hosts_known:
             self._search_started_at = now
             return False
-        waited_s = now - self._search_started_at
-        present = self._directory.present(now, self.own.domain)
-        answered = [h for h in self.candidates(now) if _is_alive(links, h.name)]
-        unasked = [h for h in present if not self._was_asked(links, h.name)]
-        silent = [
-            h for h in present if not (_is_alive(links, h.name) or self._was_refused(links, h.name))
-        ]
-        if waited_s < self._min_search_s and not (present and not silent):
-            return False
-        if unasked and not answered and waited_s < CLAIM_DELAY_S:
-            return False
-        if any(self._names_leader(links, h.name) for h in answered):
+        survey = self._survey(now, links)
+        if not self._has_searched(now, links, survey):
             return False
-        missed = [h for h in silent if self._directory.is_listed(h.name)]
-        rival_leads = self.has_rival(now) or any(_has_rival(links, h.name) for h in answered)
-        if rival_leads and self._is_smaller_part(answered, missed):
+        self.waits_for = self._leader_elsewhere(now, links, survey)
+        if self.waits_for:
             return False
-        higher_ranked = [
-            h for h in answered if rank(h) < rank(self.own) and not _is_draining(links, h.name)
-        ]
-        if higher_ranked and waited_s < CLAIM_DELAY_S:
+        self.lead(now)
+        return True
+
+    def _survey(self, now: float, links: Links) -> _Survey:
+        present = self._directory.present(now, self.own.domain)
+        return _Survey(
+            present=present,
+            answered=[h for h in self.candidates(now) if _is_alive(links, h.name)],
+            silent=[
+                host
+                for host in present
+                if not (_is_alive(links, host.name) or self._was_refused(links, host.name))
+            ],
+        )
+
+    def _has_searched(self, now: float, links: Links, survey: _Survey) -> bool:
+        """Tell whether the other hosts had the time to name a leader, or to become it by rank."""
+        waited_s = now - self._search_started_at
+        all_known = bool(survey.present) and not survey.silent
+        if waited_s < self._min_search_s and not all_known:
             return False
+        if waited_s >= CLAIM_DELAY_S:
+            return True
+        unasked = any(not self._was_asked(links, host.name) for host in survey.present)
+        higher_ranked = any(
+            rank(host) < rank(self.own) and not _is_draining(links, host.name)
+            for host in survey.answered
+        )
+        return not (higher_ranked or (unasked and not survey.answered))
+
+    def _leader_elsewhere(self, now: float, links: Links, survey: _Survey) -> str:
+        """What this host waits for, if another one probably leads that it does not reach."""
+        answered = survey.answered
+        if any(self._names_leader(links, host.name) for host in answered):
+            return "the leader that another host reaches"
+        missed = [host for host in survey.silent if self._directory.is_listed(host.name)]
+        has_rival = self.has_rival(now) or any(_has_rival(links, host.name) for host in answered)
+        if has_rival and self._is_smaller_part(answered, missed):
+            return "the larger part of the domain"
         is_isolated = not answered and not any(
-            _is_alive(links, h.name) for h in self._remote_hosts(now)
+            _is_alive(links, host.name) for host in self._remote_hosts(now)
         )
+        waited_s = now - self._search_started_at
         if is_isolated and missed and waited_s < ISOLATED_CLAIM_DELAY_S:
-            return False
-        self.lead(now)
-        return True
+            return "any other host"
+        return ""
 
     def _names_leader(self, links: Links, name: str) -> bool:
         """Tell whether a host that answers reaches a leader. This host must not fence that one out,
--- a/tests/test_divided_domain.py
+++ b/tests/test_divided_domain.py
@@ -38,6 +38,8 @@
     assert world.leaders("d0") == [leader]
     assert world.lead_changes(cut_at) == 0
     assert not world.core(lone).is_ready()
+    waits = {f["waits_for"] for _, _, event, f in world.notes if event == "waits_to_lead"}
+    assert waits == {"the leader that another host reaches"}
     assert world.share_served(cut_at + 2.0, world.now - 3.0) >= MIN_SERVED_OF_ALL_HOSTS
     world.cut_paths.clear()
     world.run(2.0)
