Review case 11: crash a worker that the leader will use next

Each round's job now requires a label that two workers have, and the crash falls between two polls of the idle worker.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
@@ -23,9 +24,9 @@
 WORK_S = 1.6
 DEADLINE_S = 8.0
 DOWN_S = 0.5
-IDLE_S = 1.0
+RECENT_S = 0.3
 CUT_AFTER_S = 0.1
-CUT_S = 4.0
+CUT_S = 2.5
 
 
 async def first_run(lab: lab3.Lab, job: lab3.Job) -> lab3.Worker:
@@ -37,15 +38,14 @@
         await asyncio.sleep(0.005)
 
 
-async def play_round(lab: lab3.Lab, host: lab3.HostProcess) -> None:
-    """Play the fault once, on one worker of 20."""
-    # Learn which idle worker gets the next task: the slowest one that is in time.
-    probe = lab.new_job(work_s=0.2)
-    probe.work_s = 0.26
-    answer = asyncio.create_task(lab.submit(host, probe, deadline_s=DEADLINE_S))
-    idle = await asyncio.wait_for(first_run(lab, probe), 3.0)
-    await answer
-    await asyncio.sleep(IDLE_S)
+async def play_round(lab: lab3.Lab, number: int) -> None:
+    """Play the fault once, on one worker of 20; the job of a round needs a label of two workers."""
+    label = f"k{number}"
+    idle = next(worker for worker in lab.workers if worker.kind == label)
+    # The next poll of an idle worker comes 3.5 s after this one.
+    while time.monotonic() - idle.polled_at > RECENT_S:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(RECENT_S)
     if lab.trouble and RESTARTS:
         lab.note(f"{idle.id} crashes")
         await idle.crash()
@@ -53,7 +53,8 @@
         await idle.restart(kind=idle.kind)
         lab.note(f"{idle.id} has started again under its id")
     await asyncio.sleep(0.1)
-    job = lab.new_job(work_s=WORK_S)
+    job = lab.new_job(work_s=WORK_S, label=label)
+    host = next(host for host in lab.hosts if host.zone == idle.zone)
     answer = asyncio.create_task(lab.submit(host, job, deadline_s=DEADLINE_S))
     worker = await asyncio.wait_for(first_run(lab, job), 3.0)
     if lab.trouble:
@@ -69,12 +70,11 @@
 
 async def play(lab: lab3.Lab) -> list[str]:
     lab.configure(timeout_ms=int(DEADLINE_S * 1000))
-    workers = [(zone, "a") for zone in ("patan", "thamel") for _ in range(10)]
+    workers = [("patan" if n % 2 else "thamel", f"k{n}") for n in range(10) for _ in range(2)]
     await lab.start(hosts={"patan": 2, "thamel": 2}, workers=workers)
     await asyncio.sleep(4.0)
     for number in range(ROUNDS):
-        # Each round has workers of its own, as their speeds are alike there.
-        await play_round(lab, lab.hosts[number % len(lab.hosts)])
+        await play_round(lab, number)
     return [f"TWICE: {text}" for text in lab3.overlaps(lab.runs)]
 
 
--- a/review/lab3.py
+++ b/review/lab3.py
@@ -312,6 +312,7 @@
         self._ip = ""
         self._port = 0
         self._is_later_life = False
+        self.polled_at = 0.0
 
     async def start(self, ip: str) -> None:
         """Start the first life."""
@@ -454,6 +455,7 @@
         self._end_listed = asyncio.Event()
 
     async def _hold(self, body: dict[str, Any]) -> Answer:
+        self.polled_at = time.monotonic()
         self._finished = [row for row in self._finished if row[0] > body["acked_up_to"]]
         if body.get("deadline_ms") is not None:
             self._renew(body["deadline_ms"])
