Review case 14: a restarted worker is filled beyond its capacity

Breaks LIMIT, by the cause of case 13: the leader uses a new life of a worker by the store's entry of the life before. A worker that doesn't guard its capacity and starts again as a smaller kind gets too many tasks.

--- a/review/lab3.py
+++ b/review/lab3.py
@@ -419,7 +419,8 @@
             return "old"
         job = self.lab.job_by_id.get(task.partition(".")[0])
         used = sum(self.lab.cpu_of(run.task) for run in self.running.values())
-        if known is not None or used + self.lab.cpu_of(task) > self.cpu:
+        is_over = used + self.lab.cpu_of(task) > self.cpu
+        if known is not None or (is_over and self.checks_capacity):
             return "room"
         work_s = job.work_s if job is not None else 0.1
         run = Run(task=task, number=number, worker=self.id, began=time.monotonic(), work_s=work_s)
