--- a/review/lab3.py
+++ b/review/lab3.py
@@ -669,11 +669,18 @@
         document = {"version": self._version, "routes": [route], "services": [service]}
         self.store.put("op/config", {**document, "limits": limits})
 
-    async def start(self, *, hosts: dict[str, int], workers: list[tuple[str, str]]) -> None:
+    async def start(
+        self,
+        *,
+        hosts: dict[str, int],
+        workers: list[tuple[str, str]],
+        cpu_by_kind: dict[str, int] | None = None,
+    ) -> None:
         """Start the site, and wait until all hosts are ready.
 
         :param hosts: number of hosts by zone.
         :param workers: zone and kind of each worker.
+        :param cpu_by_kind: thousandths of a core; 64 cores if left out.
         """
         await self.store.http.listen(f"{self._net}.1", 0)
         self.tasks.append(asyncio.create_task(self.store.expire_leases()))
@@ -681,7 +688,8 @@
         for number, (zone, kind) in enumerate(workers):
             name = f"i-{zone}-{number:02}"
             rack = f"r{zones.index(zone)}-{number // 8}"
-            worker = Worker(lab=self, name=name, zone=zone, kind=kind, rack=rack, cpu=64_000)
+            cpu = (cpu_by_kind or {}).get(kind, 64_000)
+            worker = Worker(lab=self, name=name, zone=zone, kind=kind, rack=rack, cpu=cpu)
             self.workers.append(worker)
             await worker.start(f"{self._net}.{100 + number}")
         self.tasks.append(asyncio.create_task(self._renew_entries()))
