Send what is by a worker's clock only to the process that was read

An idle worker had started again under its id, unnoticed, and was cut off 0.1 s after its next start.

Cause: a host addressed workers by id and address, which outlive a process. The deadline of a start was on the clock of the earlier process; the next one took it for a far one and granted its longest lease, 1.0 s, while the leader counted on 0.82 s. The same holds for renewals, for acknowledged ends, for starts that another host carries, and for the clock in answers that arrive after the next process has reported.

Ruled out: a lease counted too short, or extended by nobody. The stand-in worker records what leases are asked for: 1,343,521 ms by the clock that receives the order, where the leader counts on 880 at most. Without the restart the same cuts break nothing. An answer that names the process is no remedy, as it may be lost; nor is the store's entry, which is seconds old.

Change: a connection ends with the process that accepted it, so these orders are sent only on connections on which the process that was read has named itself. On any other one an introduction is sent first, a poll without effect. Another process that answers ends all runs of the one before, and what was known of it.

The virtual workers' clocks start anew with their processes now, and their hosts' connections end with them, as on real ones; no check was changed.

--- a/src/eelgrassyard/dispatch/_actions.py
+++ b/src/eelgrassyard/dispatch/_actions.py
@@ -17,7 +17,9 @@
     """Order a worker to start a task.
 
     :param run: number of the run; each run of a task has a higher one.
-    :param deadline_s: deadline of the lease on the worker's clock.
+    :param life: start time of the worker's process that ``deadline_s`` holds for. The order must
+        reach no other process; None if the worker does not report it.
+    :param deadline_s: deadline of the lease on the clock of that process.
     :param fence: fencing epoch of the leader.
     :param timeout_s: time after which the order counts as unanswered.
     :param carried_for: leader on whose behalf this host sends the order; empty for its own.
@@ -30,6 +32,7 @@
     deadline_s: float
     fence: int
     timeout_s: float = MIN_TIMEOUT_S
+    life: int | None = None
     carried_for: str = ""
 
 
@@ -53,6 +56,8 @@
     """Poll a worker: read its list of runs and renew the leases of all of them.
 
     :param fence: fencing epoch of the leader.
+    :param life: start time of the worker's process that ``deadline_s`` and ``ends_seen`` hold for;
+        any other process is only read. None if there is no such process, or it is not reported.
     :param deadline_s: new deadline of the leases on the worker's clock; None renews none.
     :param ends_seen: acknowledges the run ends up to this number, which need not be listed again.
     :param wait_s: longest time for which the worker may wait for a run to end before it answers.
@@ -65,6 +70,7 @@
     ends_seen: int
     wait_s: float
     margin_s: float = MIN_POLL_MARGIN_S
+    life: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/eelgrassyard/dispatch/_messages.py
+++ b/src/eelgrassyard/dispatch/_messages.py
@@ -12,6 +12,9 @@
 Epoch = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 """Epoch of a leader in milliseconds. The next leader's is higher and must still be encodable."""
 
+Life = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Start of a worker's process in milliseconds of the Unix epoch."""
+
 SpeedClass = Annotated[int, msgspec.Meta(ge=-100, le=100)]
 RunNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 RemainingSeconds = Annotated[float, msgspec.Meta(ge=-1e6, le=1e6)]
@@ -246,6 +249,8 @@
     :param deadline_s: deadline of the lease on the worker's clock.
     :param fence: epoch of the leader.
     :param timeout_s: time after which the start counts as unanswered.
+    :param life: start time of the worker's process whose clock that is; None if it is not known, or
+        the leader is of an earlier release.
     """
 
     job_id: str
@@ -256,6 +261,7 @@
     deadline_s: Annotated[float, msgspec.Meta(ge=-1e13, le=1e13)]
     fence: Epoch
     timeout_s: Seconds
+    life: Life | None = None
 
 
 class StartCarried(_Message, frozen=True):
--- a/src/eelgrassyard/dispatch/_outbound.py
+++ b/src/eelgrassyard/dispatch/_outbound.py
@@ -136,6 +136,7 @@
             deadline_s=message.deadline_s,
             fence=message.fence,
             timeout_s=message.timeout_s,
+            life=message.life,
             carried_for=name,
         )
         job = self.entry.job_at_leader(message.job_id, message.fence)
--- a/src/eelgrassyard/dispatch/_placement.py
+++ b/src/eelgrassyard/dispatch/_placement.py
@@ -244,6 +244,7 @@
             deadline_s=worker.clock.grant_lease(now, limit=self._start_limit(worker, task)),
             fence=self.epoch,
             timeout_s=self.timing.timeout_s(),
+            life=worker.life,
         )
         carried = self.carriers.should_carry(now, pool_job.requester, order.payload)
         if carried:
@@ -256,6 +257,8 @@
             task=str(task.id),
             run=task.run,
             worker=worker.record.id,
+            life=order.life,
+            lease_ends_s=round_s(worker.clock.leases_expire_at - now),
             carried=carried,
             slowness=round_s(worker.slowness),
             left_s=round_s(pool_job.due_at - now),
@@ -288,6 +291,7 @@
                     deadline_s=order.deadline_s,
                     fence=order.fence,
                     timeout_s=order.timeout_s,
+                    life=order.life,
                 ),
             )
         )
--- a/src/eelgrassyard/dispatch/_polling.py
+++ b/src/eelgrassyard/dispatch/_polling.py
@@ -15,6 +15,7 @@
     RunningEntry,
 )
 from ._jobs import TaskEnd
+from ._leases import WorkerClock
 from ._run_numbers import is_lent_run
 from ._tasks import Phase, Task
 from ._workers import SILENT_POLL_INTERVAL_S, Worker, WorkerState
@@ -125,10 +126,13 @@
             self._pool.counts["workers_silent"] = self._pool.counts.get("workers_silent", 0) + 1
 
     def process_ended(self, now: float, worker: Worker, reason: str) -> None:
-        """Handle proof that the worker's process is gone: mark it down and end its runs."""
+        """Handle proof that the worker's process is gone: end its runs, and forget what is known of
+        it. The worker is down until another process has reported."""
         worker.state = WorkerState.DOWN
         worker.life = None
+        worker.clock = WorkerClock()
         worker.ends_seen = 0
+        worker.unanswered = 0
         worker.next_poll_at = now + SILENT_POLL_INTERVAL_S
         self._pool.worker_lost(now, worker, reason)
 
@@ -140,8 +144,7 @@
         worker.poll_in_flight = True
         worker.poll_sent_at = now
         worker.ends_acknowledged = worker.ends_seen
-        # A poll that may reach another process of the worker, or the runs of another leader, must
-        # not renew leases.
+        # A poll that may reach the runs of another leader must not renew leases.
         limit = pool.lease_limits().get(worker.record.id, math.inf)
         renews = bool(worker.state is WorkerState.READY and worker.run_by_task and limit > now)
         pool.actions.append(
@@ -152,6 +155,7 @@
                 ends_seen=worker.ends_seen,
                 wait_s=self._wait_s(now, worker) if busy else 0.0,
                 margin_s=pool.timing.poll_margin_s(),
+                life=worker.life if renews or worker.ends_seen else None,
             )
         )
 
@@ -202,15 +206,16 @@
 
     def _apply_report(self, now: float, worker: Worker, report: PollReport) -> None:
         pool = self._pool
-        restarted = (
-            worker.life is not None and report.life is not None and report.life != worker.life
-        )
-        if restarted:
-            # The new process numbers its run ends from the start. Runs of the old process are no
-            # longer listed; a start that has just been answered may belong to the new one.
-            pool.note("worker_restarted", worker=worker.record.id, runs=len(worker.run_by_task))
-            worker.ends_seen = 0
-            pool.crashes.confirm(now, worker.record.id)
+        if worker.is_other_process(report.life):
+            pool.note(
+                "worker_restarted",
+                worker=worker.record.id,
+                runs=len(worker.run_by_task),
+                life=report.life,
+                before=worker.life,
+            )
+            # Starts are bound to the process, so the new one has none of this leader's runs.
+            self.process_ended(now, worker, "another process of the worker reports")
         elif worker.state is WorkerState.SILENT:
             pool.crashes.withdraw(now, worker.record.id)
         is_first_report = worker.state in (WorkerState.UNFENCED, WorkerState.DOWN)
@@ -244,8 +249,6 @@
         for task in pool.active_tasks(worker):
             answered = task.phase is Phase.RUNNING and task.started_at < worker.poll_sent_at
             if answered and (task.id, task.run) not in listed:
-                if restarted:
-                    pool.worker_crashed(now, worker, task.id, confirmed=True)
                 pool.run_ended(now, task, TaskEnd.LOST, "no longer listed by the worker")
 
     def _apply_running_entry(
--- a/src/eelgrassyard/dispatch/_worker_answers.py
+++ b/src/eelgrassyard/dispatch/_worker_answers.py
@@ -16,6 +16,7 @@
 from ._entry import UNFORESEEN_REASON
 from ._handover import Handover
 from ._jobs import Outcome, TaskEnd, TaskId
+from ._leases import HANDOVER_S
 from ._messages import JobEnded
 from ._tasks import Phase, Task
 from ._workers import SILENT_POLL_INTERVAL_S, Worker
@@ -40,11 +41,12 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return
-        if isinstance(result, Answered) and result.clock_s is not None:
-            worker.clock.update(reading_s=result.clock_s, now=now)
+        self._read_clock(now, worker, result)
         if task is None or task.phase is not Phase.ORDERED:
             return
         match result:
+            case Answered(refusal=None, life=life) if worker.is_other_process(life):
+                self._started_elsewhere(now, worker, task, life)
             case Answered(refusal=None):
                 self.timing.add(now, now - task.ordered_at)
                 worker.unanswered = 0
@@ -99,6 +101,7 @@
                 task.avoid.add(worker.record.id)
             case Refusal.OTHER_LIFE:
                 self.poller.process_ended(now, worker, "a different worker process answered")
+                worker.next_poll_at = now
                 return
             case Refusal.INVALID:
                 self._release_run(task)
@@ -112,6 +115,26 @@
                 return
         self.run_ended(now, task, TaskEnd.LOST, f"start refused: {refusal}")
 
+    def _started_elsewhere(self, now: float, worker: Worker, task: Task, life: int | None) -> None:
+        """Handle a start that another process of the worker has carried out, as something between
+        here and there does not keep connections apart. Its lease is as long as a worker grants."""
+        self.note("started_by_other_process", task=str(task.id), worker=worker.record.id, life=life)
+        self._discard_run(task)
+        self.poller.process_ended(now, worker, "another process of the worker has started a run")
+        self.stops.request_stop(
+            now, worker, task.id, task.run, task.step, leased_until=now + HANDOVER_S
+        )
+        self.requeue(now, task)
+
+    def _read_clock(self, now: float, worker: Worker, result: OrderResult) -> None:
+        """Record the clock in an answer, if it is certainly that of the worker's known process."""
+        if (
+            isinstance(result, Answered)
+            and result.clock_s is not None
+            and result.life == worker.life
+        ):
+            worker.clock.update(reading_s=result.clock_s, now=now)
+
     def stop_answered(
         self, now: float, worker_id: str, task_id: TaskId, run: int, result: OrderResult
     ) -> None:
@@ -124,9 +147,8 @@
                 self._fence_out(worker)
             case Answered(refusal=Refusal.OTHER_LIFE):
                 self.poller.process_ended(now, worker, "a different worker process answered")
-            case Answered(refusal=None, clock_s=clock_s):
-                if clock_s is not None:
-                    worker.clock.update(reading_s=clock_s, now=now)
+            case Answered(refusal=None):
+                self._read_clock(now, worker, result)
                 self.stops.confirmed(now, worker_id, task_id, run)
             case _:
                 self.stops.schedule_retry(now, worker_id, task_id, run)
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -193,6 +193,13 @@
     slowness: float = 1.0
     speed_class: int = 0
 
+    def is_other_process(self, life: int | None) -> bool:
+        """Tell whether an answer comes from another process than the one that is known.
+
+        :param life: start time that the answer reports; None tells nothing.
+        """
+        return self.life is not None and life is not None and life != self.life
+
     def learn_speed(self, kind: str, slowness: float, estimate_s: float) -> None:
         """Learn from a run: its time as a multiple of the declared one, weighted by the latter.
 
--- a/src/eelgrassyard/net/__init__.py
+++ b/src/eelgrassyard/net/__init__.py
@@ -8,6 +8,7 @@
 from ._http_exchange import Exchange
 from ._http_messages import HttpRequest, ServerLimits
 from ._http_server import HttpServer
+from ._peer_binding import PeerBinding
 from ._sessions import SessionClient, SessionServer
 from ._traffic import Traffic, TrafficByPurpose
 
@@ -17,6 +18,7 @@
     "HttpClient",
     "HttpRequest",
     "HttpServer",
+    "PeerBinding",
     "Response",
     "ServerLimits",
     "SessionClient",
--- a/src/eelgrassyard/net/_http_client.py
+++ b/src/eelgrassyard/net/_http_client.py
@@ -12,6 +12,7 @@
 
 from .._addresses import parse_address
 from ._errors import report_contained
+from ._peer_binding import PeerBinding
 from ._traffic import Traffic
 
 MAX_RESPONSE_BYTES = 16_000_000
@@ -20,8 +21,8 @@
 
 
 class CallError(enum.StrEnum):
-    """Reason for which a call has no complete response. Only ``REFUSED`` ensures that nothing was
-    sent."""
+    """Reason for which a call has no complete response. Only ``REFUSED`` and ``OTHER_PEER`` ensure
+    that the request was not sent."""
 
     REFUSED = "refused"
     """The connection was refused."""
@@ -30,6 +31,8 @@
     response was malformed."""
     SILENT = "silent"
     """The call timed out."""
+    OTHER_PEER = "other_peer"
+    """Another process than the one that the call is bound to has answered its introduction."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -37,11 +40,13 @@
     """A complete response.
 
     :param headers: values by name in lower case.
+    :param peer: identity of the process on the connection, or None if it has not named itself.
     """
 
     status: int
     body: bytes
     headers: dict[str, str] = field(default_factory=dict)
+    peer: int | None = None
 
 
 OnResult = Callable[[Response | CallError], None]
@@ -52,6 +57,8 @@
     data: bytes
     on_result: OnResult
     traffic: Traffic
+    binding: PeerBinding | None = None
+    introduction: bytes = b""
     progress_s: float | None = None
     timer: asyncio.TimerHandle | None = None
     connection: _Connection | None = None
@@ -67,6 +74,8 @@
     :param max_response_bytes: limit on the size of a response with its headers; a call with a
         larger one fails with ``BROKEN``.
     :param on_error: called with the reason for which a response could not be read.
+    :param identify: reads from a response which process of the server has sent it; None if the
+        response does not tell. Needed for calls that are bound to a process.
     """
 
     def __init__(
@@ -76,9 +85,11 @@
         max_connections: int,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
         on_error: Callable[[str], None] | None = None,
+        identify: Callable[[Response], int | None] = lambda response: None,
     ) -> None:
         self.address = address
         self.max_response_bytes = max_response_bytes
+        self.identify = identify
         self._on_error = on_error
         self._endpoint = parse_address(address).unwrap_or(None)
         self._max_connections = max_connections
@@ -98,6 +109,7 @@
         headers: str = "",
         progress_s: float | None = None,
         traffic: Traffic | None = None,
+        binding: PeerBinding | None = None,
     ) -> None:
         """Send a request.
 
@@ -108,29 +120,54 @@
         :param on_result: called with the response, or with the reason why there is none.
         :param headers: additional header lines, each terminated by CRLF.
         :param traffic: counts the bytes of the call.
+        :param binding: process that the request is meant for; any one if left out.
         """
-        head = f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n{headers}"
-        if body or method != "GET":
-            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         call = _Call(
-            data=head.encode() + b"\r\n" + body,
+            data=self._encode(method, target, headers, body),
             on_result=on_result,
             progress_s=progress_s,
             traffic=traffic if traffic is not None else Traffic(),
+            binding=binding,
         )
+        if binding is not None:
+            call.introduction = self._encode("POST", binding.target, headers, binding.body)
         loop = asyncio.get_running_loop()
         call.timer = loop.call_later(timeout_s, self._expire, call)
         if self._endpoint is None:
             loop.call_soon(self._finish, call, CallError.BROKEN)
             return
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable():
-                connection.send(call)
-                return
+        connection = self._take_idle(binding)
+        if connection is not None:
+            connection.send(call)
+            return
         self._queue.append(call)
         self._open_if_queued()
 
+    def _encode(self, method: str, target: str, headers: str, body: bytes) -> bytes:
+        head = f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n{headers}"
+        if body or method != "GET":
+            head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+        return head.encode() + b"\r\n" + body
+
+    def _take_idle(self, binding: PeerBinding | None) -> _Connection | None:
+        """Take the idle connection that suits a call best: one to its process, or else one on which
+        no process has named itself. Connections to another process are closed."""
+        unnamed: _Connection | None = None
+        for connection in reversed(self._idle[:]):
+            if not connection.is_usable():
+                self._idle.remove(connection)
+            elif binding is None or connection.peer == binding.peer:
+                self._idle.remove(connection)
+                return connection
+            elif connection.peer is None:
+                unnamed = connection
+            else:
+                self._idle.remove(connection)
+                connection.abort()
+        if unnamed is not None:
+            self._idle.remove(unnamed)
+        return unnamed
+
     def _open_if_queued(self) -> None:
         """Open a connection if calls are queued and the limit allows it."""
         open_count = len(self._connections) + len(self._task_by_opening)
@@ -170,9 +207,14 @@
         """Send the next queued call on a connection, or keep the connection for later calls."""
         while self._queue:
             call = self._queue.popleft()
-            if not call.done:
-                connection.send(call)
+            if call.done:
+                continue
+            if call.binding is not None and connection.peer not in (None, call.binding.peer):
+                self._queue.appendleft(call)
+                connection.abort()
                 return
+            connection.send(call)
+            return
         self._idle.append(connection)
 
     def connection_closed(self, connection: _Connection, call: _Call | None) -> None:
@@ -227,9 +269,9 @@
             # It must not fail the other calls of the connection or the queue.
             report_contained(f"result of a call to {self.address} could not be handled", error)
 
-    def complete_call(self, call: _Call, response: Response) -> None:
-        """Report the response to a call."""
-        self._finish(call, response)
+    def complete_call(self, call: _Call, result: Response | CallError) -> None:
+        """Report the result of a call."""
+        self._finish(call, result)
 
     def close(self) -> None:
         """Close all connections; calls in progress fail with ``BROKEN``."""
@@ -252,6 +294,8 @@
         self._response: Response | None = None
         self._received = 0
         self._keep_alive = False
+        self._is_introducing = False
+        self.peer: int | None = None
 
     def is_usable(self) -> bool:
         """Tell whether the connection is open."""
@@ -263,12 +307,14 @@
         self._client.connection_opened(self)
 
     def send(self, call: _Call) -> None:
-        """Send the request of a call."""
+        """Send the request of a call, or its introduction if no process has named itself here."""
         assert self._transport is not None
         self._call = call
         call.connection = self
-        call.traffic.sent += len(call.data)
-        self._transport.write(call.data)
+        self._is_introducing = call.binding is not None and call.binding.peer != self.peer
+        data = call.introduction if self._is_introducing else call.data
+        call.traffic.sent += len(data)
+        self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
         if self._call is None:
@@ -328,11 +374,40 @@
         self._received = 0
         self._body, self._headers = [], {}
         self._parser = httptools.HttpResponseParser(self)
+        if self.peer is None:
+            self.peer = self._client.identify(response)
+        response.peer = self.peer
+        result: Response | CallError = response
+        if self._is_introducing and call.binding is not None:
+            introduced = self._end_introduction(call.binding, response)
+            if introduced is None:
+                if not call.done:
+                    self.send(call)
+                    return
+            else:
+                result = introduced
         if self._keep_alive:
             self._client.connection_idle(self)
         else:
             self.abort()
-        self._client.complete_call(call, response)
+        self._client.complete_call(call, result)
+
+    def _end_introduction(
+        self, binding: PeerBinding, response: Response
+    ) -> Response | CallError | None:
+        """Result of a call after its introduction, or None if the call can be sent now."""
+        self._is_introducing = False
+        if binding.replaces_call:
+            return response
+        if self.peer is None:
+            if response.status != 200:
+                # The server has refused the introduction, and would refuse the call as well.
+                return response
+            self._client.report_error("response to an introduction names no process")
+            return CallError.BROKEN
+        if self.peer != binding.peer:
+            return CallError.OTHER_PEER
+        return None if self._keep_alive else CallError.BROKEN
 
     def abort(self) -> None:
         """Close the connection at once, without flushing buffered data."""
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -24,7 +24,7 @@
 )
 from ..dispatch._jobs import TaskEnd, TaskId
 from ..dispatch._workers import WorkerRecord
-from ..net import CallError, HttpClient, Response, TrafficByPurpose
+from ..net import CallError, HttpClient, PeerBinding, Response, TrafficByPurpose
 from ..net._errors import report_contained
 
 MAX_CONNECTIONS = 4
@@ -38,6 +38,8 @@
 MAX_ANSWER_BYTES = 4_000_000
 """Largest answer that is read from a worker: at most 500 ends, and the runs in progress."""
 
+POLL_TARGET = "/api/hold"
+
 OCCURRENCE = 0
 """Occurrence number in task names; it is 0 for a job without a schedule."""
 
@@ -65,10 +67,11 @@
 
 _TASK_END_BY_NAME = {"done": TaskEnd.DONE, "failed": TaskEnd.FAILED}
 
-_FAILURE_BY_ERROR = {
+_RESULT_BY_ERROR: dict[CallError, Answered | CallFailure] = {
     CallError.REFUSED: CallFailure.REFUSED,
     CallError.BROKEN: CallFailure.BROKEN,
     CallError.SILENT: CallFailure.SILENT,
+    CallError.OTHER_PEER: Answered(refusal=Refusal.OTHER_LIFE),
 }
 
 
@@ -101,6 +104,10 @@
     born: _Number | None = None
 
 
+class _Process(msgspec.Struct):
+    born: _Number | None = None
+
+
 class _Running(msgspec.Struct, array_like=True):
     # Rows are checked one by one, so that an odd value affects its row only.
     task: object
@@ -127,6 +134,7 @@
 _encoder = msgspec.json.Encoder()
 _order_decoder = msgspec.json.Decoder(_OrderAnswer)
 _poll_decoder = msgspec.json.Decoder(_PollAnswer)
+_process_decoder = msgspec.json.Decoder(_Process)
 
 
 def task_name(task: TaskId) -> str:
@@ -140,6 +148,12 @@
     return None if match is None else TaskId(match[1], int(match[2]), int(match[3]))
 
 
+def process_of(response: Response) -> int | None:
+    """Start time of the worker's process that has answered, or None if the answer does not say."""
+    result = decode(_process_decoder, response.body) if response.body else None
+    return result.unwrap().born if result is not None and result.is_ok() else None
+
+
 def _is_number(value: object) -> bool:
     return type(value) is int and 0 <= value <= MAX_NUMBER
 
@@ -149,9 +163,23 @@
     return int(min(100, max(0, value))) if isinstance(value, int | float) else 0
 
 
+def _bind(order: StartRun | PollWorker, *, replaces_call: bool = False) -> PeerBinding | None:
+    """Bind an order to the process that it is meant for. The introduction is a poll that grants and
+    acknowledges nothing."""
+    if order.life is None:
+        return None
+    introduction = _encoder.encode(_PollBody(fence=order.fence, acked_up_to=0))
+    return PeerBinding(
+        peer=order.life, target=POLL_TARGET, body=introduction, replaces_call=replaces_call
+    )
+
+
 class PlatformWorkerCalls:
     """Sends orders and polls to workers over a few keep-alive connections to each.
 
+    Starts, and what a poll grants or acknowledges, are bound to one process of the worker: they are
+    sent only on a connection on which that process has answered.
+
     :param on_invalid_answer: called with the id of a worker and the reason why its answer, or a
         part of it, is invalid.
     :param is_in_use: tells whether a worker without an entry may still be sent orders.
@@ -210,6 +238,7 @@
         *,
         purpose: str,
         max_connections: int = MAX_CONNECTIONS,
+        binding: PeerBinding | None = None,
     ) -> None:
         try:
             body = encode_body()
@@ -235,6 +264,7 @@
                 max_connections=max_connections,
                 max_response_bytes=MAX_ANSWER_BYTES,
                 on_error=lambda reason: self._on_invalid_answer(worker_id, reason),
+                identify=process_of,
             )
             self._client_by_key[key] = client
         client.call(
@@ -245,10 +275,15 @@
             body=body,
             headers=f"X-Expect-Instance: {worker_id}\r\n",
             traffic=self._traffic.of(purpose),
+            binding=binding,
         )
 
     def start(self, order: StartRun, on_result: Callable[[OrderResult], None]) -> None:
-        """Send an order to start a run."""
+        """Send an order to start a run.
+
+        The result is a refusal with ``OTHER_LIFE`` if another process answers than the one whose
+        clock the deadline is on; nothing was started then.
+        """
 
         def encode_body() -> bytes:
             body = _StartBody(
@@ -280,7 +315,7 @@
     ) -> None:
         def on_response(response: Response | CallError) -> None:
             if isinstance(response, CallError):
-                on_result(_FAILURE_BY_ERROR[response])
+                on_result(_RESULT_BY_ERROR[response])
                 return
             on_result(self._decode(order.worker_id, response, self._decode_order_answer))
 
@@ -293,6 +328,7 @@
             on_response,
             purpose="starts" if isinstance(order, StartRun) else "stops",
             max_connections=CARRIED_CONNECTIONS if carried else MAX_CONNECTIONS,
+            binding=_bind(order) if isinstance(order, StartRun) else None,
         )
 
     def _decode_order_answer(self, worker_id: str, response: Response) -> OrderResult:
@@ -322,10 +358,15 @@
                 self._on_invalid_answer(worker_id, f"status {status}")
                 return CallFailure.BROKEN
         clock_s = None if answer.clock_ms is None else answer.clock_ms / 1000.0
-        return Answered(clock_s=clock_s, refusal=refusal, life=answer.born)
+        life = response.peer if answer.born is None else answer.born
+        return Answered(clock_s=clock_s, refusal=refusal, life=life)
 
     def poll(self, order: PollWorker, on_result: Callable[[PollResult], None]) -> None:
-        """Poll a worker: read its runs and renew their leases."""
+        """Poll a worker: read its runs and renew their leases.
+
+        Without a connection to the process that the order is meant for, the worker is only read:
+        nothing is renewed or acknowledged.
+        """
         worker_id = order.worker_id
 
         def encode_body() -> bytes:
@@ -339,14 +380,23 @@
 
         def on_response(response: Response | CallError) -> None:
             if isinstance(response, CallError):
-                on_result(_FAILURE_BY_ERROR[response])
+                on_result(_RESULT_BY_ERROR[response])
             elif response.status == 200:
                 on_result(self._decode(worker_id, response, self._decode_poll_answer))
             else:
                 on_result(self._decode(worker_id, response, self._decode_order_answer))
 
         timeout_s = order.wait_s + order.margin_s
-        self._call(worker_id, "/api/hold", encode_body, timeout_s, on_response, purpose="polls")
+        binding = _bind(order, replaces_call=True)
+        self._call(
+            worker_id,
+            POLL_TARGET,
+            encode_body,
+            timeout_s,
+            on_response,
+            purpose="polls",
+            binding=binding,
+        )
 
     def _decode_poll_answer(self, worker_id: str, response: Response) -> PollResult:
         result = decode(_poll_decoder, response.body)
@@ -354,6 +404,8 @@
             self._on_invalid_answer(worker_id, result.unwrap_err())
             return CallFailure.BROKEN
         answer = result.unwrap()
+        if response.peer not in (None, answer.born):
+            self._on_invalid_answer(worker_id, "a connection leads to another process than before")
         running = []
         for row in answer.running:
             if not isinstance(row.task, str) or type(row.run) is not int:
--- a/tests/dispatch_workers.py
+++ b/tests/dispatch_workers.py
@@ -44,6 +44,8 @@
     :param work_by_job: work time of the tasks of a job, which a start does not carry.
     :param work_by_step: the same for jobs whose steps differ, by job and step.
     :param cpu_by_job: CPU demand of the tasks of a job, which a start does not carry.
+    :param hides_restarts: whether something in front of it passes orders on to whichever process is
+        there, instead of ending the connections with their process.
     """
 
     record: WorkerRecord
@@ -53,6 +55,7 @@
     work_by_job: dict[str, float] = field(default_factory=dict)
     work_by_step: dict[tuple[str, int], float] = field(default_factory=dict)
     cpu_by_job: dict[str, int] = field(default_factory=dict)
+    hides_restarts: bool = False
     fails: bool = False
     up: bool = True
     life: int = 1
@@ -72,10 +75,11 @@
         """Terminate the process; its state is lost."""
         self.up = False
 
-    def restart(self) -> None:
-        """Start a new process under the same worker id, without any state."""
+    def restart(self, now: float) -> None:
+        """Start a new process under the same id, without any state; its clock starts anew."""
         self.up = True
         self.life += 1
+        self.clock_offset = -now * self.clock_rate
         self.fence = 0
         self.lease_until = -math.inf
         self.run_by_task.clear()
@@ -106,6 +110,10 @@
         longest = self.clock(now) + MAX_LEASE_S
         self.lease_until = max(self.lease_until, min(deadline_s, longest))
 
+    def is_not_meant(self, order: StartRun | PollWorker) -> bool:
+        """Tell whether an order is bound to another process, so that its host does not send it."""
+        return not self.hides_restarts and order.life not in (None, self.life)
+
     def start(self, now: float, order: StartRun) -> Answered:
         """Handle a start."""
         self.end_due_runs(now)
@@ -159,6 +167,8 @@
         if order.fence < self.fence:
             return Answered(clock_s=self.clock(now), refusal=Refusal.FENCED, life=self.life)
         self.fence = order.fence
+        if self.is_not_meant(order):
+            return None
         if order.deadline_s is not None:
             self._renew(now, order.deadline_s)
         self.ended = [entry for entry in self.ended if entry.number > order.ends_seen]
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -11,7 +11,15 @@
 from dataclasses import dataclass, field
 
 from dispatch_workers import FakeWorker
-from eelgrassyard.dispatch._actions import CallFailure, Note, PollWorker, StartRun, StopRun
+from eelgrassyard.dispatch._actions import (
+    Answered,
+    CallFailure,
+    Note,
+    PollWorker,
+    Refusal,
+    StartRun,
+    StopRun,
+)
 from eelgrassyard.dispatch._entry import AnswerCaller
 from eelgrassyard.dispatch._host import DispatchHost
 from eelgrassyard.dispatch._host_state import CloseSession, SendSession
@@ -388,6 +396,7 @@
     def _order_worker(self, host: SimHost, order: StartRun | StopRun) -> None:
         name, life = host.record.name, host.life
         worker = self.worker_by_id[order.worker_id]
+        sent_to = worker.life
         done = [False]
         if isinstance(order, StartRun):
             self.starts_by_host[name] += 1
@@ -406,9 +415,16 @@
             self._on_host(name, life, tell)
 
         def carry_out() -> None:
-            if not worker.up:
+            if not worker.up or worker.life != sent_to:
+                # The connection on which the order was sent has ended with that process.
                 return
             if isinstance(order, StartRun):
+                if worker.is_not_meant(order):
+                    # Nothing was sent but an introduction.
+                    if self.reachable(name, order.worker_id):
+                        other_life = Answered(refusal=Refusal.OTHER_LIFE)
+                        self.at(LOCAL_DELAY_S, lambda: finish(other_life))
+                    return
                 answer = worker.start(self.now, order)
                 if answer.refusal is None:
                     self._check_single_run(worker, order.task, order.run)
@@ -442,7 +458,7 @@
             if worker.up and worker.life == life:
                 self.crashes_by_task[task] += 1
                 worker.crash()
-                self.at(self.random.uniform(2.5, 3.5), worker.restart)
+                self.at(self.random.uniform(2.5, 3.5), lambda: worker.restart(self.now))
 
         self.at(self.random.uniform(0.0, 0.04), crash)
 
@@ -474,6 +490,7 @@
     def _poll_worker(self, host: SimHost, order: PollWorker) -> None:
         name, life = host.record.name, host.life
         worker = self.worker_by_id[order.worker_id]
+        sent_to = worker.life
         done = [False]
         key = (name, life, order.fence, order.worker_id)
         if key in self._polls_in_flight:
@@ -492,7 +509,7 @@
                 self._on_host(name, life, lambda core: deliver(core, result))
 
         def poll(until: float) -> None:
-            if not worker.up:
+            if not worker.up or worker.life != sent_to:
                 finish(CallFailure.BROKEN)
                 return
             worker.end_due_runs(self.now)
@@ -507,6 +524,9 @@
             if not worker.up:
                 finish(CallFailure.REFUSED)
                 return
+            if worker.life != sent_to:
+                finish(CallFailure.BROKEN)
+                return
             refused = worker.begin_poll(self.now, order)
             if refused is not None:
                 self.at(LOCAL_DELAY_S, lambda: finish(refused))
@@ -623,6 +643,16 @@
                     self._on_host(name, host.life, lambda c, t=ticket: c.caller_left(self.now, t))
         caller.until = self.now
 
+    def break_off(self, caller: SimCaller) -> None:
+        """Break the connection of a caller, which sends its job again later."""
+        waiting = [(host, t) for host in self.host_by_name.values() for t in host.callers]
+        for host, ticket in waiting:
+            if host.callers.get(ticket) is caller:
+                del host.callers[ticket]
+                name = host.record.name
+                self._on_host(name, host.life, lambda c, t=ticket: c.caller_left(self.now, t))
+                self._schedule_retry(caller)
+
     def _schedule_retry(self, caller: SimCaller) -> None:
         """Retry a job after ``RESEND_S``, at a random host."""
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -13,6 +13,8 @@
     """Accepts each start, and ends the run after ``work_s``.
 
     :ivar refuse: status and body with which all calls are refused, or None.
+    :ivar leases_ms: how long each lease was to last that a start or a poll asked for, by the clock
+        of the process that received it.
     """
 
     def __init__(self, *, worker_id: str, work_s: float = 0.02) -> None:
@@ -26,6 +28,9 @@
         self.running: dict[str, dict[str, Any]] = {}
         self.finished: list[list[Any]] = []
         self.last_number = 0
+        self.leases_ms: list[float] = []
+        self.born = 1700000000000
+        self._clock_zero_ms = 0.0
         self._waiting: list[Exchange] = []
         self.server = HttpServer(handler=self.handle)
 
@@ -53,9 +58,21 @@
         for connection in list(self.server.connections):
             connection.abort()
 
+    async def restart(self, address: str) -> None:
+        """Crash, and start another process under the same id, whose clock and counts start anew."""
+        self.crash()
+        self.fence = self.last_number = 0
+        self.running.clear()
+        self.finished.clear()
+        self._waiting.clear()
+        self.born += 5000
+        self._clock_zero_ms = asyncio.get_running_loop().time() * 1000.0
+        self.server = HttpServer(handler=self.handle)
+        await self.server.listen(address)
+
     def clock_ms(self) -> float:
         """Return the worker's monotonic clock."""
-        return asyncio.get_running_loop().time() * 1000.0
+        return asyncio.get_running_loop().time() * 1000.0 - self._clock_zero_ms
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a call."""
@@ -71,6 +88,8 @@
             _respond(exchange, 409, {"clock_ms": self.clock_ms(), "reason": "fence"})
             return
         self.fence = body["fence"]
+        if body.get("deadline_ms") is not None:
+            self.leases_ms.append(body["deadline_ms"] - self.clock_ms())
         match request.path:
             case "/api/run-start":
                 self.starts.append(body)
@@ -109,7 +128,7 @@
             200,
             {
                 "clock_ms": self.clock_ms(),
-                "born": 1700000000000,
+                "born": self.born,
                 "running": [[task, row["run"], "", 50] for task, row in self.running.items()],
                 "finished": self.finished,
             },
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -10,9 +10,11 @@
 from dispatch_workers import FakeWorker
 from dispatch_world import World
 from eelgrassyard.dispatch._actions import (
+    Answered,
     CallFailure,
     OrderResult,
     PollWorker,
+    Refusal,
     Reply,
     StartRun,
     StopRun,
@@ -141,7 +143,7 @@
                 if self.keeps_process:
                     self.worker_by_id[name].up = True
                 else:
-                    self.worker_by_id[name].restart()
+                    self.worker_by_id[name].restart(self.now)
 
     def _crash(self, name: str) -> None:
         self.worker_by_id[name].crash()
@@ -183,6 +185,8 @@
         worker = self.worker_by_id[order.worker_id]
         if not worker.up:
             return CallFailure.REFUSED
+        if worker.is_not_meant(order):
+            return Answered(refusal=Refusal.OTHER_LIFE)
         answer = worker.start(self.now, order)
         if answer.refusal is not None:
             return answer
@@ -306,7 +310,7 @@
     assert not site.starts
     assert not site.pool.counts.get("crashes_under_tasks")
     for worker in site.worker_by_id.values():
-        worker.restart()
+        worker.restart(site.now)
     site.run(8.0)
     assert site.outcome_by_job == {f"job{n}": Outcome.COMPLETE for n in range(6)}
 
--- a/tests/test_dispatch_faults.py
+++ b/tests/test_dispatch_faults.py
@@ -110,7 +110,7 @@
         case "worker_crash":
             worker = world.worker_by_id[rng.choice(workers)]
             worker.crash()
-            world.at(rng.uniform(0.5, 3.0), worker.restart)
+            world.at(rng.uniform(0.5, 3.0), lambda: worker.restart(world.now))
 
 
 def boot_if_down(world: World, name: str) -> None:
--- a/tests/test_dispatch_pool.py
+++ b/tests/test_dispatch_pool.py
@@ -86,12 +86,15 @@
         running: tuple[RunningEntry, ...] = (),
         ended: tuple[EndedEntry, ...] = (),
         life: int = 1,
+        clock_s: float | None = None,
     ) -> None:
-        """Answer a poll as a worker."""
+        """Answer a poll as a worker.
+
+        :param clock_s: the worker's clock; 100 s ahead if left out.
+        """
+        clock_s = 100.0 + now if clock_s is None else clock_s
         self.pool.poll_answered(
-            now,
-            worker,
-            PollReport(clock_s=100.0 + now, life=life, running=running, ended=ended),
+            now, worker, PollReport(clock_s=clock_s, life=life, running=running, ended=ended)
         )
 
     def submit(self, now: float, what: Job, **more: object) -> None:
