Restart workers under their ids in the soak, and cut them off soon after

The soak's workers kept their connections when they crashed, which no process does, and none was cut off within a second of its restart.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -86,17 +86,26 @@
         ]
 
     async def run(
-        self, seconds: float, *, gap_s: float, planned_only: bool, replacements: int = 0
+        self,
+        seconds: float,
+        *,
+        gap_s: float,
+        planned_only: bool,
+        replacements: int = 0,
+        restarts: int = 0,
     ) -> None:
         """Inject overlapping and repeated faults for a time; return when all are undone.
 
         :param replacements: how often hosts are removed for good meanwhile, which is not undone.
+        :param restarts: how often a worker starts again under its id and is then cut off.
         """
         self._began = time.monotonic()
         kinds = self.planned if planned_only else [*self.unplanned, *self.planned]
         async with asyncio.TaskGroup() as group:
             if replacements:
                 group.create_task(self._inject(functools.partial(self.replace_hosts, replacements)))
+            if restarts:
+                group.create_task(self._inject(functools.partial(self.restart_workers, restarts)))
             while time.monotonic() - self._began < seconds:
                 kind = self._random.choice(kinds)
                 for _ in range(self._random.choice((1, 1, 1, 2, 3))):
@@ -419,6 +428,33 @@
         worker.begin(new_id=new_id)
         self._site.register(worker)
 
+    async def restart_workers(self, times: int) -> None:
+        """Restart workers under their ids, once or twice in a row, and cut each off within a second
+        of that, all overlapping."""
+        # A generator of its own leaves the other faults of a seed as they are.
+        rng = random.Random(self._random_seed + 2)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(times):
+                group.create_task(self._restart_and_cut(rng))
+                await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+    async def _restart_and_cut(self, rng: random.Random) -> None:
+        free = [w for w in self._site.workers if w.up and not w.draining]
+        if not free:
+            return
+        worker = rng.choice(free)
+        lives, down_s, cut_after_s = rng.choice((1, 1, 2)), rng.uniform(0.02, 0.5), rng.random()
+        self._log_fault(f"restart {worker.id} {lives} times, cut {cut_after_s:.2f} s later")
+        for _ in range(lives):
+            worker.crash()
+            await asyncio.sleep(down_s)
+            worker.begin(new_id=False)
+            self._site.register(worker)
+        await asyncio.sleep(cut_after_s)
+        ends = [(host.name, worker.name) for host in self._site.hosts]
+        with self._site.network.cut([*ends, *((b, a) for a, b in ends)]):
+            await asyncio.sleep(rng.uniform(1.0, 3.0))
+
     async def inject_worker_fault(self) -> None:
         """Inject a random worker fault into some workers."""
         fault = self._random.choice(list(WorkerFault))
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -80,6 +80,7 @@
     rate: float,
     timed: bool = True,
     replacements: int = 0,
+    restarts: int = 0,
 ) -> RunResult:
     """Make one run.
 
@@ -88,6 +89,7 @@
     :param rate: jobs per second.
     :param timed: whether invariants with a time bound are checked.
     :param replacements: how often hosts are removed for good and others come, beside other faults.
+    :param restarts: how often a worker starts again under its id and is then cut off, beside those.
     """
     rng = random.Random(seed)
     site = Site(
@@ -121,6 +123,7 @@
             gap_s=rng.choice(MEAN_GAPS_S),
             planned_only=planned_only,
             replacements=replacements,
+            restarts=restarts,
         )
         if not planned_only and rng.random() < CLOSING_SHARE:
             await faults.change_routes()
--- a/soak/_worker.py
+++ b/soak/_worker.py
@@ -93,6 +93,7 @@
     highest_run: dict[str, int] = field(default_factory=dict)
     finished: list[list[Any]] = field(default_factory=list)
     waiting: list[Exchange] = field(default_factory=list)
+    http: HttpServer | None = None
 
     @property
     def id(self) -> str:
@@ -114,8 +115,11 @@
         self.highest_run.clear()
 
     def crash(self) -> None:
-        """Stop at once: lose all runs, and answer no calls."""
+        """Stop at once: lose all runs and connections, and answer no calls."""
         self.up = False
+        if self.http is not None:
+            for connection in list(self.http.connections):
+                connection.abort()
         for run in self.running.values():
             if run.timer is not None:
                 run.timer.cancel()
@@ -150,8 +154,9 @@
         return self.clock_offset_ms + (_now() - self.clock_zero) * 1000.0 * self.clock_rate
 
     def server(self) -> HttpServer:
-        """Return a server for its calls."""
-        return HttpServer(handler=self.handle, limits=ServerLimits(idle_s=600.0))
+        """Return a server for its calls, which all of its processes use one after the other."""
+        self.http = HttpServer(handler=self.handle, limits=ServerLimits(idle_s=600.0))
+        return self.http
 
     # --- calls ---
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -217,6 +217,26 @@
     assert result.counts["completed"] > 0
 
 
+def test_promises_hold_while_workers_start_again_and_are_cut_off(tmp_path: Path) -> None:
+    """Guards against leases on the clock of an earlier process of a worker, beside other faults."""
+    result = asyncio.run(
+        run_soak(
+            seed=104,
+            folder=tmp_path,
+            fault_s=5.0,
+            domains=2,
+            hosts_per_domain=2,
+            workers_per_domain=3,
+            rate=10.0,
+            timed=False,
+            restarts=6,
+        )
+    )
+    assert result.violations == []
+    assert sum("restart d" in fault for fault in result.faults) > 0
+    assert result.counts["completed"] > 0
+
+
 @pytest.mark.parametrize("seed", [101, 102])
 def test_promises_hold_on_real_processes_under_faults(tmp_path: Path, seed: int) -> None:
     """Guards against concurrent, incomplete, unrequested or falsely refused work when real hosts
