Start no task by the entry of another process of a worker

Cause: the entry in the store describes one process, and `born` of it was dropped, so the leader used it for the next process as soon as that answered.

Change: the entry is read with the process that it describes. A worker gets no task while its entry and its answers are of two processes, and is polled at once when the entry of another one is read.

Before: test_a_process_gets_no_task_by_the_entry_of_an_earlier_one and test_the_entry_of_a_later_process_has_the_worker_polled_at_once failed.

--- a/src/eelgrassyard/dispatch/_worker_pool.py
+++ b/src/eelgrassyard/dispatch/_worker_pool.py
@@ -95,6 +95,14 @@
                 continue
             if worker.record.draining != record.draining:
                 self.note("worker_draining", worker=record.id, draining=record.draining)
+            if record.life != worker.record.life and worker.is_other_process(record.life):
+                self.note(
+                    "worker_entry_changed",
+                    worker=record.id,
+                    life=record.life,
+                    known=worker.life,
+                )
+                worker.next_poll_at = now
             worker.record = record
             worker.is_registered = True
         for worker in list(self.worker_by_id.values()):
--- a/src/eelgrassyard/dispatch/_workers.py
+++ b/src/eelgrassyard/dispatch/_workers.py
@@ -58,6 +58,7 @@
     NOT_READY = "does not answer, or its runs are not known yet"
     DRAINING = "draining"
     NOT_REGISTERED = "not in the registry"
+    OTHER_PROCESS = "its entry in the registry is of another process of it"
     PAUSED = "pause after a refused or unanswered start"
     EJECTED = "ejected after failures"
     STALE_CLOCK = "its clock was not read recently"
@@ -83,7 +84,8 @@
 class WorkerRecord:
     """A worker as the platform registers it.
 
-    :param id: name of this process of the worker.
+    :param id: name of the worker, which a later process of it may have as well.
+    :param life: start time of the process that the entry describes; None if it does not say.
     :param labels: labels that steps may require; the rack is one of them.
     :param cpu: thousandths of a core.
     :param checks_capacity: whether the worker itself refuses a task that does not fit.
@@ -95,6 +97,7 @@
     service: str
     address: str
     domain: str
+    life: int | None = None
     labels: frozenset[str] = frozenset()
     rack: str = ""
     cpu: int = 0
@@ -194,9 +197,9 @@
     speed_class: int = 0
 
     def is_other_process(self, life: int | None) -> bool:
-        """Tell whether an answer comes from another process than the one that is known.
+        """Tell whether an answer or an entry is of another process than the one that is known.
 
-        :param life: start time that the answer reports; None tells nothing.
+        :param life: start time of that process; None tells nothing.
         """
         return self.life is not None and life is not None and life != self.life
 
@@ -259,6 +262,9 @@
             return Exclusion.DRAINING
         if not self.is_registered:
             return Exclusion.NOT_REGISTERED
+        if self.is_other_process(self.record.life):
+            # Labels and capacity of the process that answers are not known.
+            return Exclusion.OTHER_PROCESS
         if now < self.backoff_until:
             return Exclusion.PAUSED
         if now < self.ejected_until:
--- a/src/eelgrassyard/platform/_documents.py
+++ b/src/eelgrassyard/platform/_documents.py
@@ -95,6 +95,8 @@
     capacity: _Capacity
     # The first label is the worker's kind, the second its rack.
     labels: Annotated[list[_Name], Meta(max_length=MAX_LABELS)] = []
+    # Start time of the runner's process.
+    born: Annotated[int, Meta(ge=0, le=MAX_NUMBER)] | None = None
 
 
 class _Host(msgspec.Struct, array_like=True):
@@ -167,6 +169,7 @@
             service=server.service,
             address=server.address,
             domain=server.zone,
+            life=server.born,
             labels=frozenset(server.labels),
             rack=server.labels[1] if len(server.labels) > 1 else "",
             cpu=server.capacity.cpu,
--- a/tests/test_placement_report.py
+++ b/tests/test_placement_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import dataclasses
 import json
 from pathlib import Path
 
@@ -80,6 +81,7 @@
         ({"reserved_cpu": 2000}, Exclusion.NO_ROOM),
         ({"record": record("w0", draining=True)}, Exclusion.DRAINING),
         ({"is_registered": False}, Exclusion.NOT_REGISTERED),
+        ({"record": dataclasses.replace(record("w0"), life=2)}, Exclusion.OTHER_PROCESS),
     ],
 )
 def test_a_worker_that_gets_nothing_has_the_rule_named(
--- a/tests/test_process_changes.py
+++ b/tests/test_process_changes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from eelgrassyard.dispatch._actions import (
     Answered,
     EndedEntry,
@@ -12,6 +14,7 @@
 )
 from eelgrassyard.dispatch._jobs import TaskEnd, TaskId
 from eelgrassyard.dispatch._leases import HANDOVER_S, LEASE_S
+from eelgrassyard.dispatch._workers import WorkerRecord
 from test_dispatch_pool import JOB_ID, PoolDriver, job, record
 
 OTHER = TaskId("0123456789abcdef", 0, 0)
@@ -85,3 +88,43 @@
     assert driver.take(StartRun) == []
     driver.pool.advance(0.11 + HANDOVER_S + 0.01)
     assert len(driver.take(StartRun)) == 1
+
+
+def entry(life: int, **changes: object) -> dict[str, WorkerRecord]:
+    """The registry, with the entry of one process of the worker."""
+    return {"w0": dataclasses.replace(record("w0"), life=life, **changes)}
+
+
+def test_a_process_gets_no_task_by_the_entry_of_an_earlier_one() -> None:
+    """Guards against a task on a worker that has come back without its label or with less capacity
+    (review/13, 14)."""
+    driver = PoolDriver(*entry(1).values())
+    driver.report(0.1, "w0", life=2)
+    driver.submit(0.2, job())
+    assert driver.take(StartRun) == []
+    driver.pool.set_workers(0.22, entry(2, cpu=500), read_at=0.22)
+    assert driver.take(StartRun) == []
+    driver.pool.set_workers(0.24, entry(2), read_at=0.24)
+    (order,) = driver.take(StartRun)
+    assert order.life == 2
+
+
+def test_the_entry_of_a_later_process_has_the_worker_polled_at_once() -> None:
+    """Guards against tasks for a process that is gone, and against a worker that stays out of use
+    until the poll of an idle one is due."""
+    driver = PoolDriver(*entry(1).values())
+    driver.pool.set_workers(0.2, entry(2), read_at=0.2)
+    (poll,) = driver.take(PollWorker)
+    driver.submit(0.2, job())
+    assert driver.take(StartRun) == []
+    driver.report(0.21, poll.worker_id, life=2)
+    (order,) = driver.take(StartRun)
+    assert order.life == 2
+
+
+def test_an_entry_without_a_start_time_says_nothing_about_the_process() -> None:
+    """Guards against workers that do not tell when they started, and would never be used."""
+    driver = PoolDriver(record("w0"))
+    driver.report(0.1, "w0", life=2)
+    driver.submit(0.2, job())
+    assert len(driver.take(StartRun)) == 1
