--- a/src/eelgrassyard/net/__init__.py
+++ b/src/eelgrassyard/net/__init__.py
@@ -4,9 +4,10 @@
 behind that.
 """
 
-from ._http_client import CallError, HttpClient, Response
+from ._http_client import HttpClient
 from ._http_exchange import Exchange
 from ._http_messages import HttpRequest, ServerLimits
+from ._http_results import CallError, Response
 from ._http_server import HttpServer
 from ._peer_binding import PeerBinding
 from ._sessions import SessionClient, SessionServer
--- a/src/eelgrassyard/platform/_worker_calls.py
+++ b/src/eelgrassyard/platform/_worker_calls.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
-from typing import Annotated, TypeVar
-
-import msgspec
+from typing import TypeVar
 
 from .._decoding import decode
 from ..dispatch._actions import (
@@ -26,6 +23,20 @@
 from ..dispatch._workers import WorkerRecord
 from ..net import CallError, HttpClient, PeerBinding, Response, TrafficByPurpose
 from ..net._errors import report_contained
+from ._worker_bodies import (
+    MAX_NUMBER,
+    Ended,
+    OrderAnswer,
+    PollBody,
+    StartBody,
+    StopBody,
+    encoder,
+    order_decoder,
+    parse_task_name,
+    poll_decoder,
+    process_of,
+    task_name,
+)
 
 MAX_CONNECTIONS = 4
 """Connections to one worker: one for a long poll and three for orders. They are kept alive, since
@@ -40,21 +51,9 @@
 
 POLL_TARGET = "/api/hold"
 
-OCCURRENCE = 0
-"""Occurrence number in task names; it is 0 for a job without a schedule."""
-
-MAX_NUMBER = 2**53
-"""Largest number that a worker may report: times in milliseconds and counts stay far below it, it
-is exact in JSON, and messages between hosts hold integers of 64 bits."""
-
 MAX_REASON_CHARS = 200
 """Length at which the reason why an answer is invalid is cut off."""
 
-_TASK_NAME = re.compile(r"(.+)\.[0-9]{1,9}\.([0-9]{1,9})\.([0-9]{1,9})", re.DOTALL)
-
-_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-
 T = TypeVar("T")
 
 _REFUSAL_BY_REASON = {
@@ -75,85 +74,6 @@
 }
 
 
-class _StartBody(msgspec.Struct):
-    task: str
-    run: int
-    spec: str
-    # Deadline of the lease of all runs on the worker, by the worker's clock; not of the task.
-    deadline_ms: int
-    fence: int
-
-
-class _StopBody(msgspec.Struct):
-    task: str
-    run: int
-    fence: int
-
-
-class _PollBody(msgspec.Struct, omit_defaults=True):
-    fence: int
-    acked_up_to: int
-    deadline_ms: int | None = None
-    wait_ms: int = 0
-
-
-class _OrderAnswer(msgspec.Struct):
-    clock_ms: _Milliseconds | None = None
-    reason: str = ""
-    # Start time of the worker's process.
-    born: _Number | None = None
-
-
-class _Process(msgspec.Struct):
-    born: _Number | None = None
-
-
-class _Running(msgspec.Struct, array_like=True):
-    # Rows are checked one by one, so that an odd value affects its row only.
-    task: object
-    run: object
-    checkpoint: object = ""
-    percent: object = 0.0
-
-
-class _Ended(msgspec.Struct, array_like=True):
-    # An end without a readable number could never be acknowledged.
-    number: _Number
-    task: object
-    run: object
-    how: object = ""
-
-
-class _PollAnswer(msgspec.Struct):
-    clock_ms: _Milliseconds
-    running: list[_Running] = []
-    finished: list[_Ended] = []
-    born: _Number | None = None
-
-
-_encoder = msgspec.json.Encoder()
-_order_decoder = msgspec.json.Decoder(_OrderAnswer)
-_poll_decoder = msgspec.json.Decoder(_PollAnswer)
-_process_decoder = msgspec.json.Decoder(_Process)
-
-
-def task_name(task: TaskId) -> str:
-    """Name of a task in the worker protocol."""
-    return f"{task.job}.{OCCURRENCE}.{task.step}.{task.index}"
-
-
-def parse_task_name(name: str) -> TaskId | None:
-    """Parse a task name; None if it does not have the form of :func:`task_name`."""
-    match = _TASK_NAME.fullmatch(name)
-    return None if match is None else TaskId(match[1], int(match[2]), int(match[3]))
-
-
-def process_of(response: Response) -> int | None:
-    """Start time of the worker's process that has answered, or None if the answer does not say."""
-    result = decode(_process_decoder, response.body) if response.body else None
-    return result.unwrap().born if result is not None and result.is_ok() else None
-
-
 def _is_number(value: object) -> bool:
     return type(value) is int and 0 <= value <= MAX_NUMBER
 
@@ -168,7 +88,7 @@
     acknowledges nothing."""
     if order.life is None:
         return None
-    introduction = _encoder.encode(_PollBody(fence=order.fence, acked_up_to=0))
+    introduction = encoder.encode(PollBody(fence=order.fence, acked_up_to=0))
     return PeerBinding(
         peer=order.life, target=POLL_TARGET, body=introduction, replaces_call=replaces_call
     )
@@ -286,14 +206,14 @@
         """
 
         def encode_body() -> bytes:
-            body = _StartBody(
+            body = StartBody(
                 task=task_name(order.task),
                 run=order.run,
                 spec=order.payload,
                 deadline_ms=int(order.deadline_s * 1000),
                 fence=order.fence,
             )
-            return _encoder.encode(body)
+            return encoder.encode(body)
 
         self._send_order(order, "/api/run-start", encode_body, on_result)
 
@@ -301,8 +221,8 @@
         """Send an order to stop a run."""
 
         def encode_body() -> bytes:
-            body = _StopBody(task=task_name(order.task), run=order.run, fence=order.fence)
-            return _encoder.encode(body)
+            body = StopBody(task=task_name(order.task), run=order.run, fence=order.fence)
+            return encoder.encode(body)
 
         self._send_order(order, "/api/run-stop", encode_body, on_result)
 
@@ -332,9 +252,9 @@
         )
 
     def _decode_order_answer(self, worker_id: str, response: Response) -> OrderResult:
-        answer = _OrderAnswer()
+        answer = OrderAnswer()
         if response.body:
-            result = decode(_order_decoder, response.body)
+            result = decode(order_decoder, response.body)
             if result.is_err():
                 self._on_invalid_answer(worker_id, result.unwrap_err())
             else:
@@ -370,13 +290,13 @@
         worker_id = order.worker_id
 
         def encode_body() -> bytes:
-            body = _PollBody(
+            body = PollBody(
                 fence=order.fence,
                 acked_up_to=order.ends_seen,
                 deadline_ms=None if order.deadline_s is None else int(order.deadline_s * 1000),
                 wait_ms=int(order.wait_s * 1000),
             )
-            return _encoder.encode(body)
+            return encoder.encode(body)
 
         def on_response(response: Response | CallError) -> None:
             if isinstance(response, CallError):
@@ -399,7 +319,7 @@
         )
 
     def _decode_poll_answer(self, worker_id: str, response: Response) -> PollResult:
-        result = decode(_poll_decoder, response.body)
+        result = decode(poll_decoder, response.body)
         if result.is_err():
             self._on_invalid_answer(worker_id, result.unwrap_err())
             return CallFailure.BROKEN
@@ -426,7 +346,7 @@
             ended=tuple(self._ended_entry(worker_id, row) for row in answer.finished),
         )
 
-    def _ended_entry(self, worker_id: str, row: _Ended) -> EndedEntry:
+    def _ended_entry(self, worker_id: str, row: Ended) -> EndedEntry:
         """Turn a row into an entry; that of an unknown run only has the number, to acknowledge."""
         task = parse_task_name(row.task) if isinstance(row.task, str) else None
         if task is None or not isinstance(row.run, int) or not _is_number(row.run):
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,7 +9,7 @@
 
 from eelgrassyard._decoding import MAX_REASON_CHARACTERS, decode, shorten
 from eelgrassyard.dispatch._messages import ToServer
-from eelgrassyard.platform import _caller_api, _documents, _items, _store, _worker_calls
+from eelgrassyard.platform import _caller_api, _documents, _items, _store, _worker_bodies
 
 DECODER_BY_NAME = {
     "job": _caller_api._job_decoder,
@@ -21,8 +21,8 @@
     "item": _items._item_decoder,
     "key": _items._key_decoder,
     "lease": _store._lease_decoder,
-    "order answer": _worker_calls._order_decoder,
-    "poll answer": _worker_calls._poll_decoder,
+    "order answer": _worker_bodies.order_decoder,
+    "poll answer": _worker_bodies.poll_decoder,
     "frame": msgspec.msgpack.Decoder(list[ToServer]),
 }
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -18,7 +18,7 @@
     encode_host,
 )
 from eelgrassyard.platform._settings import read_settings
-from eelgrassyard.platform._worker_calls import parse_task_name, task_name
+from eelgrassyard.platform._worker_bodies import parse_task_name, task_name
 from odd_values import ODD_CONFIGS, ODD_HOST_ENTRIES, WORKER_ENTRIES_BY_CASE
 from platform_standin import config
 
