--- a/tests/test_restart_search.py
+++ b/tests/test_restart_search.py
@@ -22,8 +22,8 @@
 CUT_S = 2.5
 
 
-class Path(enum.Enum):
-    """Way on which a task came to the worker."""
+class Arrival(enum.Enum):
+    """How the run that is searched comes to the worker, and what becomes of it."""
 
     START = enum.auto()
     RENEWAL = enum.auto()
@@ -37,7 +37,7 @@
 
 
 def play(
-    path: Path,
+    arrival: Arrival,
     *,
     restart_s: float,
     cut_s: float,
@@ -49,15 +49,15 @@
     :param again_s: time after the restart at which the worker starts again once more.
     :param hidden: whether orders for one process of the worker reach another one.
     """
-    world = World(seed=1, domains=2 if path is Path.LOAN else 1, hosts=2, workers=2)
+    world = World(seed=1, domains=2 if arrival is Arrival.LOAN else 1, hosts=2, workers=2)
     for worker in world.worker_by_id.values():
         worker.speed = 1.0
-    target = world.worker_by_id["d1-w0" if path is Path.LOAN else "d0-w0"]
+    target = world.worker_by_id["d1-w0" if arrival is Arrival.LOAN else "d0-w0"]
     target.hides_restarts = hidden
     world.run(BEGAN_S)
     (leader,) = world.leaders("d0")
     entry = next(n for n in ("d0-h0", "d0-h1") if n != leader)
-    if path is Path.LOAN:
+    if arrival is Arrival.LOAN:
         for host in world.host_by_name.values():
             assert host.core is not None
             host.core.set_evacuations(world.now, revision=1, domains={"d0"})
@@ -68,7 +68,7 @@
 
     def send() -> None:
         caller = submit()
-        if path is Path.STOP:
+        if arrival is Arrival.STOP:
             world.at(0.4, lambda: world.break_off(caller))
 
     def cut() -> None:
@@ -76,24 +76,24 @@
         world.cut_paths |= paths
         world.at(CUT_S, lambda: world.cut_paths.difference_update(paths))
 
-    if path is Path.RENEWAL:
+    if arrival is Arrival.RENEWAL:
         submit()
     for at in (restart_s, *(() if again_s is None else (restart_s + again_s,))):
         world.at(at, lambda: target.restart(world.now))
     world.at(cut_s, cut)
     world.at(JOB_AT_S, send)
-    if path is Path.ADOPTION:
+    if arrival is Arrival.ADOPTION:
         world.at(JOB_AT_S + 0.3, lambda: world.kill(leader, silent=False))
     world.run(5.0)
     return world
 
 
 @pytest.mark.parametrize(
-    ("path", "again_s"),
-    [*((path, None) for path in Path), (Path.START, 0.15)],
+    ("arrival", "again_s"),
+    [*((arrival, None) for arrival in Arrival), (Arrival.START, 0.15)],
 )
 def test_no_moment_of_a_restart_and_a_cut_makes_a_task_run_twice(
-    path: Path, again_s: float | None
+    arrival: Arrival, again_s: float | None
 ) -> None:
     """Guards against leases that a leader counts on the clock of an earlier process of the worker
     (review/11)."""
@@ -101,17 +101,17 @@
         f"{restart_s:.3f} {cut_s:.3f}: {text}"
         for restart_s in RESTARTS_S
         for cut_s in CUTS_S
-        for text in play(path, restart_s=restart_s, cut_s=cut_s, again_s=again_s).violations
+        for text in play(arrival, restart_s=restart_s, cut_s=cut_s, again_s=again_s).violations
     ]
     assert found == []
 
 
 @pytest.mark.parametrize(
-    ("path", "restart_s", "cut_s"),
-    [(Path.START, 0.8, 1.2), (Path.RENEWAL, 0.0, 0.2), (Path.LOAN, 0.8, 1.2)],
+    ("arrival", "restart_s", "cut_s"),
+    [(Arrival.START, 0.8, 1.2), (Arrival.RENEWAL, 0.0, 0.2), (Arrival.LOAN, 0.8, 1.2)],
 )
 def test_the_search_finds_orders_that_reach_a_later_process(
-    path: Path, restart_s: float, cut_s: float
+    arrival: Arrival, restart_s: float, cut_s: float
 ) -> None:
     """Guards against a search that would not notice the fault."""
-    assert play(path, restart_s=restart_s, cut_s=cut_s, hidden=True).violations
+    assert play(arrival, restart_s=restart_s, cut_s=cut_s, hidden=True).violations
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 from soak._ledger import JobEntry, Ledger
 from soak._other_writer import OtherWriter
 from soak._proxy import Network, Proxy
-from soak._run import run_soak
+from soak._run import RunResult, run_soak
 from soak._seeds import parse_seeds
 from soak._store import StandinStore
 
@@ -196,22 +196,28 @@
     assert entries(1) != entries(2)
 
 
-def test_promises_hold_while_hosts_are_replaced_for_good(tmp_path: Path) -> None:
-    """Guards against hosts of a domain that lead each for itself, or no longer find each other,
-    after others were removed for good and came at other addresses, beside other faults."""
-    result = asyncio.run(
+def short_run(folder: Path, *, seed: int, replacements: int = 0, restarts: int = 0) -> RunResult:
+    """Make a short run on a small site, without the time bounds."""
+    return asyncio.run(
         run_soak(
-            seed=103,
-            folder=tmp_path,
+            seed=seed,
+            folder=folder,
             fault_s=5.0,
             domains=2,
             hosts_per_domain=2,
             workers_per_domain=3,
             rate=10.0,
             timed=False,
-            replacements=4,
+            replacements=replacements,
+            restarts=restarts,
         )
     )
+
+
+def test_promises_hold_while_hosts_are_replaced_for_good(tmp_path: Path) -> None:
+    """Guards against hosts of a domain that lead each for itself, or no longer find each other,
+    after others were removed for good and came at other addresses, beside other faults."""
+    result = short_run(tmp_path, seed=103, replacements=4)
     assert result.violations == []
     assert sum("for good" in fault for fault in result.faults) == 4
     assert result.counts["completed"] > 0
@@ -219,19 +225,7 @@
 
 def test_promises_hold_while_workers_start_again_and_are_cut_off(tmp_path: Path) -> None:
     """Guards against leases on the clock of an earlier process of a worker, beside other faults."""
-    result = asyncio.run(
-        run_soak(
-            seed=104,
-            folder=tmp_path,
-            fault_s=5.0,
-            domains=2,
-            hosts_per_domain=2,
-            workers_per_domain=3,
-            rate=10.0,
-            timed=False,
-            restarts=6,
-        )
-    )
+    result = short_run(tmp_path, seed=104, restarts=6)
     assert result.violations == []
     assert sum("restart d" in fault for fault in result.faults) > 0
     assert result.counts["completed"] > 0
@@ -241,17 +235,6 @@
 def test_promises_hold_on_real_processes_under_faults(tmp_path: Path, seed: int) -> None:
     """Guards against concurrent, incomplete, unrequested or falsely refused work when real hosts
     are killed, frozen, partitioned and stopped. Time bounds are checked only by the soak itself."""
-    result = asyncio.run(
-        run_soak(
-            seed=seed,
-            folder=tmp_path,
-            fault_s=5.0,
-            domains=2,
-            hosts_per_domain=2,
-            workers_per_domain=3,
-            rate=10.0,
-            timed=False,
-        )
-    )
+    result = short_run(tmp_path, seed=seed)
     assert result.violations == []
     assert result.counts["completed"] > 0
